Start: shared types of calls, problems, catalogue, settings, events and views

Cause: nothing exists yet; several packages have to grow side by side. Conclusion: packages can be written against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# The linter runs at one pinned version, built from the Go module proxy.
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BIN := bin
+
+.PHONY: build test lint format bench demo clean
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test -race -timeout 15m ./...
+
+lint:
+	$(LINT) run ./...
+	$(LINT) fmt --diff ./...
+
+format:
+	$(LINT) fmt ./...
+
+bench:
+	go test -run '^$$' -bench . -benchtime 1000x -benchmem ./decision/...
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/internal/call/meta.go
@@ -0,0 +1,139 @@
+// Package call is the description that travels with a call between nodes.
+package call
+
+import (
+	"encoding/base64"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/decision/priority"
+)
+
+// Headers between nodes, endpoints and callers.
+const (
+	// HeaderMeta carries the encoded Meta between nodes.
+	HeaderMeta = "Galenacart-Meta"
+	// HeaderFleet carries the proof that the sender is a node of the fleet.
+	HeaderFleet = "Galenacart-Fleet"
+	// HeaderReply carries the encoded Reply on an answer between nodes.
+	HeaderReply = "Galenacart-Reply"
+	// HeaderCall tells an endpoint the ID of the call that it runs.
+	HeaderCall = "Galenacart-Call"
+	// HeaderParent is set by an endpoint on its own calls: the ID of the call
+	// for which it makes them.
+	HeaderParent = "Galenacart-Parent"
+	// HeaderTimeout carries the remaining time, in milliseconds.
+	HeaderTimeout = "Galenacart-Timeout-Ms"
+	// HeaderIdempotencyKey carries a token of a node or a caller's own key.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// Prefix is common to every header that only nodes set or read.
+	Prefix = "Galenacart-"
+)
+
+// maxEncodedBytes bounds an encoded Meta or Reply.
+const maxEncodedBytes = 2048
+
+// ID identifies one call, or one attempt of it, over the whole fleet.
+type ID [16]byte
+
+// Meta describes a call to the node that receives it.
+type Meta struct {
+	// Attempt identifies this attempt. The answer repeats it.
+	Attempt ID `cbor:"1,keyasint"`
+	// Root identifies the request at the edge.
+	Root ID `cbor:"2,keyasint"`
+	// Priority is the place of the root request in the order of importance.
+	Priority priority.Priority `cbor:"3,keyasint"`
+	// RemainingMs is the time left for the answer, in milliseconds.
+	RemainingMs uint32 `cbor:"4,keyasint"`
+	// Retries is the part of the root's retry budget handed to this call.
+	Retries uint16 `cbor:"5,keyasint"`
+	// Method is the HTTP method for the endpoint.
+	Method string `cbor:"6,keyasint"`
+	// Fingerprint identifies the request's content.
+	Fingerprint uint64 `cbor:"7,keyasint"`
+	// Depth counts the calls between the root and this one.
+	Depth uint8 `cbor:"8,keyasint"`
+	// Clock is the sender's logical time.
+	Clock uint64 `cbor:"9,keyasint"`
+	// Correlation is the ID under which events of the request are logged.
+	Correlation string `cbor:"10,keyasint"`
+}
+
+// Reply describes an answer to the node that made the call.
+type Reply struct {
+	// Attempt repeats the attempt of the Meta.
+	Attempt ID `cbor:"1,keyasint"`
+	// Retries is the unspent part of the budget.
+	Retries uint16 `cbor:"2,keyasint"`
+	// Threshold is the priority from which on the node sheds.
+	Threshold priority.Priority `cbor:"3,keyasint"`
+	// Headroom is the number of further calls that the node would run at once.
+	Headroom uint16 `cbor:"4,keyasint"`
+	// Leaving says that the node takes no new work.
+	Leaving bool `cbor:"5,keyasint"`
+	// Clock is the sender's logical time.
+	Clock uint64 `cbor:"6,keyasint"`
+	// Crashed says that the endpoint broke down while it ran the call.
+	Crashed bool `cbor:"7,keyasint"`
+}
+
+// Remaining returns the time left for the answer.
+func (m *Meta) Remaining() time.Duration {
+	return time.Duration(m.RemainingMs) * time.Millisecond
+}
+
+// SetMeta writes m into h.
+func SetMeta(h http.Header, m *Meta) error {
+	return set(h, HeaderMeta, m)
+}
+
+// GetMeta reads a Meta from h.
+func GetMeta(h http.Header) (*Meta, error) {
+	m := &Meta{}
+	if err := get(h, HeaderMeta, m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// SetReply writes r into h.
+func SetReply(h http.Header, r *Reply) error {
+	return set(h, HeaderReply, r)
+}
+
+// GetReply reads a Reply from h.
+func GetReply(h http.Header) (*Reply, error) {
+	r := &Reply{}
+	if err := get(h, HeaderReply, r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func set(h http.Header, name string, value any) error {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", name)
+	}
+	h.Set(name, base64.RawURLEncoding.EncodeToString(data))
+	return nil
+}
+
+func get(h http.Header, name string, into any) error {
+	text := h.Get(name)
+	if text == "" || len(text) > maxEncodedBytes {
+		return errors.Errorf("%s: want 1 to %d bytes, have %d", name, maxEncodedBytes, len(text))
+	}
+	data, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return errors.Wrapf(err, "decode %s", name)
+	}
+	if err := cbor.Unmarshal(data, into); err != nil {
+		return errors.Wrapf(err, "decode %s", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/catalogue/index.go
@@ -0,0 +1,106 @@
+package catalogue
+
+import (
+	"strings"
+	"time"
+
+	"github.com/galenacart/galenacart/decision/priority"
+)
+
+// defaultBodyBytes is the request body limit of a route that names none.
+const defaultBodyBytes = 1 << 20
+
+// Index answers the lookups that traffic makes. It is immutable.
+type Index struct {
+	catalogue *Catalogue
+	ranks     map[string]priority.Rank
+	services  map[string]*Service
+	routes    map[string][]*Route // by method, the longest path first
+}
+
+// NewIndex returns the index of a valid catalogue.
+func NewIndex(c *Catalogue) *Index {
+	x := &Index{
+		catalogue: c,
+		ranks:     make(map[string]priority.Rank, len(c.Classes)),
+		services:  make(map[string]*Service, len(c.Services)),
+		routes:    make(map[string][]*Route),
+	}
+	for i := range c.Classes {
+		x.ranks[c.Classes[i].Name] = priority.Rank(i)
+	}
+	for i := range c.Services {
+		x.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		x.addRoute(&c.Routes[i])
+	}
+	return x
+}
+
+func (x *Index) addRoute(r *Route) {
+	list := x.routes[r.Method]
+	at := 0
+	for at < len(list) && len(list[at].Path) >= len(r.Path) {
+		at++
+	}
+	list = append(list, nil)
+	copy(list[at+1:], list[at:])
+	list[at] = r
+	x.routes[r.Method] = list
+}
+
+// Catalogue returns the document behind the index.
+func (x *Index) Catalogue() *Catalogue {
+	return x.catalogue
+}
+
+// Rank returns the rank of a class, and false when there is no such class.
+func (x *Index) Rank(class string) (priority.Rank, bool) {
+	r, ok := x.ranks[class]
+	return r, ok
+}
+
+// Service returns a service by name, or nil.
+func (x *Index) Service(name string) *Service {
+	return x.services[name]
+}
+
+// Route returns the route with the longest matching path, or nil.
+func (x *Index) Route(method, path string) *Route {
+	for _, r := range x.routes[method] {
+		if matches(r.Path, path) {
+			return r
+		}
+	}
+	return nil
+}
+
+// matches reports whether path lies at or below prefix.
+func matches(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	if len(path) == len(prefix) || strings.HasSuffix(prefix, "/") {
+		return true
+	}
+	return path[len(prefix)] == '/'
+}
+
+// Timeout returns the time for the whole answer.
+func (r *Route) Timeout() time.Duration {
+	return time.Duration(r.Limits.TimeoutMs) * time.Millisecond
+}
+
+// BodyLimit returns the largest request body, in bytes.
+func (r *Route) BodyLimit() int64 {
+	if r.Limits.BodyBytes == 0 {
+		return defaultBodyBytes
+	}
+	return r.Limits.BodyBytes
+}
+
+// TokenLifetime returns the time for which a token may be used.
+func (i Idempotency) TokenLifetime() time.Duration {
+	return time.Duration(i.TokenLifetimeMs) * time.Millisecond
+}
--- /dev/null
+++ b/internal/event/control.go
@@ -0,0 +1,4 @@
+package event
+
+// controlEvents holds the definitions numbered from 2000.
+var controlEvents = []Definition{}
--- /dev/null
+++ b/internal/event/lifecycle.go
@@ -0,0 +1,4 @@
+package event
+
+// lifecycleEvents holds the definitions numbered from 3000.
+var lifecycleEvents = []Definition{}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,112 @@
+// Package settings holds the static settings of a node. They are read once at
+// start. What operators change at run time is in the catalogue.
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/galenacart/galenacart/internal/strictjson"
+)
+
+const maxBytes = 64 << 10
+
+// Node is the settings document of one node.
+type Node struct {
+	// VM is the unique name of the VM.
+	VM string `json:"vm" validate:"required,max=128"`
+	// AvailabilityZone is the availability zone of the VM.
+	AvailabilityZone string `json:"availabilityZone" validate:"required,max=64"`
+	// Region is the region of the availability zone.
+	Region string `json:"region" validate:"required,max=64"`
+	// Service is the service of the local endpoint.
+	Service string `json:"service" validate:"required,max=64"`
+	// CallerAddress is the IP address and port at which callers reach the node.
+	CallerAddress string `json:"callerAddress" validate:"required"`
+	// PeerAddress is the IP address and port at which other nodes reach the node.
+	PeerAddress string `json:"peerAddress" validate:"required"`
+	// OutboundAddress is the loopback IP address and port to which the local
+	// endpoint sends its own calls.
+	OutboundAddress string `json:"outboundAddress" validate:"required"`
+	// EndpointAddress is the IP address and port of the local endpoint.
+	EndpointAddress string `json:"endpointAddress" validate:"required"`
+	// StatusAddress is the IP address and port of status, metrics and events.
+	StatusAddress string `json:"statusAddress" validate:"required"`
+	// PlatformAddresses are the addresses of the platform's service.
+	PlatformAddresses []string `json:"platformAddresses" validate:"required,min=1,max=16"`
+	// FleetKey is the secret that all nodes of the deployment share.
+	FleetKey string `json:"fleetKey" validate:"required,min=16,max=256"`
+	// StopTimeoutMs bounds a planned stop, in milliseconds. Default 20000.
+	StopTimeoutMs int `json:"stopTimeoutMs,omitempty" validate:"gte=0,lte=600000"`
+	// ConnectionSilenceMs is the time without progress after which a connection
+	// counts as lost, in milliseconds. Default 1000.
+	ConnectionSilenceMs int `json:"connectionSilenceMs,omitempty" validate:"gte=0,lte=60000"`
+	// LogLevel is one of debug, info, warn, error. Default info.
+	LogLevel string `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// Defaults of optional settings.
+const (
+	defaultStopTimeout       = 20 * time.Second
+	defaultConnectionSilence = time.Second
+)
+
+// Decode reads and checks settings. The error is a *strictjson.Faults.
+func Decode(file string, data []byte) (*Node, error) {
+	n := &Node{}
+	if err := strictjson.Decode(file, data, n); err != nil {
+		return nil, err
+	}
+	if faults := n.check(); len(faults) > 0 {
+		return nil, &strictjson.Faults{File: file, List: faults}
+	}
+	return n, nil
+}
+
+// ReadFile reads and checks the settings in a file.
+func ReadFile(file string) (*Node, error) {
+	data, err := strictjson.ReadFile(file, maxBytes)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(file, data)
+}
+
+func (n *Node) check() []strictjson.Fault {
+	var faults []strictjson.Fault
+	if err := validator.New().Struct(n); err != nil {
+		faults = append(faults, strictjson.Fault{Reason: err.Error()})
+	}
+	addresses := []struct{ field, value string }{
+		{"/callerAddress", n.CallerAddress},
+		{"/peerAddress", n.PeerAddress},
+		{"/outboundAddress", n.OutboundAddress},
+		{"/endpointAddress", n.EndpointAddress},
+		{"/statusAddress", n.StatusAddress},
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			faults = append(faults, strictjson.Fault{Pointer: a.field, Reason: "want IP:port, have " + a.value})
+		}
+	}
+	return faults
+}
+
+// StopTimeout bounds a planned stop.
+func (n *Node) StopTimeout() time.Duration {
+	if n.StopTimeoutMs == 0 {
+		return defaultStopTimeout
+	}
+	return time.Duration(n.StopTimeoutMs) * time.Millisecond
+}
+
+// ConnectionSilence is the time without progress after which a connection
+// counts as lost.
+func (n *Node) ConnectionSilence() time.Duration {
+	if n.ConnectionSilenceMs == 0 {
+		return defaultConnectionSilence
+	}
+	return time.Duration(n.ConnectionSilenceMs) * time.Millisecond
+}
