--- /dev/null
+++ b/decision/adoption/adoption.go
@@ -0,0 +1,50 @@
+// Package adoption decides which version of a document a node takes into force.
+// The platform's revision orders the versions; a node never goes back.
+package adoption
+
+// Hash identifies the content of a document.
+type Hash [16]byte
+
+// Version names one state of a document.
+type Version struct {
+	// Revision is the platform's revision of the state; 0 stands for none.
+	Revision uint64
+	// Hash identifies the content.
+	Hash Hash
+}
+
+// Verdict is the answer to one offered version.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Same means that the version is the one in force.
+	Same Verdict = iota
+	// Adopt means that the version is newer and is taken into force.
+	Adopt
+	// Older means that the version is older than the one in force.
+	Older
+	// Conflict means that the revision in force has other content.
+	Conflict
+)
+
+var verdictNames = [...]string{"same", "adopt", "older", "conflict"}
+
+// String returns the name of the verdict.
+func (v Verdict) String() string {
+	return verdictNames[v]
+}
+
+// Judge compares an offered version with the one in force.
+func Judge(current, offered Version) Verdict {
+	switch {
+	case offered.Revision > current.Revision:
+		return Adopt
+	case offered.Revision < current.Revision:
+		return Older
+	case offered.Hash != current.Hash:
+		return Conflict
+	default:
+		return Same
+	}
+}
--- /dev/null
+++ b/decision/membership/membership.go
@@ -0,0 +1,146 @@
+// Package membership decides the state of a VM from evidence that disagrees: the
+// platform's lagging list, what nodes say of themselves, links and traffic.
+package membership
+
+import "time"
+
+// State is the state of a VM.
+type State uint8
+
+// The states.
+const (
+	// Gone means that the VM gets no calls.
+	Gone State = iota
+	// Live means that the VM takes work.
+	Live
+	// Leaving means that the VM takes no new work.
+	Leaving
+)
+
+var stateNames = [...]string{"gone", "live", "leaving"}
+
+// String returns the name of the state.
+func (s State) String() string {
+	return stateNames[s]
+}
+
+// Said is what a node last said of itself.
+type Said uint8
+
+// What a node can say.
+const (
+	// SaidNothing means that no word of the node was heard.
+	SaidNothing Said = iota
+	// SaidLive means that it takes work.
+	SaidLive
+	// SaidLeaving means that it takes no new work.
+	SaidLeaving
+	// SaidStopped means that its process was about to end.
+	SaidStopped
+)
+
+// Listing is the VM's place in the platform's list.
+type Listing uint8
+
+// The places.
+const (
+	// Unlisted means that the list does not hold the VM.
+	Unlisted Listing = iota
+	// ListedLive means that the list says live.
+	ListedLive
+	// ListedLeaving means that the list says leaving.
+	ListedLeaving
+)
+
+// Times after which evidence is worth nothing.
+const (
+	// ListLag bounds the time by which the list lags.
+	ListLag = 2 * time.Minute
+	// AnswerWorth is the time for which an answer to traffic proves that a VM
+	// lives.
+	AnswerWorth = 10 * time.Second
+	// LeavingWorth is the time for which "leaving" on an answer to traffic holds.
+	LeavingWorth = time.Minute
+)
+
+// Never is the age of what was not seen.
+const Never = time.Duration(1<<63 - 1)
+
+// Evidence is all that a node knows of a VM.
+type Evidence struct {
+	// Listing is the VM's place in the list.
+	Listing Listing
+	// Linked says that the VM's node answers on a link.
+	Linked bool
+	// Said is what the VM's node last said of itself.
+	Said Said
+	// SaidAge is the time since it said so.
+	SaidAge time.Duration
+	// AnsweredAge is the time since traffic got an answer, or Never.
+	AnsweredAge time.Duration
+	// UnreachableAge is the time since traffic could not connect, or Never.
+	UnreachableAge time.Duration
+	// LeavingAge is the time since an answer to traffic said leaving, or Never.
+	LeavingAge time.Duration
+}
+
+// Finding is a state with the evidence that decided it.
+type Finding struct {
+	// State is the state of the VM.
+	State State
+	// Reason names the evidence.
+	Reason string
+}
+
+// Find decides the state of a VM. First-hand evidence goes before reports: a VM
+// that answers is not gone, whatever a list or another node says, and a report
+// that traffic could not connect does not remove a listed VM.
+func Find(e Evidence) Finding {
+	if e.Linked || e.AnsweredAge < min(AnswerWorth, e.UnreachableAge) {
+		return findAnswering(e)
+	}
+	switch {
+	case e.Said == SaidStopped && (e.Listing == Unlisted || e.SaidAge < ListLag):
+		return Finding{Gone, "said it stops"}
+	case e.Listing == ListedLeaving:
+		return Finding{Leaving, "listed as leaving"}
+	case e.Listing == ListedLive:
+		return findListed(e)
+	case e.SaidAge >= ListLag || e.Said == SaidNothing:
+		return Finding{Gone, "not listed"}
+	case e.UnreachableAge < AnswerWorth:
+		return Finding{Gone, "not listed and unreachable"}
+	case e.Said == SaidLeaving:
+		return Finding{Leaving, "said it leaves"}
+	default:
+		return Finding{Live, "said it is live, not listed yet"}
+	}
+}
+
+// findAnswering decides for a VM that is known to run.
+func findAnswering(e Evidence) Finding {
+	switch {
+	case e.Said == SaidLeaving || e.Said == SaidStopped:
+		return Finding{Leaving, "said it leaves"}
+	case e.LeavingAge < LeavingWorth:
+		return Finding{Leaving, "said it leaves on an answer"}
+	case e.Listing == ListedLeaving:
+		return Finding{Leaving, "listed as leaving"}
+	case e.Linked:
+		return Finding{Live, "answers on a link"}
+	default:
+		return Finding{Live, "answers calls"}
+	}
+}
+
+// findListed decides for a VM that the list calls live.
+func findListed(e Evidence) Finding {
+	switch {
+	case e.Said == SaidLeaving:
+		return Finding{Leaving, "said it leaves"}
+	case e.LeavingAge < LeavingWorth:
+		return Finding{Leaving, "said it leaves on an answer"}
+	default:
+		return Finding{Live, "listed as live"}
+	}
+}
--- /dev/null
+++ b/decision/readers/duty.go
@@ -0,0 +1,87 @@
+package readers
+
+import "time"
+
+// Duty says how a node reads the platform.
+type Duty uint8
+
+// The duties.
+const (
+	// DutyNone means that the node hears of changes from its peers.
+	DutyNone Duty = iota
+	// DutyWatch means that the node reads for its zone: it always has a watch open.
+	DutyWatch
+	// DutyCheck means that nobody has told the node of a fresh read for a while,
+	// so that it reads now and then itself.
+	DutyCheck
+)
+
+var dutyNames = [...]string{"none", "watch", "check"}
+
+// String returns the name of the duty.
+func (d Duty) String() string {
+	return dutyNames[d]
+}
+
+// Times of the duties.
+const (
+	// WatchWait is the longest wait of one watch.
+	WatchWait = 10 * time.Second
+	// StaleAfter is the age of the last read heard of, by anyone, at which a node
+	// begins to read itself.
+	StaleAfter = 25 * time.Second
+
+	backoffStart    = 500 * time.Millisecond
+	backoffMaxWatch = 4 * time.Second
+	backoffMaxCheck = time.Minute
+)
+
+// Situation is what a node knows when it chooses its duty.
+type Situation struct {
+	// Listed says that the node has a VM list that contains it.
+	Listed bool
+	// Reader says that the list makes the node a reader of its zone.
+	Reader bool
+	// Leaving says that the node is stopping.
+	Leaving bool
+	// Waited is the time since the node started.
+	Waited time.Duration
+	// Patience is the time for which a node that started leaves it to its peers
+	// to tell it of a read.
+	Patience time.Duration
+	// Heard says that the node knows of a read of the platform at all.
+	Heard bool
+	// Age is the time since the newest read that the node knows of.
+	Age time.Duration
+}
+
+// Choose returns the duty of a node.
+func Choose(s Situation) Duty {
+	switch {
+	case s.Leaving:
+		return DutyNone
+	case s.Listed && s.Reader:
+		return DutyWatch
+	case !s.Heard && s.Waited >= s.Patience:
+		return DutyCheck
+	case s.Heard && s.Age >= StaleAfter:
+		return DutyCheck
+	default:
+		return DutyNone
+	}
+}
+
+// Backoff returns the pause after a number of failed reads in a row. random is
+// in [0, 1): nodes that failed together come back apart.
+func Backoff(d Duty, failures int, random float64) time.Duration {
+	longest := backoffMaxCheck
+	if d == DutyWatch {
+		longest = backoffMaxWatch
+	}
+	pause := backoffStart
+	for i := 1; i < failures && pause < longest; i++ {
+		pause *= 2
+	}
+	pause = min(pause, longest)
+	return pause/2 + time.Duration(random*float64(pause)/2)
+}
--- /dev/null
+++ b/decision/readers/readers.go
@@ -0,0 +1,69 @@
+// Package readers decides which nodes read the platform, and how often. There is
+// no election: nodes with different VM lists may choose different readers, which
+// costs reads and never correctness.
+package readers
+
+import "time"
+
+const (
+	// PerZone is the number of readers in each availability zone.
+	PerZone = 3
+	// StartWindow is the time over which nodes that start at once spread their
+	// first read: UnknownFleet nodes stay under three quarters of PlatformLimit.
+	StartWindow = 4 * time.Second
+)
+
+// mixFactor is an odd constant with about as many one bits as zero bits, the
+// multiplier of the splitmix64 generator's first step.
+const mixFactor = 0xbf58476d1ce4e5b9
+
+// Score is the weight of a VM in rendezvous hashing. vmHash and saltHash are
+// 64-bit hashes of the VM's name and of what is chosen.
+func Score(vmHash, saltHash uint64) uint64 {
+	x := vmHash ^ saltHash
+	x ^= x >> 30
+	x *= mixFactor
+	x ^= x >> 27
+	x *= mixFactor
+	return x ^ x>>31
+}
+
+// Top returns the indexes of the n hashes with the highest scores, the highest
+// first. Equal scores go by hash, so that the order of the input has no effect.
+func Top(hashes []uint64, saltHash uint64, n int) []int {
+	var top []int
+	for i := range hashes {
+		at := len(top)
+		for at > 0 && above(hashes[i], hashes[top[at-1]], saltHash) {
+			at--
+		}
+		if at >= n {
+			continue
+		}
+		if len(top) < n {
+			top = append(top, 0)
+		}
+		copy(top[at+1:], top[at:])
+		top[at] = i
+	}
+	return top
+}
+
+func above(a, b, saltHash uint64) bool {
+	scoreA, scoreB := Score(a, saltHash), Score(b, saltHash)
+	if scoreA != scoreB {
+		return scoreA > scoreB
+	}
+	return a > b
+}
+
+// IsReader reports whether the VM with the hash self is one of the readers of
+// its zone. zone holds the hashes of the zone's live VMs.
+func IsReader(zone []uint64, self, saltHash uint64) bool {
+	for _, i := range Top(zone, saltHash, PerZone) {
+		if zone[i] == self {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/decision/readers/readers_test.go
@@ -0,0 +1,117 @@
+package readers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestTopAgreesWithSorting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hashes := rapid.SliceOfNDistinct(rapid.Uint64(), 0, 40, rapid.ID).Draw(t, "hashes")
+		salt := rapid.Uint64().Draw(t, "salt")
+		n := rapid.IntRange(0, 10).Draw(t, "n")
+		top := Top(hashes, salt, n)
+		require.Len(t, top, min(n, len(hashes)))
+		chosen := map[int]bool{}
+		for _, i := range top {
+			chosen[i] = true
+		}
+		require.Len(t, chosen, len(top))
+		for i := range hashes {
+			if chosen[i] {
+				continue
+			}
+			for _, j := range top {
+				require.GreaterOrEqual(t, Score(hashes[j], salt), Score(hashes[i], salt))
+			}
+		}
+	})
+}
+
+func TestReadersOfAZone(t *testing.T) {
+	var zone []uint64
+	for i := range uint64(600) {
+		zone = append(zone, Score(i, 77))
+	}
+	readers := 0
+	for _, self := range zone {
+		if IsReader(zone, self, 1) {
+			readers++
+		}
+	}
+	require.Equal(t, PerZone, readers)
+}
+
+func TestOneVMLessChangesAtMostOneReader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zone := rapid.SliceOfNDistinct(rapid.Uint64(), 5, 40, rapid.ID).Draw(t, "zone")
+		gone := rapid.IntRange(0, len(zone)-1).Draw(t, "gone")
+		rest := append(append([]uint64{}, zone[:gone]...), zone[gone+1:]...)
+		lost := 0
+		for _, self := range rest {
+			if IsReader(zone, self, 1) && !IsReader(rest, self, 1) {
+				lost++
+			}
+		}
+		require.Zero(t, lost)
+	})
+}
+
+// Every node of the fleet takes all the reads that it may.
+func TestReadsOfTheWholeFleetStayUnderTheLimit(t *testing.T) {
+	for _, vms := range []int{200, 1000, 5900} {
+		shares := make([]Share, vms)
+		reads := 0
+		const seconds = 10
+		for at := time.Duration(0); at < seconds*time.Second; at += 100 * time.Millisecond {
+			for i := range shares {
+				if at == 0 {
+					shares[i] = NewShare(0)
+					shares[i].tokens = 0
+				}
+				if shares[i].Take(at, vms) {
+					reads++
+				}
+			}
+		}
+		require.LessOrEqual(t, reads, FleetLimit*seconds, "%d VMs", vms)
+		require.Positive(t, reads)
+	}
+}
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		desc string
+		in   Situation
+		want Duty
+	}{
+		{"just started", Situation{}, DutyCheck},
+		{"just started, peers may tell", Situation{Waited: 1, Patience: 2}, DutyNone},
+		{"reader", Situation{Listed: true, Reader: true, Heard: true}, DutyWatch},
+		{"leaving reader", Situation{Listed: true, Reader: true, Heard: true, Leaving: true}, DutyNone},
+		{"others read", Situation{Listed: true, Heard: true, Age: StaleAfter - 1}, DutyNone},
+		{"others have not read for long", Situation{Listed: true, Heard: true, Age: StaleAfter}, DutyCheck},
+		{"not listed, others read", Situation{Heard: true}, DutyNone},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			require.Equal(t, c.want, Choose(c.in))
+		})
+	}
+}
+
+func TestBackoffGrowsToItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		failures := rapid.IntRange(1, 100).Draw(t, "failures")
+		random := rapid.Float64Range(0, 0.999).Draw(t, "random")
+		watch := Backoff(DutyWatch, failures, random)
+		require.LessOrEqual(t, watch, backoffMaxWatch)
+		require.GreaterOrEqual(t, watch, backoffStart/2)
+		check := Backoff(DutyCheck, 20+failures, random)
+		require.LessOrEqual(t, check, backoffMaxCheck)
+		require.GreaterOrEqual(t, check, backoffMaxCheck/2)
+	})
+}
--- /dev/null
+++ b/internal/control/config.go
@@ -0,0 +1,75 @@
+// Package control is the control side of a node: one thread that owns all
+// control state. Controllers on that thread work together over a blackboard;
+// goroutines around it do the I/O and only post messages to it.
+package control
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/galenacart/galenacart/decision/readers"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// Config is what a Control is made of.
+type Config struct {
+	// Settings are the settings of the node.
+	Settings *settings.Node
+	// Incarnation identifies this run of the process; it is not 0.
+	Incarnation uint64
+	// Log takes the events.
+	Log *event.Log
+	// Holder publishes the views.
+	Holder *view.Holder
+	// Reports brings the observations of traffic.
+	Reports *view.Reports
+	// Registry takes the metrics.
+	Registry metrics.Registry
+	// HTTP makes the connections to the platform and to peers. Optional. It must
+	// have no timeout of its own.
+	HTTP *http.Client
+	// Now returns the monotonic time since the process started.
+	Now func() time.Duration
+	// StartWindow is the time over which nodes that start at once spread their
+	// first read. Optional; the default suits the largest fleet.
+	StartWindow time.Duration
+}
+
+// Timeouts of the default HTTP client.
+const (
+	dialTimeout     = time.Second
+	idleConnTimeout = 30 * time.Second
+	idleConns       = 4
+)
+
+func (c *Config) check() error {
+	switch {
+	case c.Settings == nil, c.Log == nil, c.Holder == nil, c.Reports == nil, c.Registry == nil, c.Now == nil:
+		return errors.New("control: incomplete configuration")
+	case c.Incarnation == 0:
+		return errors.New("control: the incarnation is 0")
+	}
+	if c.HTTP == nil {
+		c.HTTP = newHTTPClient()
+	}
+	if c.StartWindow == 0 {
+		c.StartWindow = readers.StartWindow
+	}
+	return nil
+}
+
+func newHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}}
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Control is the running control side of a node.
+type Control struct {
+	thread *thread
+	cancel context.CancelFunc
+}
+
+// Start begins to read the platform and to link with peers. ctx bounds the life
+// of the control side.
+func Start(ctx context.Context, c Config) (*Control, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	t := newThread(ctx, c)
+	t.registerMetrics()
+	t.start()
+	t.goDo(t.pumpTicks)
+	t.goDo(t.pumpReports)
+	t.post(tick{})
+	return &Control{thread: t, cancel: cancel}, nil
+}
+
+// PeerHandler accepts the links of peers. It belongs at peer.Path on the peer
+// address.
+func (c *Control) PeerHandler() http.Handler {
+	return http.HandlerFunc(c.thread.accept)
+}
+
+// Leave begins the planned stop: peers are told at once, and the view says so.
+func (c *Control) Leave() {
+	c.thread.post(leave{})
+}
+
+// Status returns what control knows.
+func (c *Control) Status() Status {
+	reply := make(chan Status, 1)
+	c.thread.post(statusWanted{reply: reply})
+	select {
+	case s := <-reply:
+		return s
+	case <-time.After(statusTimeout):
+		return Status{VM: c.thread.Settings.VM, Incarnation: c.thread.Incarnation, Busy: true}
+	}
+}
+
+// Stop tells the peers that the process ends, closes all links and waits for
+// the goroutines until ctx ends.
+func (c *Control) Stop(ctx context.Context) error {
+	defer c.cancel()
+	told := make(chan struct{})
+	c.thread.post(stop{done: told})
+	select {
+	case <-told:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "tell peers of the stop")
+	}
+	c.cancel()
+	ended := make(chan struct{})
+	go func() {
+		c.thread.group.Wait()
+		_ = c.thread.system.Root.PoisonFuture(c.thread.pid).Wait()
+		c.thread.system.Shutdown()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for control to stop")
+	}
+}
+
+// pumpTicks posts the ticks. At most one waits, so that a busy thread is not
+// handed a backlog.
+func (t *thread) pumpTicks() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			t.post(tick{})
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
+
+// pumpReports posts what traffic saw.
+func (t *thread) pumpReports() {
+	for {
+		select {
+		case r := <-t.Reports.C():
+			t.post(reported{report: r})
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,219 @@
+package control
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/decision/readers"
+	"github.com/galenacart/galenacart/internal/platform"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// inFleet runs a test with a fleet whose nodes all have the first catalogue.
+func inFleet(t *testing.T, zones, perZone int, test func(*testing.T, *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(zones, perZone)
+		defer f.close()
+		f.startAll()
+		require.True(t, waitUntil(5*time.Second, func() bool { return f.inForce(2, "") }), "first catalogue")
+		test(t, f)
+	})
+}
+
+func TestChangeIsInForceOnAllNodes(t *testing.T) {
+	inFleet(t, 3, 4, func(t *testing.T, f *fleet) {
+		revision := f.platform.put(platform.KeyCatalogue, catalogueWith(1))
+		require.True(t, waitUntil(2*time.Second, func() bool { return f.inForce(revision, "") }))
+		for _, n := range f.nodes {
+			require.Len(t, n.holder.Load().ByService["stock"], 12)
+			require.Equal(t, 1001, n.holder.Load().Index.Route("POST", "/book").Limits.TimeoutMs)
+		}
+	})
+}
+
+func TestOnlyReadersReadThePlatform(t *testing.T) {
+	inFleet(t, 3, 6, func(t *testing.T, f *fleet) {
+		time.Sleep(5 * time.Second)
+		before := f.platform.readCount()
+		const watched = 60 * time.Second
+		time.Sleep(watched)
+		// Each reader has one watch for each key open.
+		most := 3 * readers.PerZone * int(keyCount) * int(watched/readers.WatchWait+1)
+		require.LessOrEqual(t, f.platform.readCount()-before, most)
+		require.Positive(t, f.platform.readCount()-before)
+	})
+}
+
+func TestOlderAndConflictingStatesAreRefused(t *testing.T) {
+	cases := []struct {
+		desc     string
+		revision uint64
+		reason   string
+	}{
+		{"back to an older state", 1, "older"},
+		{"same revision, other content", 3, "conflict"},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
+				require.Equal(t, uint64(3), f.platform.put(platform.KeyCatalogue, catalogueWith(1)))
+				require.True(t, waitUntil(2*time.Second, func() bool { return f.inForce(3, "") }))
+				f.platform.force(platform.KeyCatalogue, platform.Value{Data: catalogueWith(7), Revision: c.revision})
+				// A node that has just started reads the state, but its peers know better.
+				f.crash("vm-0-0")
+				n := f.start(f.vms[0])
+				require.True(t, waitUntil(5*time.Second, func() bool { return n.holder.Load().Revision != 0 }))
+				time.Sleep(time.Minute)
+				require.True(t, f.inForce(3, ""))
+				require.Equal(t, 1001, n.holder.Load().Index.Route("POST", "/book").Limits.TimeoutMs)
+				refused := n.Status().Catalogue.Refused
+				require.NotNil(t, refused)
+				require.Contains(t, refused.Reason, c.reason)
+			})
+		})
+	}
+}
+
+func TestInvalidCatalogueIsRefusedWhole(t *testing.T) {
+	inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
+		f.platform.put(platform.KeyCatalogue, []byte(`{"classes":[]}`))
+		time.Sleep(15 * time.Second)
+		require.True(t, f.inForce(2, ""))
+		require.Contains(t, f.nodes["vm-0-0"].Status().Catalogue.Refused.Reason, "invalid")
+		revision := f.platform.put(platform.KeyCatalogue, catalogueWith(2))
+		require.True(t, waitUntil(2*time.Second, func() bool { return f.inForce(revision, "") }))
+		require.Nil(t, f.nodes["vm-0-0"].Status().Catalogue.Refused)
+	})
+}
+
+func TestNodeStartsFromPeersWhenThePlatformIsDown(t *testing.T) {
+	inFleet(t, 2, 3, func(t *testing.T, f *fleet) {
+		f.platform.setDown(true)
+		time.Sleep(2 * recentRead)
+		f.crash("vm-0-0")
+		n := f.start(f.vms[0])
+		// Its peers link with it, as the list still holds it.
+		require.True(t, waitUntil(15*time.Second, func() bool { return n.holder.Load().Revision == 2 }))
+		require.Equal(t, "without_platform", n.Status().Opening)
+	})
+}
+
+func TestLeavingIsKnownAtOnceAndEndsWithTheProcess(t *testing.T) {
+	inFleet(t, 2, 4, func(t *testing.T, f *fleet) {
+		leaves := func() bool {
+			for _, n := range f.nodes {
+				if m := n.holder.Load().ByVM["vm-0-1"]; m == nil || !m.Leaving {
+					return false
+				}
+			}
+			return true
+		}
+		f.nodes["vm-0-1"].Leave()
+		require.True(t, waitUntil(500*time.Millisecond, leaves))
+		require.True(t, f.nodes["vm-0-1"].holder.Load().Leaving)
+		f.stop("vm-0-1")
+		gone := func() bool {
+			for _, n := range f.nodes {
+				if n.holder.Load().ByVM["vm-0-1"] != nil {
+					return false
+				}
+			}
+			return true
+		}
+		require.True(t, waitUntil(time.Second, gone), "the list still says live")
+		n := f.start(f.vms[1])
+		back := func() bool {
+			for _, other := range f.nodes {
+				if m := other.holder.Load().ByVM["vm-0-1"]; m == nil || m.Leaving || m.Incarnation != n.Incarnation() {
+					return false
+				}
+			}
+			return true
+		}
+		require.True(t, waitUntil(5*time.Second, back), "a new process on the VM")
+	})
+}
+
+func TestReportsAloneNeverRemoveAListedMember(t *testing.T) {
+	inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
+		n := f.nodes["vm-0-0"]
+		n.reports.Send(view.Report{Kind: view.ReportPeerUnreachable, VM: "vm-0-1"})
+		time.Sleep(2 * time.Second)
+		require.NotNil(t, n.holder.Load().ByVM["vm-0-1"])
+		// The list forgets a VM that answers.
+		f.platform.put(platform.KeyVMs, listOf(f.vms[:2]))
+		time.Sleep(5 * time.Minute)
+		require.NotNil(t, n.holder.Load().ByVM["vm-0-2"])
+		f.crash("vm-0-2")
+		require.True(t, waitUntil(3*time.Minute, func() bool { return n.holder.Load().ByVM["vm-0-2"] == nil }))
+	})
+}
+
+func TestSuspectsSpreadCountOnceAndExpire(t *testing.T) {
+	inFleet(t, 2, 3, func(t *testing.T, f *fleet) {
+		lost := func(want int) bool {
+			for _, n := range f.nodes {
+				if n.holder.Load().Suspects[77] != want {
+					return false
+				}
+			}
+			return true
+		}
+		// The node of the VM and a caller's node report the same crash.
+		f.nodes["vm-0-0"].reports.Send(view.Report{Kind: view.ReportEndpointCrashed, VM: "vm-0-0", Fingerprint: 77})
+		f.nodes["vm-1-0"].reports.Send(view.Report{Kind: view.ReportEndpointCrashed, VM: "vm-0-0", Fingerprint: 77})
+		require.True(t, waitUntil(time.Second, func() bool { return lost(1) }))
+		f.nodes["vm-1-1"].reports.Send(view.Report{Kind: view.ReportEndpointCrashed, VM: "vm-1-1", Fingerprint: 77})
+		require.True(t, waitUntil(time.Second, func() bool { return lost(2) }))
+		f.crash("vm-0-2")
+		f.start(f.vms[2])
+		require.True(t, waitUntil(5*time.Second, func() bool { return lost(2) }), "a node that just started")
+		require.True(t, waitUntil(suspectLifetime+2*expireInterval, func() bool { return lost(0) }))
+	})
+}
+
+func TestLateWakerDropsItsDuty(t *testing.T) {
+	inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
+		n := f.nodes["vm-0-0"]
+		require.Equal(t, readers.DutyWatch.String(), n.Status().Catalogue.Duty)
+		n.jump(time.Minute)
+		require.True(t, waitUntil(time.Second, func() bool { return n.Status().Epoch == 2 }))
+		require.Contains(t, n.events.String(), "woke_late")
+		require.True(t, waitUntil(5*time.Second, func() bool { return n.Status().Opening == "confirmed" }))
+		revision := f.platform.put(platform.KeyCatalogue, catalogueWith(1))
+		require.True(t, waitUntil(2*time.Second, func() bool { return f.inForce(revision, "") }))
+	})
+}
+
+func TestZoneServesOnAloneAndConvergesAfterTheHeal(t *testing.T) {
+	inFleet(t, 3, 3, func(t *testing.T, f *fleet) {
+		f.network.setCut("zone-0", true)
+		time.Sleep(2 * time.Second)
+		revision := f.platform.put(platform.KeyCatalogue, catalogueWith(1))
+		require.True(t, waitUntil(2*time.Second, func() bool {
+			return f.inForce(revision, "zone-1") && f.inForce(revision, "zone-2")
+		}))
+		time.Sleep(10 * time.Minute)
+		require.True(t, f.inForce(2, "zone-0"))
+		require.Len(t, f.nodes["vm-0-0"].holder.Load().ByVM, 9)
+		f.network.setCut("zone-0", false)
+		require.True(t, waitUntil(2*time.Second, func() bool { return f.inForce(revision, "zone-0") }))
+	})
+}
+
+func TestReadsOfAWholeFleetThatStartsAtOnceAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3, 12)
+		f.window = readers.StartWindow
+		defer f.close()
+		f.startAll()
+		require.True(t, waitUntil(2*readers.StartWindow, func() bool { return f.inForce(2, "") }))
+		// The share of the limit that a fleet of this size has of the largest one.
+		share := float64(len(f.vms)) / readers.UnknownFleet
+		require.Less(t, float64(f.platform.busiestSecond()), 3*readers.PerZone*2+4*readers.PlatformLimit*share)
+		require.Less(t, f.platform.readCount(), 2*len(f.vms)+3*readers.PerZone*4)
+	})
+}
--- /dev/null
+++ b/internal/control/messages.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"github.com/galenacart/galenacart/internal/peer"
+	"github.com/galenacart/galenacart/internal/platform"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// The messages that goroutines post to the control thread.
+type (
+	// tick comes at every tickInterval.
+	tick struct{}
+
+	// readDone ends a read of the platform. Exactly one of offer and failure is set.
+	readDone struct {
+		key     key
+		epoch   uint64
+		offer   *offer
+		failure *platform.Failure
+	}
+
+	// linkOpened hands over an authenticated link.
+	linkOpened struct {
+		link *peer.Link
+	}
+
+	// linkRefused tells of a link that failed before it was authenticated.
+	linkRefused struct {
+		vm    string // the VM that was dialled, or empty
+		cause error
+	}
+
+	// linkEnded tells that a link's goroutines have ended.
+	linkEnded struct {
+		link  *peer.Link
+		cause error
+	}
+
+	// linkMessage is one message of a peer.
+	linkMessage struct {
+		link    *peer.Link
+		message *peer.Message
+	}
+
+	// documentBuilt is a document made of a peer's parts.
+	documentBuilt struct {
+		link  *peer.Link
+		key   key
+		offer *offer
+		err   error
+	}
+
+	// reported is one observation of traffic.
+	reported struct {
+		report view.Report
+	}
+
+	// leave begins the planned stop.
+	leave struct{}
+
+	// stop ends the thread's work; done is closed when peers were told.
+	stop struct {
+		done chan<- struct{}
+	}
+
+	// statusWanted asks for a Status.
+	statusWanted struct {
+		reply chan<- Status
+	}
+)
+
+// envelope carries a message to the control thread.
+type envelope struct {
+	message any
+}
+
+// IgnoreDeadLetterLogging marks a message that may come after the thread has
+// stopped: the actor library then drops it without a word.
+func (envelope) IgnoreDeadLetterLogging() {}
--- /dev/null
+++ b/internal/control/platform_controller.go
@@ -0,0 +1,257 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/decision/readers"
+	"github.com/galenacart/galenacart/internal/blackboard"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/platform"
+	"github.com/galenacart/galenacart/internal/vmlist"
+)
+
+const (
+	// checkPatience is the time for which a started node leaves the catalogue
+	// to its peers before it reads it itself.
+	checkPatience = 1500 * time.Millisecond
+	// checkWait is the wait of a read that is no watch.
+	checkWait = time.Millisecond
+)
+
+// readerSalt makes the choice of readers independent of other choices.
+var readerSalt = xxhash.Sum64String("readers")
+
+// reading is the state of the reads of one document.
+type reading struct {
+	busy     bool
+	cancel   context.CancelFunc
+	after    uint64 // newest revision that the platform told
+	next     time.Duration
+	failures int
+}
+
+// platformController decides when to read the platform, and reads.
+type platformController struct {
+	*thread
+	contact  *blackboard.Writer[contact]
+	offers   *blackboard.Writer[offers]
+	client   *platform.Client
+	share    readers.Share
+	random   *rand.Rand
+	reading  [keyCount]reading
+	listedAt uint64 // version of the documents for which zone was computed
+	listed   bool
+	reader   bool
+	epoch    uint64
+}
+
+func newPlatformController(t *thread) *platformController {
+	seed := xxhash.Sum64String(t.Settings.VM)
+	p := &platformController{
+		thread:  t,
+		contact: t.board.contact.Claim("platform controller"),
+		offers:  t.board.platformOffers.Claim("platform controller"),
+		client:  platform.NewClient(t.Settings.PlatformAddresses, t.HTTP),
+		share:   readers.NewShare(t.now),
+		random:  rand.New(rand.NewPCG(seed, t.Incarnation)),
+	}
+	first := t.now + time.Duration(p.random.Float64()*float64(t.StartWindow))
+	for k := range p.reading {
+		p.reading[k].next = first
+	}
+	return p
+}
+
+// run starts the reads that are due.
+func (p *platformController) run() {
+	if life := p.board.life.Get(); life.epoch != p.epoch {
+		p.wake(life.epoch)
+	}
+	p.updateReader()
+	state := p.board.contact.Get()
+	before := state.duty
+	for k := range keyCount {
+		state.duty[k] = readers.Choose(p.situation(k))
+		if state.duty[k] != readers.DutyNone {
+			p.read(k, state.duty[k])
+		}
+	}
+	if before == state.duty {
+		return
+	}
+	p.contact.Set(state)
+	if before[keyCatalogue] != state.duty[keyCatalogue] {
+		p.Log.Emit(event.ReaderDuty, "", event.F("from", before[keyCatalogue].String()), event.F("to", state.duty[keyCatalogue].String()))
+	}
+}
+
+// wake voids what was begun before a pause of the process.
+func (p *platformController) wake(epoch uint64) {
+	p.epoch = epoch
+	for k := range p.reading {
+		r := &p.reading[k]
+		if r.busy {
+			r.cancel()
+		}
+		*r = reading{after: r.after, next: p.now + time.Duration(p.random.Float64()*float64(time.Second))}
+	}
+	p.contact.Set(contact{})
+}
+
+// updateReader finds out whether the VM list makes this node a reader.
+func (p *platformController) updateReader() {
+	if p.listedAt == p.board.documents.Version() {
+		return
+	}
+	p.listedAt = p.board.documents.Version()
+	p.listed, p.reader = false, false
+	list := p.board.documents.Get().byKey[keyVMs].list
+	if list == nil {
+		return
+	}
+	var zone []uint64
+	for _, vm := range list.VMs {
+		if vm.AvailabilityZone != p.Settings.AvailabilityZone || vm.State != vmlist.Live {
+			continue
+		}
+		zone = append(zone, xxhash.Sum64String(vm.Name))
+		p.listed = p.listed || vm.Name == p.Settings.VM
+	}
+	p.reader = p.listed && readers.IsReader(zone, xxhash.Sum64String(p.Settings.VM), readerSalt)
+}
+
+func (p *platformController) situation(k key) readers.Situation {
+	life := p.board.life.Get()
+	newest := p.board.contact.Get().read[k].newer(p.board.peerReads.Get()[k])
+	s := readers.Situation{
+		Listed:  p.listed,
+		Reader:  p.reader,
+		Leaving: life.leaving,
+		Waited:  p.now - life.since,
+		Heard:   newest.known,
+		Age:     p.now - newest.at,
+	}
+	if k == keyCatalogue && p.fleet() != 1 {
+		s.Patience = checkPatience + p.StartWindow/2
+	}
+	return s
+}
+
+// fleet returns the number of VMs in the list, 0 when there is no list.
+func (p *platformController) fleet() int {
+	return p.board.members.Get().fleet
+}
+
+// read starts a read if it is due and within the share.
+func (p *platformController) read(k key, duty readers.Duty) {
+	r := &p.reading[k]
+	if r.busy || p.now < r.next || !p.share.Take(p.now, p.fleet()) {
+		return
+	}
+	wait := checkWait
+	if duty == readers.DutyWatch {
+		wait = readers.WatchWait
+	}
+	ctx, cancel := context.WithCancel(p.ctx)
+	r.busy, r.cancel = true, cancel
+	p.reads.Inc(1)
+	epoch, after := p.epoch, r.after
+	p.goDo(func() {
+		defer cancel()
+		p.post(p.fetch(ctx, k, epoch, after, wait))
+	})
+}
+
+// fetch runs outside the control thread.
+func (p *platformController) fetch(ctx context.Context, k key, epoch, after uint64, wait time.Duration) readDone {
+	done := readDone{key: k, epoch: epoch}
+	var value *platform.Value
+	var err error
+	if after == 0 {
+		value, err = p.client.Get(ctx, k.String())
+	} else {
+		value, err = p.client.Watch(ctx, k.String(), after, wait)
+	}
+	if err == nil {
+		done.offer = decodeOffer(k, value.Revision, value.Data, sourcePlatform)
+		return done
+	}
+	if !errors.As(err, &done.failure) {
+		done.failure = &platform.Failure{Reason: platform.ReasonBroken, Cause: err}
+	}
+	return done
+}
+
+// finish takes the result of a read.
+func (p *platformController) finish(done readDone) {
+	if done.epoch != p.epoch {
+		return // begun before a pause of the process
+	}
+	r := &p.reading[done.key]
+	r.busy = false
+	if done.offer != nil {
+		p.succeed(done.key, max(r.after, done.offer.version.Revision))
+		all := p.board.platformOffers.Get()
+		all[done.key] = done.offer
+		p.offers.Set(all)
+		return
+	}
+	switch done.failure.Reason {
+	case platform.ReasonUnchanged, platform.ReasonNotFound:
+		p.succeed(done.key, r.after)
+		p.noteOlder(done)
+	case platform.ReasonNoConnection:
+		p.share.Refund()
+		p.fail(done)
+	default:
+		p.fail(done)
+	}
+}
+
+// succeed notes that the platform answered.
+func (p *platformController) succeed(k key, after uint64) {
+	r := &p.reading[k]
+	r.after, r.failures = after, 0
+	r.next = p.now
+	if p.board.contact.Get().duty[k] != readers.DutyWatch || after == 0 {
+		r.next = p.now + time.Duration((1+p.random.Float64())*float64(time.Second))
+	}
+	state := p.board.contact.Get()
+	state.read[k] = fresh{known: true, at: p.now}
+	if state.failing {
+		state.failing = false
+		p.Log.Emit(event.PlatformBack, "")
+	}
+	p.contact.Set(state)
+}
+
+// noteOlder reports a platform whose newest revision is behind what it told.
+func (p *platformController) noteOlder(done readDone) {
+	revision := done.failure.Revision
+	if revision == 0 || revision >= p.reading[done.key].after {
+		return
+	}
+	older := &offer{key: done.key, source: sourcePlatform}
+	older.version.Revision = revision
+	all := p.board.platformOffers.Get()
+	all[done.key] = older
+	p.offers.Set(all)
+}
+
+// fail notes that the platform did not answer.
+func (p *platformController) fail(done readDone) {
+	r := &p.reading[done.key]
+	r.failures++
+	state := p.board.contact.Get()
+	r.next = p.now + readers.Backoff(state.duty[done.key], r.failures, p.random.Float64())
+	if !state.failing {
+		p.Log.Emit(event.PlatformRead, "", event.F("key", done.key.String()), event.F("error", done.failure.Error()))
+	}
+	state.failing, state.reason = true, done.failure.Reason
+	p.contact.Set(state)
+}
--- /dev/null
+++ b/internal/control/platform_test.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/platform"
+	"github.com/galenacart/galenacart/internal/vmlist"
+)
+
+// fakePlatform is a key service with the faults of the real one.
+type fakePlatform struct {
+	mu       sync.Mutex
+	values   map[string]platform.Value
+	revision uint64
+	down     bool
+	changed  chan struct{}
+	reads    []time.Duration // times of the reads since the start
+	started  time.Time
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{values: map[string]platform.Value{}, changed: make(chan struct{}), started: time.Now()}
+}
+
+// put publishes a value under a new revision and returns the revision.
+func (p *fakePlatform) put(key string, data []byte) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.values[key] = platform.Value{Data: data, Revision: p.revision}
+	p.wake()
+	return p.revision
+}
+
+// force sets any state, as a platform does that lost its newest one.
+func (p *fakePlatform) force(key string, v platform.Value) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values[key] = v
+	p.wake()
+}
+
+func (p *fakePlatform) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+func (p *fakePlatform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *fakePlatform) readCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.reads)
+}
+
+// busiestSecond returns the most reads in any second.
+func (p *fakePlatform) busiestSecond() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most, from := 0, 0
+	for to := range p.reads {
+		for p.reads[to]-p.reads[from] >= time.Second {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+func (p *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, "/v1/keys/")
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	p.mu.Lock()
+	p.reads = append(p.reads, time.Since(p.started))
+	p.mu.Unlock()
+	for {
+		p.mu.Lock()
+		value, found := p.values[key]
+		down, changed := p.down, p.changed
+		p.mu.Unlock()
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case !found:
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		w.Header().Set(platform.HeaderKeyRevision, strconv.FormatUint(value.Revision, 10))
+		if value.Revision > after {
+			_, _ = w.Write(value.Data)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// catalogueWith returns a valid catalogue whose content depends on n.
+func catalogueWith(n int) []byte {
+	c := catalogue.Catalogue{
+		Classes: []catalogue.Class{{Name: "booking", Owner: "dispatch"}},
+		Services: []catalogue.Service{{
+			Name: "stock", Owner: "stock", Class: "booking",
+			Limits: catalogue.ServiceLimits{Slots: 10, Connections: 100, Queue: 10},
+		}},
+		Routes: []catalogue.Route{{
+			Name: "book", Owner: "dispatch", Class: "booking", Service: "stock", Method: "POST", Path: "/book",
+			Limits: catalogue.RouteLimits{TimeoutMs: 1000 + n},
+		}},
+		Retry:       catalogue.Retry{BudgetPerRequest: 3, PercentOfSuccesses: 10},
+		Idempotency: catalogue.Idempotency{TokenLifetimeMs: 10_000, RecordsMax: 100, AnswerBytesMax: 100},
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// listOf returns a VM list of live VMs.
+func listOf(vms []vmlist.VM) []byte {
+	data, err := json.Marshal(vmlist.List{VMs: vms})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"encoding/hex"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/galenacart/galenacart/decision/adoption"
+)
+
+// statusTimeout bounds the wait for a busy control thread.
+const statusTimeout = time.Second
+
+// Status is what control knows, for operators.
+type Status struct {
+	// VM is the VM of the node.
+	VM string `json:"vm"`
+	// Incarnation identifies the run of the process.
+	Incarnation uint64 `json:"incarnation"`
+	// Busy says that the control thread did not answer in time.
+	Busy bool `json:"busy,omitempty"`
+	// Leaving says that the planned stop has begun.
+	Leaving bool `json:"leaving"`
+	// Catalogue is the state of the catalogue.
+	Catalogue DocumentStatus `json:"catalogue"`
+	// VMs is the state of the VM list.
+	VMs DocumentStatus `json:"vms"`
+	// Opening says how the node came to its catalogue: wait, confirmed,
+	// without_peers or without_platform.
+	Opening string `json:"opening"`
+	// Epoch counts the late wake-ups of the control thread, from 1.
+	Epoch uint64 `json:"epoch"`
+	// PlatformFailing says why reads of the platform fail, or is empty.
+	PlatformFailing string `json:"platformFailing,omitempty"`
+	// PlatformReads counts the reads of the platform.
+	PlatformReads int64 `json:"platformReads"`
+	// Peers lists the links.
+	Peers []PeerStatus `json:"peers"`
+	// Members lists the VMs.
+	Members []MemberStatus `json:"members"`
+	// Suspects lists the requests that crashed endpoints.
+	Suspects []SuspectStatus `json:"suspects"`
+	// LastRefused names the last peer that was refused or closed for a fault.
+	LastRefused string `json:"lastRefused,omitempty"`
+}
+
+// DocumentStatus is the state of one document.
+type DocumentStatus struct {
+	// Revision is the revision in force, 0 when there is none.
+	Revision uint64 `json:"revision"`
+	// Content is the hash of the content in force.
+	Content string `json:"content"`
+	// Duty says how the node reads the platform: none, watch (a reader) or check.
+	Duty string `json:"duty"`
+	// ReadAgeMs is the time since the newest read of the platform known, in
+	// milliseconds, or -1.
+	ReadAgeMs int64 `json:"readAgeMs"`
+	// Refused says why a state that was offered is not in force, or is nil.
+	Refused *RefusalStatus `json:"refused,omitempty"`
+}
+
+// RefusalStatus says why a state is not in force.
+type RefusalStatus struct {
+	// Revision is the refused revision.
+	Revision uint64 `json:"revision"`
+	// Content is the hash of the refused content.
+	Content string `json:"content"`
+	// Source is "platform" or the VM that offered it.
+	Source string `json:"source"`
+	// Reason says what is wrong.
+	Reason string `json:"reason"`
+}
+
+// PeerStatus is one link.
+type PeerStatus struct {
+	// VM is the peer's VM.
+	VM string `json:"vm"`
+	// AvailabilityZone is the peer's availability zone.
+	AvailabilityZone string `json:"availabilityZone"`
+	// Incarnation is the peer's incarnation.
+	Incarnation uint64 `json:"incarnation"`
+	// Dialled says that this node made the link.
+	Dialled bool `json:"dialled"`
+	// Confirmed says that the peer answers.
+	Confirmed bool `json:"confirmed"`
+	// Revision is the peer's revision of the catalogue.
+	Revision uint64 `json:"revision"`
+}
+
+// MemberStatus is one VM.
+type MemberStatus struct {
+	// VM is the name of the VM.
+	VM string `json:"vm"`
+	// AvailabilityZone is its availability zone.
+	AvailabilityZone string `json:"availabilityZone"`
+	// Service is the service of its endpoint.
+	Service string `json:"service"`
+	// Incarnation is its incarnation, 0 when it is not known.
+	Incarnation uint64 `json:"incarnation"`
+	// State is live, leaving or gone.
+	State string `json:"state"`
+	// Evidence says why.
+	Evidence string `json:"evidence"`
+}
+
+// SuspectStatus is one request that crashed endpoints.
+type SuspectStatus struct {
+	// Fingerprint identifies the request, in hexadecimal.
+	Fingerprint string `json:"fingerprint"`
+	// Lost is the number of endpoints lost.
+	Lost int `json:"lost"`
+}
+
+func hashText(h adoption.Hash) string {
+	return hex.EncodeToString(h[:])
+}
+
+// hexText writes a fingerprint in the form that logs and commands use.
+func hexText(fingerprint uint64) string {
+	return strconv.FormatUint(fingerprint, 16)
+}
+
+// status gathers the Status on the control thread.
+func (t *thread) status() Status {
+	s := Status{
+		VM:            t.Settings.VM,
+		Incarnation:   t.Incarnation,
+		Leaving:       t.board.life.Get().leaving,
+		Catalogue:     t.documentStatus(keyCatalogue),
+		VMs:           t.documentStatus(keyVMs),
+		Opening:       t.board.documents.Get().opening.String(),
+		Epoch:         t.board.life.Get().epoch,
+		PlatformReads: t.reads.Count(),
+		LastRefused:   t.peers.lastRefused,
+	}
+	if c := t.board.contact.Get(); c.failing {
+		s.PlatformFailing = c.reason.String()
+	}
+	for vm, l := range t.peers.links {
+		s.Peers = append(s.Peers, PeerStatus{
+			VM: vm, AvailabilityZone: l.Remote.AvailabilityZone, Incarnation: l.Remote.Incarnation,
+			Dialled: l.Dialled, Confirmed: l.confirmed, Revision: l.states[keyCatalogue].Revision,
+		})
+	}
+	sort.Slice(s.Peers, func(i, j int) bool { return s.Peers[i].VM < s.Peers[j].VM })
+	for vm, m := range t.board.members.Get().byVM {
+		s.Members = append(s.Members, MemberStatus{
+			VM: vm, AvailabilityZone: m.identity.AvailabilityZone, Service: m.identity.Service,
+			Incarnation: m.identity.Incarnation, State: m.finding.State.String(), Evidence: m.finding.Reason,
+		})
+	}
+	sort.Slice(s.Members, func(i, j int) bool { return s.Members[i].VM < s.Members[j].VM })
+	for print, lost := range t.board.suspects.Get().lost {
+		s.Suspects = append(s.Suspects, SuspectStatus{Fingerprint: hexText(print), Lost: lost})
+	}
+	sort.Slice(s.Suspects, func(i, j int) bool { return s.Suspects[i].Fingerprint < s.Suspects[j].Fingerprint })
+	return s
+}
+
+func (t *thread) documentStatus(k key) DocumentStatus {
+	d := t.board.documents.Get().byKey[k]
+	contact := t.board.contact.Get()
+	out := DocumentStatus{Revision: d.version.Revision, Content: hashText(d.version.Hash), Duty: contact.duty[k].String(), ReadAgeMs: -1}
+	if read := contact.read[k].newer(t.board.peerReads.Get()[k]); read.known {
+		out.ReadAgeMs = (t.now - read.at).Milliseconds()
+	}
+	if r := d.refused; r != nil {
+		out.Refused = &RefusalStatus{Revision: r.version.Revision, Content: hashText(r.version.Hash), Source: r.source, Reason: r.reason}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/delta/document.go
@@ -0,0 +1,190 @@
+// Package delta splits a JSON document into entries, so that nodes send each
+// other only the entries that an edit changed.
+package delta
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/decision/adoption"
+)
+
+const (
+	// MaxEntries bounds the entries of one document.
+	MaxEntries = 20_000
+	// MaxEntryBytes bounds one entry.
+	MaxEntryBytes = 128 << 10
+	// MaxDocumentBytes bounds the entries of one document together. It is larger
+	// than a value of the platform, as entries repeat the name of their field.
+	MaxDocumentBytes = 2 << 20
+
+	// separator stands between the field's name and the JSON value of an entry.
+	separator = '\n'
+	// elementMark begins the name of a field whose values are list elements.
+	elementMark = '['
+)
+
+// Hash identifies the content of an entry or of a document.
+type Hash = adoption.Hash
+
+// HashOf returns the hash of an entry.
+func HashOf(entry []byte) Hash {
+	sum := sha256.Sum256(entry)
+	return Hash(sum[:len(Hash{})])
+}
+
+// Document is an immutable list of entries: one for each field of the JSON
+// object, or one for each element where the field is a list.
+type Document struct {
+	entries [][]byte
+	hashes  []Hash
+	hash    Hash
+	bytes   int
+}
+
+// Split makes a document of a JSON object. Objects that differ only in white
+// space give the same document.
+func Split(object []byte) (*Document, error) {
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, object); err != nil {
+		return nil, errors.Wrap(err, "compact document")
+	}
+	decoder := json.NewDecoder(&compact)
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return nil, errors.New("document is no JSON object")
+	}
+	var entries [][]byte
+	for decoder.More() {
+		more, err := splitField(decoder)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, more...)
+	}
+	return fromEntries(entries)
+}
+
+// splitField reads one name and its value.
+func splitField(decoder *json.Decoder) ([][]byte, error) {
+	token, err := decoder.Token()
+	if err != nil {
+		return nil, errors.Wrap(err, "read field name")
+	}
+	name, ok := token.(string)
+	if !ok {
+		return nil, errors.Errorf("field name is %v", token)
+	}
+	var value json.RawMessage
+	if err := decoder.Decode(&value); err != nil {
+		return nil, errors.Wrapf(err, "read field %s", name)
+	}
+	if value[0] != '[' {
+		return [][]byte{newEntry(name, value)}, nil
+	}
+	var elements []json.RawMessage
+	if err := json.Unmarshal(value, &elements); err != nil {
+		return nil, errors.Wrapf(err, "read list %s", name)
+	}
+	var entries [][]byte
+	for _, element := range elements {
+		entries = append(entries, newEntry(string(elementMark)+name, element))
+	}
+	return entries, nil
+}
+
+func newEntry(name string, value []byte) []byte {
+	entry := make([]byte, 0, len(name)+1+len(value))
+	entry = append(entry, name...)
+	entry = append(entry, separator)
+	return append(entry, value...)
+}
+
+// fromEntries checks the bounds and computes the hashes.
+func fromEntries(entries [][]byte) (*Document, error) {
+	if len(entries) > MaxEntries {
+		return nil, errors.Errorf("document has %d entries, at most %d are allowed", len(entries), MaxEntries)
+	}
+	d := &Document{entries: entries, hashes: make([]Hash, len(entries))}
+	all := sha256.New()
+	for i, entry := range entries {
+		if len(entry) > MaxEntryBytes {
+			return nil, errors.Errorf("entry %d has %d bytes, at most %d are allowed", i, len(entry), MaxEntryBytes)
+		}
+		d.bytes += len(entry)
+		d.hashes[i] = HashOf(entry)
+		all.Write(d.hashes[i][:])
+	}
+	if d.bytes > MaxDocumentBytes {
+		return nil, errors.Errorf("document has %d bytes, at most %d are allowed", d.bytes, MaxDocumentBytes)
+	}
+	d.hash = Hash(all.Sum(nil)[:len(Hash{})])
+	return d, nil
+}
+
+// Hash identifies the content of the document.
+func (d *Document) Hash() Hash {
+	return d.hash
+}
+
+// Len returns the number of entries.
+func (d *Document) Len() int {
+	return len(d.entries)
+}
+
+// Bytes returns the size of all entries together.
+func (d *Document) Bytes() int {
+	return d.bytes
+}
+
+// Join returns the JSON object. Fields whose list is empty are left out.
+func (d *Document) Join() ([]byte, error) {
+	var out bytes.Buffer
+	out.WriteByte('{')
+	for i := 0; i < len(d.entries); {
+		if i > 0 {
+			out.WriteByte(',')
+		}
+		end, err := d.joinField(&out, i)
+		if err != nil {
+			return nil, err
+		}
+		i = end
+	}
+	out.WriteByte('}')
+	return out.Bytes(), nil
+}
+
+// joinField writes the field that begins at entry i and returns the entry
+// behind it.
+func (d *Document) joinField(out *bytes.Buffer, i int) (int, error) {
+	name, value, ok := bytes.Cut(d.entries[i], []byte{separator})
+	if !ok || len(name) == 0 {
+		return 0, errors.Errorf("entry %d has no field name", i)
+	}
+	isList := name[0] == elementMark
+	quoted, err := json.Marshal(string(bytes.TrimPrefix(name, []byte{elementMark})))
+	if err != nil {
+		return 0, errors.Wrapf(err, "entry %d", i)
+	}
+	out.Write(quoted)
+	out.WriteByte(':')
+	if !isList {
+		out.Write(value)
+		return i + 1, nil
+	}
+	out.WriteByte('[')
+	out.Write(value)
+	for i++; i < len(d.entries); i++ {
+		next, value, _ := bytes.Cut(d.entries[i], []byte{separator})
+		if !bytes.Equal(next, name) {
+			break
+		}
+		out.WriteByte(',')
+		out.Write(value)
+	}
+	out.WriteByte(']')
+	return i, nil
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,110 @@
+// Package platform reads keys from the platform's key service. Nothing can be
+// written to it.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Keys that nodes read.
+const (
+	// KeyCatalogue holds the catalogue.
+	KeyCatalogue = "catalogue"
+	// KeyVMs holds the lagging list of VMs.
+	KeyVMs = "vms"
+)
+
+// Headers of the platform's answers.
+const (
+	// HeaderRevision carries the revision of the whole key space.
+	HeaderRevision = "Platform-Revision"
+	// HeaderKeyRevision carries the revision at which the key last changed.
+	HeaderKeyRevision = "Platform-Key-Revision"
+)
+
+const (
+	// MaxValueBytes is the largest value that the platform can hold.
+	MaxValueBytes = 1 << 20
+	// answerTimeout is the time for an answer beyond the wait of a watch.
+	answerTimeout = 2 * time.Second
+)
+
+// Value is one version of a key.
+type Value struct {
+	// Data is the value.
+	Data []byte
+	// Revision is the revision at which the key last changed.
+	Revision uint64
+}
+
+// Client reads from the first platform address that answers.
+type Client struct {
+	addresses []string
+	http      *http.Client
+	current   atomic.Uint32
+}
+
+// NewClient returns a client. addresses holds at least one IP:port.
+func NewClient(addresses []string, client *http.Client) *Client {
+	return &Client{addresses: addresses, http: client}
+}
+
+// Get reads a key. The error is a *Failure.
+func (c *Client) Get(ctx context.Context, key string) (*Value, error) {
+	return c.read(ctx, key, "", answerTimeout)
+}
+
+// Watch waits until the key has changed after a revision, for at most wait. The
+// error is a *Failure; its reason is ReasonUnchanged when the wait passed.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (*Value, error) {
+	query := fmt.Sprintf("?after=%d&waitMs=%d", after, wait.Milliseconds())
+	return c.read(ctx, key, query, wait+answerTimeout)
+}
+
+func (c *Client) read(ctx context.Context, key, query string, timeout time.Duration) (*Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	at := c.current.Load()
+	address := c.addresses[int(at)%len(c.addresses)]
+	value, err := c.readFrom(ctx, address, key, query)
+	if err != nil && ReasonOf(err).tryOther() {
+		c.current.CompareAndSwap(at, at+1)
+	}
+	return value, err
+}
+
+func (c *Client) readFrom(ctx context.Context, address, key, query string) (*Value, error) {
+	target := "http://" + address + "/v1/keys/" + url.PathEscape(key) + query
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, &Failure{Reason: ReasonBroken, Cause: errors.Wrap(err, "make request")}
+	}
+	answer, err := c.http.Do(request)
+	if err != nil {
+		return nil, &Failure{Reason: reasonOfError(err), Cause: errors.Wrapf(err, "read %s", key)}
+	}
+	defer func() { _ = answer.Body.Close() }() // only read from
+	revision, revisionErr := strconv.ParseUint(answer.Header.Get(HeaderKeyRevision), 10, 64)
+	if answer.StatusCode != http.StatusOK {
+		return nil, &Failure{Reason: reasonOf(answer.StatusCode), Revision: revision, Cause: errors.Errorf("read %s: %s", key, answer.Status)}
+	}
+	data, err := io.ReadAll(io.LimitReader(answer.Body, MaxValueBytes+1))
+	switch {
+	case err != nil:
+		return nil, &Failure{Reason: ReasonUnreachable, Cause: errors.Wrapf(err, "read %s", key)}
+	case revisionErr != nil:
+		return nil, &Failure{Reason: ReasonBroken, Cause: errors.Wrapf(revisionErr, "%s of %s", HeaderKeyRevision, key)}
+	case len(data) > MaxValueBytes:
+		return nil, &Failure{Reason: ReasonBroken, Cause: errors.Errorf("%s is larger than %d bytes", key, MaxValueBytes)}
+	}
+	return &Value{Data: data, Revision: revision}, nil
+}
