Add the decisions on routing, retries, idempotency and suspects, and tokens

Cause: traffic needs pure decisions that can be tested without a network. Change: decision/routing (near first, spill by headroom, two random choices, ejection with a floor, slow start), decision/retry (conserved pool and brake), decision/idempotency (records that outlive their tokens), decision/suspect (blame after a breakdown), internal/token.

--- /dev/null
+++ b/decision/idempotency/age.go
@@ -0,0 +1,23 @@
+package idempotency
+
+import "time"
+
+// JudgeToken decides whether a token may still start a request. minted is the
+// time, since the start of the home's process, at which the home issued it.
+// The home's own monotonic clock is the only one that counts.
+func JudgeToken(now, minted, lifetime time.Duration) Verdict {
+	if minted > now || now-minted >= lifetime {
+		return VerdictExpired
+	}
+	return VerdictRun
+}
+
+// JudgeOwnKey decides whether a home may start a request whose key the caller
+// chose. age is the age of the home's process. A young process can't know what
+// an earlier process at the same address ran.
+func JudgeOwnKey(age, lifetime time.Duration) Verdict {
+	if age < 2*lifetime {
+		return VerdictUnsure
+	}
+	return VerdictRun
+}
--- /dev/null
+++ b/decision/retry/brake.go
@@ -0,0 +1,36 @@
+package retry
+
+// The brake counts in thousandths of an attempt.
+const (
+	milli = 1000
+	// burstAttempts is the credit that a service starts with.
+	burstAttempts = 3
+	// creditMaxAttempts bounds the credit saved up in good times.
+	creditMaxAttempts = 10
+)
+
+// Brake bounds the extra attempts towards one service by a share of its
+// successes. It is not safe for concurrent use.
+type Brake struct {
+	creditMilli int
+}
+
+// NewBrake returns a brake with the starting credit.
+func NewBrake() *Brake {
+	return &Brake{creditMilli: burstAttempts * milli}
+}
+
+// Success adds percent hundredths of an attempt to the credit.
+func (b *Brake) Success(percent int) {
+	b.creditMilli = min(b.creditMilli+percent*milli/100, creditMaxAttempts*milli)
+}
+
+// Spend takes one extra attempt out of the credit. It reports false when the
+// credit is used up.
+func (b *Brake) Spend() bool {
+	if b.creditMilli < milli {
+		return false
+	}
+	b.creditMilli -= milli
+	return true
+}
--- /dev/null
+++ b/decision/routing/router_test.go
@@ -0,0 +1,172 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestPick(t *testing.T) {
+	near := Candidate{VM: "near"}
+	region := Candidate{VM: "region", Distance: SameRegion}
+	far := Candidate{VM: "far", Distance: OtherRegion}
+	with := func(c Candidate, change func(*Candidate)) Candidate {
+		change(&c)
+		return c
+	}
+	tests := []struct {
+		desc       string
+		candidates []Candidate
+		prepare    func(r *Router)
+		want       string
+		miss       Miss
+	}{
+		{desc: "own zone first", candidates: []Candidate{far, region, near}, want: "near"},
+		{
+			desc: "spills over when the own zone has no headroom", candidates: []Candidate{near, region, far},
+			prepare: func(r *Router) {
+				r.Start(0, "near")
+				r.Finish(0, "near", Finished{Headroom: 0})
+			},
+			want: "region",
+		},
+		{
+			desc: "stays near when nobody has headroom", candidates: []Candidate{near, region},
+			prepare: func(r *Router) {
+				for _, vm := range []string{"near", "region"} {
+					r.Start(0, vm)
+					r.Finish(0, vm, Finished{Headroom: 0})
+				}
+			},
+			want: "near",
+		},
+		{desc: "skips one that leaves", candidates: []Candidate{with(near, func(c *Candidate) { c.Leaving = true }), region}, want: "region"},
+		{desc: "skips one that was tried", candidates: []Candidate{with(near, func(c *Candidate) { c.Tried = true }), region}, want: "region"},
+		{desc: "everyone sheds", candidates: []Candidate{with(near, func(c *Candidate) { c.Shedding = true })}, miss: MissShedding},
+		{desc: "nobody left", candidates: []Candidate{with(near, func(c *Candidate) { c.Tried = true })}, miss: MissNobody},
+		{
+			desc: "sets an unreachable one aside", candidates: []Candidate{near, region},
+			prepare: func(r *Router) {
+				r.Start(0, "near")
+				r.Finish(0, "near", Finished{Outcome: OutcomeUnreachable})
+			},
+			want: "region",
+		},
+		{
+			desc: "never sets all aside", candidates: []Candidate{near},
+			prepare: func(r *Router) {
+				r.Start(0, "near")
+				r.Finish(0, "near", Finished{Outcome: OutcomeUnreachable})
+			},
+			want: "near",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			r := NewRouter()
+			if test.prepare != nil {
+				test.prepare(r)
+			}
+			at, miss := r.Pick(time.Millisecond, test.candidates, 12345)
+			require.Equal(t, test.miss, miss)
+			if test.want != "" {
+				require.Equal(t, test.want, test.candidates[at].VM)
+			}
+		})
+	}
+}
+
+func TestPickNeverReturnsAnUnusableCandidate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRouter()
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 600).Draw(t, "pause")) * time.Millisecond
+			candidates := make([]Candidate, rapid.IntRange(0, 6).Draw(t, "candidates"))
+			open := 0
+			for i := range candidates {
+				candidates[i] = Candidate{
+					VM:       strconv.Itoa(i),
+					Distance: Distance(rapid.IntRange(0, 2).Draw(t, "distance")),
+					Leaving:  rapid.Bool().Draw(t, "leaving"),
+					Shedding: rapid.Bool().Draw(t, "shedding"),
+					Tried:    rapid.Bool().Draw(t, "tried"),
+				}
+				if c := candidates[i]; !c.Leaving && !c.Shedding && !c.Tried {
+					open++
+				}
+			}
+			at, miss := r.Pick(now, candidates, rapid.Uint64().Draw(t, "random"))
+			if open == 0 {
+				require.Equal(t, -1, at)
+				require.NotEqual(t, MissNone, miss)
+				continue
+			}
+			require.Equal(t, MissNone, miss)
+			c := candidates[at]
+			require.False(t, c.Leaving || c.Shedding || c.Tried)
+			r.Start(now, c.VM)
+			r.Finish(now, c.VM, Finished{
+				Outcome:  Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")),
+				Headroom: rapid.IntRange(0, 3).Draw(t, "headroom"),
+			})
+		}
+	})
+}
+
+func TestSlowEndpointGetsLess(t *testing.T) {
+	r := NewRouter()
+	candidates := []Candidate{{VM: "fast"}, {VM: "slow"}}
+	took := map[string]time.Duration{"fast": 10 * time.Millisecond, "slow": 50 * time.Millisecond}
+	random := rand.New(rand.NewPCG(1, 2))
+	count := map[string]int{}
+	now := 10 * time.Second
+	for range 1000 {
+		at, _ := r.Pick(now, candidates, random.Uint64())
+		vm := candidates[at].VM
+		count[vm]++
+		r.Start(now, vm)
+		r.Finish(now+took[vm], vm, Finished{Took: took[vm], Headroom: 5})
+		now += 10 * time.Millisecond
+	}
+	require.Greater(t, count["fast"], 2*count["slow"])
+	require.Positive(t, count["slow"], "two equal draws keep the slow one measured")
+}
+
+func TestEjectionEnds(t *testing.T) {
+	r := NewRouter()
+	candidates := []Candidate{{VM: "a"}, {VM: "b", Distance: SameRegion}}
+	r.Start(0, "a")
+	r.Finish(0, "a", Finished{Outcome: OutcomeUnreachable})
+	at, _ := r.Pick(ejectBase-1, candidates, 0)
+	require.Equal(t, 1, at)
+	at, _ = r.Pick(ejectBase, candidates, 0)
+	require.Equal(t, 0, at)
+}
+
+func BenchmarkPick(b *testing.B) {
+	r := NewRouter()
+	candidates := make([]Candidate, 16)
+	for i := range candidates {
+		candidates[i] = Candidate{VM: "vm-" + strconv.Itoa(i), Distance: Distance(i % 3)}
+		r.Start(0, candidates[i].VM)
+		r.Finish(0, candidates[i].VM, Finished{Took: time.Millisecond, Headroom: 3})
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		_, _ = r.Pick(time.Millisecond, candidates, uint64(i)*0x9e3779b97f4a7c15)
+	}
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	r := NewRouter()
+	candidates := []Candidate{{VM: "a"}, {VM: "b"}, {VM: "c", Distance: SameRegion}}
+	allocs := testing.AllocsPerRun(100, func() {
+		_, _ = r.Pick(time.Millisecond, candidates, 7)
+	})
+	require.Zero(t, allocs)
+}
--- /dev/null
+++ b/decision/suspect/suspect.go
@@ -0,0 +1,125 @@
+// Package suspect decides which requests may be to blame for the breakdown of
+// an endpoint and what such a request may still do.
+//
+// An endpoint that breaks down makes every request in flight on it a suspect.
+// A node runs at most one suspect at a time. When an endpoint breaks down
+// while it runs a known suspect, only that suspect is blamed. A request that
+// broke two endpoints is refused until the knowledge expires.
+package suspect
+
+import "time"
+
+const (
+	// lossesMax is the number of endpoints that one request may break.
+	lossesMax = 2
+	// lifetime is the time for which a suspect is remembered.
+	lifetime = 10 * time.Minute
+	// entriesMax bounds the memory of one node.
+	entriesMax = 4096
+)
+
+// Verdict says what a request may do.
+type Verdict uint8
+
+// The verdicts on a request.
+const (
+	// VerdictClean lets the request run beside others.
+	VerdictClean Verdict = iota
+	// VerdictAlone lets the request run while no other suspect runs here.
+	VerdictAlone
+	// VerdictRefuse refuses the request.
+	VerdictRefuse
+)
+
+type entry struct {
+	losses  int
+	expires time.Duration
+}
+
+// Book remembers the suspects that one node knows of. It is not safe for
+// concurrent use.
+type Book struct {
+	entries map[uint64]entry
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{entries: make(map[uint64]entry)}
+}
+
+// Judge returns the verdict on a request. losses is the number of endpoints
+// lost to it that other nodes reported.
+func (b *Book) Judge(now time.Duration, fingerprint uint64, losses int) Verdict {
+	if e, ok := b.entries[fingerprint]; ok && now < e.expires {
+		losses = max(losses, e.losses)
+	}
+	switch {
+	case losses >= lossesMax:
+		return VerdictRefuse
+	case losses > 0:
+		return VerdictAlone
+	default:
+		return VerdictClean
+	}
+}
+
+// Crashed blames requests for a breakdown of the local endpoint. running holds
+// the fingerprints in flight, suspects those of them that ran as suspects.
+// It returns the blamed fingerprints.
+func (b *Book) Crashed(now time.Duration, running, suspects []uint64) []uint64 {
+	blamed := running
+	if len(suspects) > 0 {
+		blamed = suspects
+	}
+	for _, fingerprint := range blamed {
+		b.blame(now, fingerprint)
+	}
+	return blamed
+}
+
+// Learn takes over the losses that another node reported.
+func (b *Book) Learn(now time.Duration, fingerprint uint64, losses int) {
+	e := b.entries[fingerprint]
+	if now >= e.expires {
+		e.losses = 0
+	}
+	if losses > e.losses {
+		b.put(now, fingerprint, losses)
+	}
+}
+
+// Cleared forgets a suspect that ran to its end without breaking anything.
+func (b *Book) Cleared(fingerprint uint64) {
+	delete(b.entries, fingerprint)
+}
+
+// Losses returns the endpoints lost to a request, as far as this node knows.
+func (b *Book) Losses(now time.Duration, fingerprint uint64) int {
+	e, ok := b.entries[fingerprint]
+	if !ok || now >= e.expires {
+		return 0
+	}
+	return e.losses
+}
+
+func (b *Book) blame(now time.Duration, fingerprint uint64) {
+	b.put(now, fingerprint, b.Losses(now, fingerprint)+1)
+}
+
+func (b *Book) put(now time.Duration, fingerprint uint64, losses int) {
+	if _, known := b.entries[fingerprint]; !known && len(b.entries) >= entriesMax {
+		b.sweep(now)
+	}
+	if len(b.entries) >= entriesMax {
+		return
+	}
+	b.entries[fingerprint] = entry{losses: losses, expires: now + lifetime}
+}
+
+func (b *Book) sweep(now time.Duration) {
+	for fingerprint, e := range b.entries {
+		if now >= e.expires {
+			delete(b.entries, fingerprint)
+		}
+	}
+}
--- a/internal/call/meta.go
+++ b/internal/call/meta.go
@@ -29,6 +29,12 @@
 	HeaderTimeout = "Galenacart-Timeout-Ms"
 	// HeaderIdempotencyKey carries a token of a node or a caller's own key.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderSum is the trailer with the hash of a whole answer between nodes.
+	HeaderSum = "Galenacart-Sum"
+	// HeaderToken gives a caller a fresh idempotency token.
+	HeaderToken = "Galenacart-Token"
+	// HeaderCorrelation gives a caller the ID under which events are logged.
+	HeaderCorrelation = "Galenacart-Correlation"
 	// Prefix is common to every header that only nodes set or read.
 	Prefix = "Galenacart-"
 )
@@ -61,6 +67,13 @@
 	Clock uint64 `cbor:"9,keyasint"`
 	// Correlation is the ID under which events of the request are logged.
 	Correlation string `cbor:"10,keyasint"`
+	// Service names the service that the call is for.
+	Service string `cbor:"11,keyasint"`
+	// Token is the idempotency token of a call that goes to its home, or empty.
+	Token string `cbor:"12,keyasint,omitempty"`
+	// OwnKey is the caller's own idempotency key of a call that goes to its
+	// home, or empty.
+	OwnKey string `cbor:"13,keyasint,omitempty"`
 }
 
 // Reply describes an answer to the node that made the call.
@@ -77,8 +90,17 @@
 	Leaving bool `cbor:"5,keyasint"`
 	// Clock is the sender's logical time.
 	Clock uint64 `cbor:"6,keyasint"`
-	// Crashed says that the endpoint broke down while it ran the call.
-	Crashed bool `cbor:"7,keyasint"`
+	// Status is the HTTP status of the endpoint's answer. 0 means that the node
+	// answered in place of the endpoint; then Kind says why.
+	Status uint16 `cbor:"8,keyasint"`
+	// Kind is the stable name of the kind of a problem.
+	Kind string `cbor:"9,keyasint,omitempty"`
+	// Ran is the fate of a call that ended in a problem: "no", "yes", "unknown".
+	Ran string `cbor:"10,keyasint,omitempty"`
+	// Detail explains a problem.
+	Detail string `cbor:"11,keyasint,omitempty"`
+	// DeclaredLength is the Content-Length of an answer to HEAD.
+	DeclaredLength int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Remaining returns the time left for the answer.
--- /dev/null
+++ b/internal/token/token.go
@@ -0,0 +1,101 @@
+// Package token encodes idempotency tokens.
+//
+// A token names the one process, the home, that may start a non-idempotent
+// request. Any node can read it, so a resend reaches the home through any node.
+package token
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/decision/idempotency"
+)
+
+const (
+	// prefix tells tokens from keys that callers choose.
+	prefix = "gct1."
+	// macBytes is the length of the authentication code.
+	macBytes = 16
+	// maxTextBytes bounds the text form.
+	maxTextBytes = 512
+)
+
+// Token names the home of one request.
+type Token struct {
+	// VM names the VM of the home.
+	VM string `cbor:"1,keyasint"`
+	// Incarnation is the run of the home's process.
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// MintedMs is the home's process time at which it issued the token, in
+	// milliseconds since the start of the process.
+	MintedMs uint64 `cbor:"3,keyasint"`
+	// Key identifies the request at its home.
+	Key idempotency.Key `cbor:"4,keyasint"`
+}
+
+// Minted returns the home's process time at which it issued the token.
+func (t *Token) Minted() time.Duration {
+	return time.Duration(t.MintedMs) * time.Millisecond
+}
+
+// Looks reports whether text has the form of a token rather than of a key that
+// a caller chose.
+func Looks(text string) bool {
+	return strings.HasPrefix(text, prefix)
+}
+
+// Codec reads and writes tokens of one fleet.
+type Codec struct {
+	key []byte
+}
+
+// NewCodec returns a codec. fleetKey is the secret of the fleet.
+func NewCodec(fleetKey string) *Codec {
+	return &Codec{key: []byte(fleetKey)}
+}
+
+// Encode returns the text form of t.
+func (c *Codec) Encode(t *Token) (string, error) {
+	data, err := cbor.Marshal(t)
+	if err != nil {
+		return "", errors.Wrap(err, "encode token")
+	}
+	data = append(data, c.mac(data)...)
+	return prefix + base64.RawURLEncoding.EncodeToString(data), nil
+}
+
+// Decode reads the text form. It fails on a text that no node of the fleet
+// wrote.
+func (c *Codec) Decode(text string) (*Token, error) {
+	if !Looks(text) || len(text) > maxTextBytes {
+		return nil, errors.New("not a token")
+	}
+	data, err := base64.RawURLEncoding.DecodeString(text[len(prefix):])
+	if err != nil {
+		return nil, errors.Wrap(err, "decode token")
+	}
+	if len(data) <= macBytes {
+		return nil, errors.New("token too short")
+	}
+	body, mac := data[:len(data)-macBytes], data[len(data)-macBytes:]
+	if !hmac.Equal(mac, c.mac(body)) {
+		return nil, errors.New("token of another fleet")
+	}
+	t := &Token{}
+	if err := cbor.Unmarshal(body, t); err != nil {
+		return nil, errors.Wrap(err, "decode token")
+	}
+	return t, nil
+}
+
+func (c *Codec) mac(data []byte) []byte {
+	h := hmac.New(sha256.New, c.key)
+	_, _ = h.Write(data) // a hash never fails to write
+	return h.Sum(nil)[:macBytes]
+}
