Admission: the surface of the gate, with simple decisions

Cause: traffic code needs the decisions' surface before they are deep. Conclusion: the surface stands; learning of capacity and estimates of time follow behind it.

--- /dev/null
+++ b/decision/admission/queue.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"github.com/galenacart/galenacart/decision/priority"
+)
+
+// entry is one call that waits. It takes 32 bytes.
+type entry struct {
+	id       ID
+	deadline time.Duration
+	arrived  time.Duration
+	priority priority.Priority
+}
+
+// before reports whether e is run before other.
+func (e *entry) before(other *entry) bool {
+	if e.priority != other.priority {
+		return e.priority.Before(other.priority)
+	}
+	if e.deadline != other.deadline {
+		return e.deadline < other.deadline
+	}
+	return e.id < other.id
+}
+
+// queue keeps the waiting calls sorted, the most important last, so that the
+// next one to run leaves without moving the others.
+type queue struct {
+	entries []entry
+}
+
+func (q *queue) len() int {
+	return len(q.entries)
+}
+
+// best returns the call to run next. The queue must not be empty.
+func (q *queue) best() *entry {
+	return &q.entries[len(q.entries)-1]
+}
+
+// worst returns the call to shed next. The queue must not be empty.
+func (q *queue) worst() *entry {
+	return &q.entries[0]
+}
+
+func (q *queue) popBest() entry {
+	last := len(q.entries) - 1
+	e := q.entries[last]
+	q.entries = q.entries[:last]
+	return e
+}
+
+func (q *queue) popWorst() entry {
+	e := q.entries[0]
+	q.removeAt(0)
+	return e
+}
+
+// position returns the index at which e belongs.
+func (q *queue) position(e *entry) int {
+	low, high := 0, len(q.entries)
+	for low < high {
+		middle := (low + high) / 2
+		if e.before(&q.entries[middle]) {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+func (q *queue) insert(e entry) {
+	q.entries = slices.Insert(q.entries, q.position(&e), e)
+}
+
+// remove takes out the call with the given ID, if it waits.
+func (q *queue) remove(id ID) bool {
+	for i := range q.entries {
+		if q.entries[i].id == id {
+			q.removeAt(i)
+			return true
+		}
+	}
+	return false
+}
+
+func (q *queue) removeAt(i int) {
+	q.entries = append(q.entries[:i], q.entries[i+1:]...)
+}
