Serve a node's status, events and metrics

Cause: an operator can't see what a node does, and control tools have nothing to read.

Change: internal/status serves /status (typed), /events, /metrics and /metrics.json, for GET and HEAD only. internal/event gets a bounded ring of recent lines, internal/metrics the instruments of a node on a registry of their own and the text form that scrapers read. The call time is a histogram and not a timer, because a timer starts a ticking goroutine for ever; the text form gives no sum, because the histogram's sample holds only a part of the values.

Conclusion: read-only by construction: no handler takes a body or another method.

--- /dev/null
+++ b/internal/event/ring.go
@@ -0,0 +1,66 @@
+package event
+
+import (
+	"bytes"
+	"encoding/json"
+	"sync"
+)
+
+// Ring keeps the newest event lines of a process in memory. It is an io.Writer
+// for use as, or beside, the sink of a Log.
+type Ring struct {
+	mu    sync.Mutex
+	lines [][]byte
+	next  int
+	size  int
+}
+
+// maxLineBytes bounds a line that a Ring keeps. Longer lines are left out.
+const maxLineBytes = 4096
+
+// NewRing returns a ring that keeps at most the given number of lines.
+func NewRing(lines int) *Ring {
+	return &Ring{lines: make([][]byte, max(lines, 1))}
+}
+
+// Write keeps one line, in place of the oldest one when the ring is full. It
+// never fails.
+func (r *Ring) Write(line []byte) (int, error) {
+	if len(line) > maxLineBytes {
+		return len(line), nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines[r.next] = append(r.lines[r.next][:0], line...)
+	r.next = (r.next + 1) % len(r.lines)
+	r.size = min(r.size+1, len(r.lines))
+	return len(line), nil
+}
+
+// After returns the kept lines whose logical time is larger than clock, the
+// oldest first. Each line ends with a newline.
+func (r *Ring) After(clock uint64) []byte {
+	var out bytes.Buffer
+	for _, line := range r.snapshot() {
+		var stamp struct {
+			Clock uint64 `json:"clock"`
+		}
+		if json.Unmarshal(line, &stamp) != nil || stamp.Clock <= clock {
+			continue
+		}
+		out.Write(line)
+	}
+	return out.Bytes()
+}
+
+// snapshot copies the lines, so that no reader holds up a writer for long.
+func (r *Ring) snapshot() [][]byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := make([][]byte, 0, r.size)
+	for i := range r.size {
+		at := (r.next - r.size + i + len(r.lines)) % len(r.lines)
+		kept = append(kept, bytes.Clone(r.lines[at]))
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/metrics/definition.go
@@ -0,0 +1,75 @@
+// Package metrics names the measurements of a node, with their units, and
+// writes them in the text form that scrapers read and as JSON.
+package metrics
+
+// Type is the type of a metric in the text form.
+type Type string
+
+// The types of metrics.
+const (
+	// Counter only grows.
+	Counter Type = "counter"
+	// Gauge goes up and down.
+	Gauge Type = "gauge"
+	// Summary gives quantiles, a sum and a count.
+	Summary Type = "summary"
+)
+
+// Definition describes one metric for scrapers and for docs/OPERATING.md.
+type Definition struct {
+	// Name is the stable name. It ends in the unit, or in _total for a counter.
+	Name string
+	// Type is the type of the metric.
+	Type Type
+	// Unit is the unit of its value.
+	Unit string
+	// Help says what is measured.
+	Help string
+}
+
+// The names of a node's metrics.
+const (
+	// NameCalls counts calls that the node answered, by role.
+	NameCalls = "galenacart_calls_total"
+	// NameRefusals counts answers that were not the endpoint's own, by kind.
+	NameRefusals = "galenacart_refusals_total"
+	// NameRetries counts attempts beyond the first one of a call.
+	NameRetries = "galenacart_retries_total"
+	// NameCallSeconds is the time from a call's arrival to the end of its answer.
+	NameCallSeconds = "galenacart_call_seconds"
+	// NameInFlight counts calls that the local endpoint runs now.
+	NameInFlight = "galenacart_in_flight_calls"
+	// NameQueued counts calls that wait for a slot of the local endpoint.
+	NameQueued = "galenacart_queued_calls"
+	// NameRecords counts records of non-idempotent calls.
+	NameRecords = "galenacart_records"
+	// NameRecordBytes is the memory that these records hold.
+	NameRecordBytes = "galenacart_record_bytes"
+	// NameRevision is the platform's revision of the catalogue in force.
+	NameRevision = "galenacart_catalogue_revision"
+	// NamePeers counts open peer links.
+	NamePeers = "galenacart_peer_links"
+	// NameGoroutines counts goroutines of the process.
+	NameGoroutines = "galenacart_goroutines"
+	// NameHeapBytes is the memory of live and not yet collected objects.
+	NameHeapBytes = "galenacart_heap_bytes"
+)
+
+// Definitions returns every metric that a node may expose, in the order of the
+// page.
+func Definitions() []Definition {
+	return []Definition{
+		{NameCalls, Counter, "calls", "Calls that the node answered, by the role in which it took them: caller, outbound or peer."},
+		{NameRefusals, Counter, "answers", "Answers that were not the endpoint's own, by kind of docs/ERRORS.md."},
+		{NameRetries, Counter, "attempts", "Attempts beyond the first one of a call."},
+		{NameCallSeconds, Summary, "seconds", "Time from a call's arrival to the end of its answer."},
+		{NameInFlight, Gauge, "calls", "Calls that the local endpoint runs now."},
+		{NameQueued, Gauge, "calls", "Calls that wait for a slot of the local endpoint."},
+		{NameRecords, Gauge, "records", "Records of non-idempotent calls."},
+		{NameRecordBytes, Gauge, "bytes", "Memory that records of non-idempotent calls hold."},
+		{NameRevision, Gauge, "revision", "The platform's revision of the catalogue in force; 0 before the first."},
+		{NamePeers, Gauge, "links", "Open peer links."},
+		{NameGoroutines, Gauge, "goroutines", "Goroutines of the process."},
+		{NameHeapBytes, Gauge, "bytes", "Memory of live and not yet collected objects."},
+	}
+}
--- /dev/null
+++ b/internal/metrics/exposition.go
@@ -0,0 +1,129 @@
+package metrics
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// ContentType is the media type of the text form.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// Label returns the registry name of one member of a family of metrics.
+func Label(family, key, value string) string {
+	return family + "{" + key + "=" + strconv.Quote(value) + "}"
+}
+
+// WriteText writes the counters, gauges and histograms of a registry in the
+// text form that scrapers read, ordered by name. Histograms whose name ends in
+// _seconds hold nanoseconds.
+func WriteText(w io.Writer, r gometrics.Registry) error {
+	values := make(map[string]any)
+	names := make([]string, 0, len(values))
+	r.Each(func(name string, value any) {
+		values[name] = value
+		names = append(names, name)
+	})
+	sort.Strings(names)
+	help := definitionsByName()
+	out := bufio.NewWriter(w)
+	previous := ""
+	for _, name := range names {
+		family, labels := split(name)
+		if family != previous {
+			writeHead(out, family, values[name], help)
+			previous = family
+		}
+		writeValue(out, family, labels, values[name])
+	}
+	return out.Flush()
+}
+
+// WriteJSON writes every metric of a registry as one JSON object.
+func WriteJSON(w io.Writer, r gometrics.Registry) {
+	gometrics.WriteJSONOnce(r, w)
+}
+
+func definitionsByName() map[string]Definition {
+	byName := make(map[string]Definition)
+	for _, d := range Definitions() {
+		byName[d.Name] = d
+	}
+	return byName
+}
+
+// split parts a registry name into family and labels, the latter without braces.
+func split(name string) (family, labels string) {
+	family, rest, found := strings.Cut(name, "{")
+	if !found {
+		return name, ""
+	}
+	return family, strings.TrimSuffix(rest, "}")
+}
+
+func writeHead(out io.Writer, family string, value any, help map[string]Definition) {
+	if d, ok := help[family]; ok {
+		_, _ = fmt.Fprintf(out, "# HELP %s %s\n", family, d.Help) // Flush reports a failure
+	}
+	_, _ = fmt.Fprintf(out, "# TYPE %s %s\n", family, typeOf(value))
+}
+
+func typeOf(value any) Type {
+	switch value.(type) {
+	case gometrics.Counter:
+		return Counter
+	case gometrics.Histogram:
+		return Summary
+	default:
+		return Gauge
+	}
+}
+
+func writeValue(out io.Writer, family, labels string, value any) {
+	switch v := value.(type) {
+	case gometrics.Counter:
+		writeSample(out, family, labels, float64(v.Count()))
+	case gometrics.Gauge:
+		writeSample(out, family, labels, float64(v.Value()))
+	case gometrics.GaugeFloat64:
+		writeSample(out, family, labels, v.Value())
+	case gometrics.Histogram:
+		writeSummary(out, family, labels, v.Snapshot())
+	}
+}
+
+// writeSummary writes quantiles and the count. There is no sum: a sample holds
+// only a part of the values.
+func writeSummary(out io.Writer, family, labels string, h gometrics.Histogram) {
+	unit := 1.0
+	if strings.HasSuffix(family, "_seconds") {
+		unit = float64(time.Second) // the values are in nanoseconds
+	}
+	for i, value := range h.Percentiles(quantiles) {
+		quantile := fmt.Sprintf("quantile=%q", strconv.FormatFloat(quantiles[i], 'g', -1, 64))
+		writeSample(out, family, join(labels, quantile), value/unit)
+	}
+	writeSample(out, family+"_count", labels, float64(h.Count()))
+}
+
+func join(labels, more string) string {
+	if labels == "" {
+		return more
+	}
+	return labels + "," + more
+}
+
+func writeSample(out io.Writer, name, labels string, value float64) {
+	if labels != "" {
+		name += "{" + labels + "}"
+	}
+	_, _ = fmt.Fprintf(out, "%s %s\n", name, strconv.FormatFloat(value, 'g', -1, 64)) // Flush reports a failure
+}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,68 @@
+package metrics
+
+import (
+	"bytes"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/problem"
+)
+
+func text(t *testing.T, s *Set) string {
+	t.Helper()
+	var out bytes.Buffer
+	require.NoError(t, WriteText(&out, s.Registry()))
+	return out.String()
+}
+
+func TestTextForm(t *testing.T) {
+	s := NewSet()
+	s.Call(RolePeer, 1500*time.Millisecond)
+	s.Refusal(problem.KindTimeout)
+	s.Refusal(problem.KindNone)
+	s.Retry()
+	s.GaugeFunc(NameQueued, func() int64 { return 3 })
+	out := text(t, s)
+	for _, line := range []string{
+		`galenacart_calls_total{role="peer"} 1`,
+		`galenacart_calls_total{role="caller"} 0`,
+		`galenacart_call_seconds{role="peer",quantile="0.99"} 1.5`,
+		`galenacart_call_seconds_count{role="peer"} 1`,
+		`galenacart_refusals_total{kind="timeout"} 1`,
+		`galenacart_retries_total 1`,
+		`galenacart_queued_calls 3`,
+		`# TYPE galenacart_call_seconds summary`,
+		`# TYPE galenacart_queued_calls gauge`,
+	} {
+		require.Contains(t, out, line+"\n")
+	}
+}
+
+func TestEachLineIsWellFormed(t *testing.T) {
+	sample := regexp.MustCompile(`^[a-z_]+(\{[a-z]+="[^"]*"(,[a-z]+="[^"]*")*\})? [0-9.e+-]+$`)
+	heads := map[string]bool{}
+	for line := range strings.Lines(text(t, NewSet())) {
+		line = strings.TrimSuffix(line, "\n")
+		if strings.HasPrefix(line, "# ") {
+			require.False(t, heads[line], "written twice: %s", line)
+			heads[line] = true
+			continue
+		}
+		require.Regexp(t, sample, line)
+	}
+}
+
+func TestDefinitions(t *testing.T) {
+	seen := map[string]bool{}
+	for _, d := range Definitions() {
+		require.False(t, seen[d.Name], d.Name)
+		seen[d.Name] = true
+		require.Equal(t, d.Type == Counter, strings.HasSuffix(d.Name, "_total"), d.Name)
+		require.NotEmpty(t, d.Unit)
+		require.NotEmpty(t, d.Help)
+	}
+}
--- /dev/null
+++ b/internal/metrics/set.go
@@ -0,0 +1,99 @@
+package metrics
+
+import (
+	"runtime"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/galenacart/galenacart/internal/problem"
+)
+
+// Role is the listener by which a call reached the node.
+type Role uint8
+
+// The roles.
+const (
+	// RoleCaller is a call from outside the fleet.
+	RoleCaller Role = iota
+	// RoleOutbound is a call of the local endpoint.
+	RoleOutbound
+	// RolePeer is a call from another node, for the local endpoint.
+	RolePeer
+
+	roleCount
+)
+
+var roleNames = [roleCount]string{RoleCaller: "caller", RoleOutbound: "outbound", RolePeer: "peer"}
+
+// A histogram keeps about the last five minutes, in at most sampleSize values.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Set holds the instruments of one node. Its methods are safe for concurrent
+// use and cost no allocation.
+type Set struct {
+	registry gometrics.Registry
+	calls    [roleCount]gometrics.Counter
+	times    [roleCount]gometrics.Histogram
+	refusals map[problem.Kind]gometrics.Counter
+	retries  gometrics.Counter
+}
+
+// NewSet returns the instruments of a node, registered in a registry of their
+// own, together with gauges of the process.
+func NewSet() *Set {
+	s := &Set{
+		registry: gometrics.NewRegistry(),
+		refusals: make(map[problem.Kind]gometrics.Counter),
+	}
+	for role, name := range roleNames {
+		s.calls[role] = gometrics.GetOrRegisterCounter(Label(NameCalls, "role", name), s.registry)
+		sample := gometrics.NewExpDecaySample(sampleSize, sampleAlpha)
+		s.times[role] = gometrics.GetOrRegisterHistogram(Label(NameCallSeconds, "role", name), s.registry, sample)
+	}
+	for _, kind := range problem.All() {
+		s.refusals[kind] = gometrics.GetOrRegisterCounter(Label(NameRefusals, "kind", kind.String()), s.registry)
+	}
+	s.retries = gometrics.GetOrRegisterCounter(NameRetries, s.registry)
+	s.GaugeFunc(NameGoroutines, func() int64 { return int64(runtime.NumGoroutine()) })
+	s.GaugeFunc(NameHeapBytes, heapBytes)
+	return s
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// Registry returns the registry that holds the instruments.
+func (s *Set) Registry() gometrics.Registry {
+	return s.registry
+}
+
+// Call counts one answered call and the time that it took.
+func (s *Set) Call(r Role, took time.Duration) {
+	s.calls[r].Inc(1)
+	s.times[r].Update(took.Nanoseconds())
+}
+
+// Refusal counts one answer that was not the endpoint's own.
+func (s *Set) Refusal(k problem.Kind) {
+	if c, ok := s.refusals[k]; ok {
+		c.Inc(1)
+	}
+}
+
+// Retry counts one attempt beyond the first one of a call.
+func (s *Set) Retry() {
+	s.retries.Inc(1)
+}
+
+// GaugeFunc registers a gauge whose value is read when it is exposed. Only the
+// first gauge of a name counts.
+func (s *Set) GaugeFunc(name string, read func() int64) {
+	s.registry.GetOrRegister(name, gometrics.NewFunctionalGauge(read))
+}
--- /dev/null
+++ b/internal/status/node.go
@@ -0,0 +1,59 @@
+// Package status shows what a node does: its state, its recent events and its
+// metrics. Nothing in it changes the node.
+package status
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Node is the state of one node, as served at /status.
+type Node struct {
+	// VM is the unique name of the node's VM.
+	VM string `json:"vm"`
+	// AvailabilityZone is the VM's availability zone.
+	AvailabilityZone string `json:"availabilityZone"`
+	// Region is the region of the availability zone.
+	Region string `json:"region"`
+	// Service is the service of the local endpoint.
+	Service string `json:"service"`
+	// Incarnation identifies the run of the node's process.
+	Incarnation uint64 `json:"incarnation,string"`
+	// Version is the version of the program.
+	Version string `json:"version"`
+	// Leaving says that the node is stopping.
+	Leaving bool `json:"leaving"`
+	// Catalogue is the catalogue in force and what holds back a newer one.
+	Catalogue Catalogue `json:"catalogue"`
+	// Gate is the state of admission in front of the local endpoint.
+	Gate json.RawMessage `json:"gate,omitempty"`
+	// Records is the state of the records of non-idempotent calls.
+	Records json.RawMessage `json:"records,omitempty"`
+	// Control is the state of the control thread: members, links and readers.
+	Control json.RawMessage `json:"control,omitempty"`
+	// Refusals lists recent refusals, the oldest first.
+	Refusals []Refusal `json:"refusals"`
+}
+
+// Catalogue says which revision a node acts on.
+type Catalogue struct {
+	// Revision is the platform's revision of the catalogue in force. 0 means
+	// that there is none.
+	Revision uint64 `json:"revision"`
+	// Refused is the newest revision that the node saw and refused, or 0.
+	Refused uint64 `json:"refused,omitempty"`
+	// Reason says why no newer catalogue is in force, if the node knows.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Refusal is one call that the node answered in place of the endpoint.
+type Refusal struct {
+	// Time is the wall time of the answer.
+	Time time.Time `json:"time"`
+	// Correlation is the ID under which events of the request are logged.
+	Correlation string `json:"correlation"`
+	// Kind is the stable name of the error kind.
+	Kind string `json:"kind"`
+	// Detail explains the cause.
+	Detail string `json:"detail"`
+}
--- /dev/null
+++ b/internal/status/server.go
@@ -0,0 +1,169 @@
+package status
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// The paths of the server.
+const (
+	// PathStatus serves a Node as JSON.
+	PathStatus = "/status"
+	// PathEvents serves recent event lines, one JSON object a line. The query
+	// parameter "after" leaves out those up to that logical time.
+	PathEvents = "/events"
+	// PathMetrics serves the metrics in the text form that scrapers read.
+	PathMetrics = "/metrics"
+	// PathMetricsJSON serves the metrics as JSON.
+	PathMetricsJSON = "/metrics.json"
+)
+
+// QueryAfter is the query parameter of PathEvents.
+const QueryAfter = "after"
+
+// Source returns one section of the status. Its value is encoded as JSON. It is
+// called on the goroutine of a request, so it must be safe for concurrent use.
+type Source func() any
+
+// Config is what a Server shows. Every source may be nil.
+type Config struct {
+	// Identity holds the fields that stay the same for the node's life: VM,
+	// AvailabilityZone, Region, Service, Incarnation and Version.
+	Identity Node
+	// View gives the catalogue in force and whether the node is leaving.
+	View *view.Holder
+	// Catalogue replaces the catalogue's state as the view gives it by one that
+	// also knows what holds back a newer revision.
+	Catalogue func() Catalogue
+	// Gate gives the state of admission.
+	Gate Source
+	// Records gives the state of the records of non-idempotent calls.
+	Records Source
+	// Control gives the state of the control thread.
+	Control Source
+	// Refusals holds recent refusals.
+	Refusals *Refusals
+	// Events holds recent event lines.
+	Events *event.Ring
+	// Metrics holds the metrics.
+	Metrics gometrics.Registry
+}
+
+// Server answers requests about one node.
+type Server struct {
+	config Config
+}
+
+// New returns a server that shows what c gives.
+func New(c Config) *Server {
+	return &Server{config: c}
+}
+
+// Handler returns the handler of all paths. It answers GET and HEAD only.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathStatus, s.serveStatus)
+	mux.HandleFunc("GET "+PathEvents, s.serveEvents)
+	mux.HandleFunc("GET "+PathMetrics, s.serveMetrics)
+	mux.HandleFunc("GET "+PathMetricsJSON, s.serveMetricsJSON)
+	return mux
+}
+
+// Node returns the state that PathStatus serves.
+func (s *Server) Node() (*Node, error) {
+	n := s.config.Identity
+	if s.config.View != nil {
+		v := s.config.View.Load()
+		n.Leaving = v.Leaving
+		n.Catalogue.Revision = v.Revision
+	}
+	if s.config.Catalogue != nil {
+		n.Catalogue = s.config.Catalogue()
+	}
+	n.Refusals = []Refusal{}
+	if s.config.Refusals != nil {
+		n.Refusals = s.config.Refusals.List()
+	}
+	sections := []struct {
+		into   *json.RawMessage
+		source Source
+	}{
+		{&n.Gate, s.config.Gate},
+		{&n.Records, s.config.Records},
+		{&n.Control, s.config.Control},
+	}
+	for _, section := range sections {
+		if section.source == nil {
+			continue
+		}
+		encoded, err := json.Marshal(section.source())
+		if err != nil {
+			return nil, err
+		}
+		*section.into = encoded
+	}
+	return &n, nil
+}
+
+func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	n, err := s.Node()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	encoded, err := json.MarshalIndent(n, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	send(w, "application/json", append(encoded, '\n'))
+}
+
+func (s *Server) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after := uint64(0)
+	if text := r.URL.Query().Get(QueryAfter); text != "" {
+		var err error
+		after, err = strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			http.Error(w, "after: want a logical time, a whole number from 0", http.StatusBadRequest)
+			return
+		}
+	}
+	var lines []byte
+	if s.config.Events != nil {
+		lines = s.config.Events.After(after)
+	}
+	send(w, "application/x-ndjson", lines)
+}
+
+func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	var out bytes.Buffer
+	if s.config.Metrics != nil {
+		_ = metrics.WriteText(&out, s.config.Metrics) // a buffer takes every write
+	}
+	send(w, metrics.ContentType, out.Bytes())
+}
+
+func (s *Server) serveMetricsJSON(w http.ResponseWriter, _ *http.Request) {
+	out := bytes.NewBufferString("")
+	if s.config.Metrics != nil {
+		metrics.WriteJSON(out, s.config.Metrics)
+	}
+	send(w, "application/json", out.Bytes())
+}
+
+func send(w http.ResponseWriter, contentType string, body []byte) {
+	h := w.Header()
+	h.Set("Content-Type", contentType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Cache-Control", "no-store")
+	_, _ = w.Write(body) // the reader may be gone; there is nobody left to tell
+}
--- /dev/null
+++ b/internal/status/server_test.go
@@ -0,0 +1,95 @@
+package status
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/problem"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+func testServer() (*Server, *Refusals) {
+	ring := event.NewRing(8)
+	_, _ = ring.Write([]byte(`{"clock":4,"event":1001}` + "\n"))
+	_, _ = ring.Write([]byte(`{"clock":9,"event":1002}` + "\n"))
+	holder := &view.Holder{}
+	holder.Store(&view.View{Revision: 7, Leaving: true})
+	refusals := NewRefusals()
+	set := metrics.NewSet()
+	set.Call(metrics.RoleCaller, 2*time.Second)
+	set.Refusal(problem.KindOverloaded)
+	return New(Config{
+		Identity: Node{VM: "vm-1", AvailabilityZone: "stord-a", Service: "stock", Incarnation: 1 << 60},
+		View:     holder,
+		Gate:     func() any { return struct{ Limit int }{12} },
+		Refusals: refusals,
+		Events:   ring,
+		Metrics:  set.Registry(),
+	}), refusals
+}
+
+func get(s *Server, method, target string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, httptest.NewRequest(method, target, nil))
+	return w
+}
+
+func TestStatusShowsNode(t *testing.T) {
+	s, refusals := testServer()
+	refusals.Add(time.Unix(5, 0), "c-1", problem.KindOverloaded, "threshold")
+	n := Node{}
+	require.NoError(t, json.Unmarshal(get(s, http.MethodGet, PathStatus).Body.Bytes(), &n))
+	require.Equal(t, "vm-1", n.VM)
+	require.Equal(t, uint64(1<<60), n.Incarnation)
+	require.Equal(t, Catalogue{Revision: 7}, n.Catalogue)
+	require.True(t, n.Leaving)
+	require.JSONEq(t, `{"Limit":12}`, string(n.Gate))
+	require.Len(t, n.Refusals, 1)
+	require.Equal(t, "overloaded", n.Refusals[0].Kind)
+}
+
+func TestPaths(t *testing.T) {
+	s, _ := testServer()
+	tests := []struct {
+		desc, method, target string
+		status               int
+		contains             string
+	}{
+		{"all events", http.MethodGet, "/events", http.StatusOK, `"event":1001`},
+		{"newer events", http.MethodGet, "/events?after=4", http.StatusOK, `{"clock":9,"event":1002}`},
+		{"bad clock", http.MethodGet, "/events?after=-1", http.StatusBadRequest, "want a logical time"},
+		{"text metrics", http.MethodGet, "/metrics", http.StatusOK, `galenacart_refusals_total{kind="overloaded"} 1`},
+		{"JSON metrics", http.MethodGet, "/metrics.json", http.StatusOK, `"galenacart_goroutines":{"value":`},
+		{"status can't be written", http.MethodPost, "/status", http.StatusMethodNotAllowed, ""},
+		{"events can't be deleted", http.MethodDelete, "/events", http.StatusMethodNotAllowed, ""},
+		{"metrics can't be written", http.MethodPut, "/metrics", http.StatusMethodNotAllowed, ""},
+		{"unknown path", http.MethodGet, "/admin", http.StatusNotFound, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			w := get(s, tt.method, tt.target)
+			require.Equal(t, tt.status, w.Code)
+			require.Contains(t, w.Body.String(), tt.contains)
+		})
+	}
+	require.NotContains(t, get(s, http.MethodGet, "/events?after=4").Body.String(), "1001")
+}
+
+func TestRefusalsKeepTheNewest(t *testing.T) {
+	r := NewRefusals()
+	for i := range refusalsKept + 3 {
+		r.Add(time.Unix(int64(i), 0), "c", problem.KindTimeout, string(make([]byte, 2*maxTextBytes)))
+	}
+	list := r.List()
+	require.Len(t, list, refusalsKept)
+	require.Equal(t, int64(3), list[0].Time.Unix())
+	require.Equal(t, int64(refusalsKept+2), list[refusalsKept-1].Time.Unix())
+	require.Len(t, list[0].Detail, maxTextBytes)
+}
