--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -2,10 +2,6 @@
 package event
 
 import (
-	"io"
-	"sync/atomic"
-	"time"
-
 	"github.com/rs/zerolog"
 )
 
@@ -22,37 +18,36 @@
 	Level zerolog.Level
 	// Meaning says what happened and what an operator may do.
 	Meaning string
+	// Exact says that the event is never held back by a rate limit.
+	Exact bool
 }
 
 // All returns every definition, ordered by area.
 func All() []Definition {
 	var all []Definition
-	all = append(all, trafficEvents...)
-	all = append(all, controlEvents...)
-	all = append(all, lifecycleEvents...)
-	all = append(all, standinEvents...)
-	all = append(all, loadEvents...)
+	for _, a := range areas() {
+		all = append(all, a.definitions...)
+	}
 	return all
 }
 
-// Clock is a logical (Lamport) clock. It orders events over processes whose
-// wall clocks differ.
-type Clock struct {
-	now atomic.Uint64
-}
+// areaSize is the count of numbers that each area has.
+const areaSize = 1000
 
-// Tick advances the clock and returns the new time.
-func (c *Clock) Tick() uint64 {
-	return c.now.Add(1)
+// area is a range of numbers with its own file.
+type area struct {
+	first       Number
+	title       string
+	definitions []Definition
 }
 
-// Observe advances the clock to at least a time received with a message.
-func (c *Clock) Observe(received uint64) {
-	for {
-		now := c.now.Load()
-		if received <= now || c.now.CompareAndSwap(now, received) {
-			return
-		}
+func areas() []area {
+	return []area{
+		{1000, "Traffic", trafficEvents},
+		{2000, "Control", controlEvents},
+		{3000, "Lifecycle", lifecycleEvents},
+		{4000, "Stand-ins", standinEvents},
+		{5000, "Load", loadEvents},
 	}
 }
 
@@ -68,47 +63,3 @@
 func F(key string, value any) Field {
 	return Field{Key: key, Value: value}
 }
-
-// Log writes events of one process.
-type Log struct {
-	out         zerolog.Logger
-	clock       *Clock
-	definitions map[Number]Definition
-}
-
-// NewLog returns a log that writes JSON lines to w. process and vm name the
-// origin of every event.
-func NewLog(w io.Writer, process, vm string, level zerolog.Level) *Log {
-	l := &Log{
-		out:         zerolog.New(zerolog.SyncWriter(w)).Level(level).With().Str("process", process).Str("vm", vm).Logger(),
-		clock:       &Clock{},
-		definitions: make(map[Number]Definition),
-	}
-	for _, d := range All() {
-		l.definitions[d.Number] = d
-	}
-	return l
-}
-
-// Clock returns the logical clock that stamps the events.
-func (l *Log) Clock() *Clock {
-	return l.clock
-}
-
-// Emit writes one event. correlation is the ID of the request that the event
-// belongs to, or empty.
-func (l *Log) Emit(n Number, correlation string, fields ...Field) {
-	d := l.definitions[n]
-	e := l.out.WithLevel(d.Level)
-	if l.out.GetLevel() > d.Level {
-		return
-	}
-	e = e.Time("time", time.Now()).Uint64("clock", l.clock.Tick()).Int("event", int(n)).Str("name", d.Name)
-	if correlation != "" {
-		e = e.Str("correlation", correlation)
-	}
-	for _, f := range fields {
-		e = e.Interface(f.Key, f.Value)
-	}
-	e.Send()
-}
