--- a/decision/idempotency/age.go
+++ b/decision/idempotency/age.go
@@ -21,3 +21,10 @@
 	}
 	return VerdictRun
 }
+
+// AbsenceProves reports whether a missing record proves that the request of a
+// token was never started. A record is kept for two lifetimes after the request
+// began, so the proof holds until two lifetimes after the token was issued.
+func AbsenceProves(now, minted, lifetime time.Duration) bool {
+	return minted <= now && now-minted < 2*lifetime
+}
--- a/decision/idempotency/table.go
+++ b/decision/idempotency/table.go
@@ -169,3 +169,8 @@
 		delete(t.records, first.key)
 	}
 }
+
+// Get returns the record of a key, or nil.
+func (t *Table[A]) Get(k Key) *Record[A] {
+	return t.records[k]
+}
--- a/internal/call/meta.go
+++ b/internal/call/meta.go
@@ -40,7 +40,7 @@
 )
 
 // maxEncodedBytes bounds an encoded Meta or Reply.
-const maxEncodedBytes = 2048
+const maxEncodedBytes = 4096
 
 // ID identifies one call, or one attempt of it, over the whole fleet.
 type ID [16]byte
@@ -74,6 +74,13 @@
 	// OwnKey is the caller's own idempotency key of a call that goes to its
 	// home, or empty.
 	OwnKey string `cbor:"13,keyasint,omitempty"`
+	// Resume asks for the outcome of an attempt whose answer was lost. It never
+	// starts the call. It holds the incarnation of the process that got the
+	// attempt; 0 stands for an ordinary call.
+	Resume uint64 `cbor:"14,keyasint,omitempty"`
+	// Fence asks the home named by Token to make sure that the request is never
+	// started any more, and to say whether it was.
+	Fence bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Reply describes an answer to the node that made the call.
@@ -99,6 +106,8 @@
 	Ran string `cbor:"10,keyasint,omitempty"`
 	// Detail explains a problem.
 	Detail string `cbor:"11,keyasint,omitempty"`
+	// Incarnation is the run of the answering node's process.
+	Incarnation uint64 `cbor:"13,keyasint"`
 	// DeclaredLength is the Content-Length of an answer to HEAD.
 	DeclaredLength int64 `cbor:"12,keyasint,omitempty"`
 }
--- a/internal/event/lifecycle.go
+++ b/internal/event/lifecycle.go
@@ -1,4 +1,20 @@
 package event
 
+import "github.com/rs/zerolog"
+
+// The events of a node's life.
+const (
+	// NodeStarted means that a node's listeners are open.
+	NodeStarted Number = 3001
+	// NodeLeaving means that a planned stop has begun.
+	NodeLeaving Number = 3002
+	// NodeStopped means that a planned stop has ended.
+	NodeStopped Number = 3003
+)
+
 // lifecycleEvents holds the definitions numbered from 3000.
-var lifecycleEvents = []Definition{}
+var lifecycleEvents = []Definition{
+	{Number: NodeStarted, Name: "node_started", Level: zerolog.InfoLevel, Exact: true, Meaning: "The node's listeners are open. It serves once a catalogue is in force."},
+	{Number: NodeLeaving, Name: "node_leaving", Level: zerolog.InfoLevel, Exact: true, Meaning: "A planned stop has begun: the node takes no new work and finishes what is in flight."},
+	{Number: NodeStopped, Name: "node_stopped", Level: zerolog.InfoLevel, Exact: true, Meaning: "A planned stop has ended. The field clean is false when work was cut off by stopTimeoutMs."},
+}
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -1,4 +1,35 @@
 package event
 
+import "github.com/rs/zerolog"
+
+// The events of traffic.
+const (
+	// CallRefused means that a caller got an answer in place of the endpoint's own.
+	CallRefused Number = 1001
+	// CallRetried means that a failed attempt is followed by another one.
+	CallRetried Number = 1002
+	// EndpointCrashed means that the local endpoint broke down.
+	EndpointCrashed Number = 1003
+	// ConnectionSilent means that a connection showed no progress for too long.
+	ConnectionSilent Number = 1004
+	// SuspectRefused means that a request that breaks endpoints was held back.
+	SuspectRefused Number = 1005
+	// AnswerBroken means that an answer was not whole or not the call's own.
+	AnswerBroken Number = 1006
+	// OutcomeAsked means that a node asked what became of an attempt.
+	OutcomeAsked Number = 1007
+	// StrangerRefused means that a call came from outside the fleet.
+	StrangerRefused Number = 1008
+)
+
 // trafficEvents holds the definitions numbered from 1000.
-var trafficEvents = []Definition{}
+var trafficEvents = []Definition{
+	{Number: CallRefused, Name: "call_refused", Level: zerolog.InfoLevel, Meaning: "A caller got an answer in place of the endpoint's own. The fields kind, ran and detail say why."},
+	{Number: CallRetried, Name: "call_retried", Level: zerolog.DebugLevel, Meaning: "A failed attempt is followed by another one at another endpoint."},
+	{Number: EndpointCrashed, Name: "endpoint_crashed", Level: zerolog.WarnLevel, Meaning: "The local endpoint broke down while it ran the request with this fingerprint. Look at the endpoint's own log."},
+	{Number: ConnectionSilent, Name: "connection_silent", Level: zerolog.WarnLevel, Meaning: "A connection to another node showed no progress; it and its idle kin were dropped."},
+	{Number: SuspectRefused, Name: "suspect_refused", Level: zerolog.WarnLevel, Meaning: "A request that broke endpoints was held back."},
+	{Number: AnswerBroken, Name: "answer_broken", Level: zerolog.WarnLevel, Meaning: "An answer was truncated or not the answer to its call; it was not passed on as whole."},
+	{Number: OutcomeAsked, Name: "outcome_asked", Level: zerolog.InfoLevel, Meaning: "After a lost answer a node asked what became of its non-idempotent call."},
+	{Number: StrangerRefused, Name: "stranger_refused", Level: zerolog.WarnLevel, Meaning: "The peer address got a call without the proof of the fleet key. Check fleetKey in the settings of all nodes."},
+}
--- a/internal/token/token.go
+++ b/internal/token/token.go
@@ -37,6 +37,14 @@
 	MintedMs uint64 `cbor:"3,keyasint"`
 	// Key identifies the request at its home.
 	Key idempotency.Key `cbor:"4,keyasint"`
+	// LifetimeMs is the time after MintedMs for which the token may start its
+	// request, in milliseconds.
+	LifetimeMs uint64 `cbor:"5,keyasint"`
+}
+
+// Lifetime returns the time for which the token may start its request.
+func (t *Token) Lifetime() time.Duration {
+	return time.Duration(t.LifetimeMs) * time.Millisecond
 }
 
 // Minted returns the home's process time at which it issued the token.
--- /dev/null
+++ b/internal/traffic/carry.go
@@ -0,0 +1,278 @@
+package traffic
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/decision/priority"
+	"github.com/galenacart/galenacart/decision/retry"
+	"github.com/galenacart/galenacart/decision/routing"
+	"github.com/galenacart/galenacart/internal/call"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/problem"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// freeMax bounds the attempts of one call that nothing is charged for.
+const freeMax = 8
+
+// outgoing is a call on its way to a service.
+type outgoing struct {
+	root        call.ID
+	priority    priority.Priority
+	correlation string
+	depth       uint8
+	route       *catalogue.Route
+	request     *request
+	deadline    time.Duration
+	pool        *budget
+
+	tried []string
+	free  int
+	worst problem.Ran // the worst fate of any attempt so far
+}
+
+// try is the outcome of one attempt.
+type try struct {
+	answer *answer
+	fate   retry.Fate
+	silent bool
+	final  bool // no other endpoint would do better
+}
+
+// carry brings a call to an endpoint of its service and returns the endpoint's
+// answer, or the problem once no further attempt is allowed.
+func (t *Traffic) carry(ctx context.Context, o *outgoing) *answer {
+	v := t.config.View.Load()
+	s := t.targets.service(o.route.Service)
+	var last *answer
+	for {
+		m, miss := s.pick(t.place(), v.ByService[o.route.Service], o.route.Name, o.priority, o.tried)
+		if m == nil {
+			return o.settle(t.missed(miss, last, o))
+		}
+		one := t.attempt(ctx, s, m, o)
+		if one.answer.problem == nil {
+			s.succeeded(v.Index.Catalogue().Retry.PercentOfSuccesses)
+			return one.answer
+		}
+		last = one.answer
+		o.remember(m.VM, last.problem.Ran)
+		if one.final || ctx.Err() != nil || !t.again(s, o, &one) {
+			return o.settle(last)
+		}
+		t.config.Metrics.Retry()
+		t.config.Log.Emit(event.CallRetried, o.correlation, event.F("vm", m.VM), event.F("kind", last.problem.Kind.String()))
+	}
+}
+
+func (t *Traffic) place() place {
+	s := t.config.Settings
+	return place{vm: s.VM, zone: s.AvailabilityZone, region: s.Region}
+}
+
+// remember notes an attempt that failed.
+func (o *outgoing) remember(vm string, ran problem.Ran) {
+	o.tried = append(o.tried, vm)
+	if ran != problem.RanNo {
+		o.worst = ran
+	}
+}
+
+// settle makes the final problem tell the fate of all attempts together.
+func (o *outgoing) settle(a *answer) *answer {
+	if a.problem != nil && a.problem.Ran == problem.RanNo && o.worst != problem.RanNo {
+		a.problem = problem.New(a.problem.Kind, o.worst, "%s", a.problem.Detail)
+	}
+	return a
+}
+
+// missed returns the problem when no endpoint is left to try.
+func (t *Traffic) missed(miss routing.Miss, last *answer, o *outgoing) *answer {
+	switch {
+	case miss == routing.MissShedding, last != nil && last.problem.Kind == problem.KindOverloaded:
+		return failed(problem.New(problem.KindOverloadedEverywhere, problem.RanNo, "every endpoint of %s sheds calls of this importance", o.route.Service))
+	case last != nil:
+		return last
+	default:
+		return failed(problem.New(problem.KindUnreachable, problem.RanNo, "no endpoint of %s is known", o.route.Service))
+	}
+}
+
+// again decides whether a failed attempt is followed by another one.
+func (t *Traffic) again(s *service, o *outgoing, one *try) bool {
+	switch step := retry.Next(one.fate, o.route.Idempotent); {
+	case step == retry.StepStop:
+		return false
+	case step == retry.StepFree, one.fate == retry.FateRefused && o.priority.Rank() == 0:
+		o.free++
+		return o.free <= freeMax
+	case one.silent:
+		return o.pool.spend()
+	default:
+		return s.mayRetry() && o.pool.spend()
+	}
+}
+
+// attempt sends a call to one endpoint.
+func (t *Traffic) attempt(ctx context.Context, s *service, m *view.Member, o *outgoing) try {
+	started := t.config.Now()
+	remaining := o.deadline - started
+	if remaining <= 0 {
+		s.done(m.VM, routing.Finished{Outcome: routing.OutcomeAbandoned})
+		return try{answer: failed(problem.New(problem.KindDeadline, problem.RanNo, "no time is left")), final: true}
+	}
+	handed := o.pool.hand()
+	meta := t.meta(o, remaining, handed)
+	var one try
+	var end routing.Finished
+	if m.VM == t.config.Settings.VM {
+		one, end = t.attemptHere(ctx, s, meta, o)
+	} else {
+		one, end = t.attemptThere(ctx, s, m, meta, o)
+	}
+	o.pool.giveBack(handed, one.answer.retries)
+	end.Took = t.config.Now() - started
+	s.done(m.VM, end)
+	return one
+}
+
+func (t *Traffic) meta(o *outgoing, remaining time.Duration, handed int) *call.Meta {
+	return &call.Meta{
+		Attempt:     newID(),
+		Root:        o.root,
+		Priority:    o.priority,
+		RemainingMs: uint32(max(remaining.Milliseconds(), 1)),
+		Retries:     uint16(handed),
+		Method:      o.request.method,
+		Fingerprint: o.request.fingerprint,
+		Depth:       o.depth,
+		Clock:       t.config.Log.Clock().Tick(),
+		Correlation: o.correlation,
+		Service:     o.route.Service,
+	}
+}
+
+// attemptHere runs a call at the local endpoint without leaving the process.
+func (t *Traffic) attemptHere(ctx context.Context, s *service, meta *call.Meta, o *outgoing) (try, routing.Finished) {
+	ctx, cancel := context.WithTimeout(ctx, meta.Remaining())
+	a := t.serveLocal(ctx, meta, o.request)
+	a.onClose(cancel)
+	reply := t.reply(meta, o.request.path, a)
+	return t.judge(s, t.config.Settings.VM, o, a, reply)
+}
+
+// attemptThere sends a call to another node.
+func (t *Traffic) attemptThere(ctx context.Context, s *service, m *view.Member, meta *call.Meta, o *outgoing) (try, routing.Finished) {
+	known := s.incarnation(m.VM)
+	ctx, cancel := context.WithTimeout(ctx, meta.Remaining())
+	a, reply, err := t.peers.send(ctx, m.PeerAddress, meta, o.request)
+	if err != nil {
+		one, end := t.lost(ctx, m, err)
+		if one.fate == retry.FateUnknown && !o.route.Idempotent {
+			one = t.resume(ctx, m, meta, o, known, one)
+		}
+		cancel()
+		return one, end
+	}
+	a.onClose(cancel)
+	t.config.Log.Clock().Observe(reply.Clock)
+	return t.judge(s, m.VM, o, a, reply)
+}
+
+// judge learns from the answer of a node.
+func (t *Traffic) judge(s *service, vm string, o *outgoing, a *answer, reply *call.Reply) (try, routing.Finished) {
+	s.report(vm, o.route.Name, reply.Threshold, reply.Headroom, reply.Incarnation)
+	if reply.Leaving {
+		t.config.Reports.Send(view.Report{Kind: view.ReportPeerLeaving, VM: vm})
+	}
+	end := routing.Finished{Outcome: routing.OutcomeAnswered, Headroom: int(reply.Headroom), Refused: a.problem != nil}
+	if a.problem == nil {
+		return try{answer: a}, end
+	}
+	if endpointFailed(a.problem.Kind) {
+		end.Outcome = routing.OutcomeBroken
+	}
+	return try{answer: a, fate: fateOf(a.problem), final: isFinal(a.problem.Kind)}, end
+}
+
+// lost turns a failed exchange with another node into the outcome of a try.
+func (t *Traffic) lost(ctx context.Context, m *view.Member, err error) (try, routing.Finished) {
+	var unsent *unsentError
+	switch {
+	case errors.As(err, &unsent) && ctx.Err() == nil:
+		t.config.Reports.Send(view.Report{Kind: view.ReportPeerUnreachable, VM: m.VM})
+		a := failed(problem.New(problem.KindUnreachable, problem.RanNo, "VM %s can't be reached", m.VM))
+		return try{answer: a, fate: retry.FateNotSent}, routing.Finished{Outcome: routing.OutcomeUnreachable}
+	case errors.As(err, &unsent):
+		a := failed(problem.New(problem.KindDeadline, problem.RanNo, "no time was left"))
+		return try{answer: a, fate: retry.FateNotSent, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
+	case errors.Is(err, errSilent):
+		t.config.Log.Emit(event.ConnectionSilent, "", event.F("vm", m.VM))
+		a := failed(problem.New(problem.KindConnectionLost, problem.RanUnknown, "the connection to VM %s went silent", m.VM))
+		return try{answer: a, fate: retry.FateUnknown, silent: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		a := failed(problem.New(problem.KindTimeout, problem.RanUnknown, "VM %s didn't answer in time", m.VM))
+		return try{answer: a, fate: retry.FateUnknown, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
+	case ctx.Err() != nil:
+		a := failed(problem.New(problem.KindCancelled, problem.RanUnknown, "the caller went away"))
+		return try{answer: a, fate: retry.FateUnknown, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
+	default:
+		t.config.Log.Emit(event.AnswerBroken, "", event.F("vm", m.VM), event.F("cause", strings.ToValidUTF8(err.Error(), "?")))
+		a := failed(problem.New(problem.KindConnectionLost, problem.RanUnknown, "the answer of VM %s was lost", m.VM))
+		return try{answer: a, fate: retry.FateUnknown}, routing.Finished{Outcome: routing.OutcomeBroken}
+	}
+}
+
+// resume asks a node what became of a non-idempotent call whose answer was
+// lost. Only the very process that got the call can tell.
+func (t *Traffic) resume(ctx context.Context, m *view.Member, meta *call.Meta, o *outgoing, incarnation uint64, lost try) try {
+	if incarnation == 0 || ctx.Err() != nil {
+		return lost
+	}
+	t.config.Log.Emit(event.OutcomeAsked, o.correlation, event.F("vm", m.VM), event.F("attempt", meta.Attempt.String()))
+	again := *meta
+	again.Resume = incarnation
+	a, reply, err := t.peers.send(ctx, m.PeerAddress, &again, o.request)
+	if err != nil || reply.Incarnation != incarnation {
+		return lost
+	}
+	if a.problem == nil {
+		return try{answer: a}
+	}
+	return try{answer: a, fate: fateOf(a.problem), final: isFinal(a.problem.Kind)}
+}
+
+// fateOf returns what a problem says about an attempt.
+func fateOf(e *problem.Error) retry.Fate {
+	switch {
+	case e.Kind == problem.KindLeaving:
+		return retry.FateLeaving
+	case e.Ran == problem.RanNo:
+		return retry.FateRefused
+	case e.Ran == problem.RanYes:
+		return retry.FateRan
+	default:
+		return retry.FateUnknown
+	}
+}
+
+// endpointFailed reports whether a problem speaks against the endpoint itself.
+func endpointFailed(k problem.Kind) bool {
+	return k == problem.KindUnreachable || k == problem.KindConnectionLost || k == problem.KindAnswerBroken
+}
+
+// isFinal reports whether no other endpoint would do better.
+func isFinal(k problem.Kind) bool {
+	switch k {
+	case problem.KindDeadline, problem.KindTimeout, problem.KindCancelled, problem.KindSuspect,
+		problem.KindOverloadedEverywhere, problem.KindNoRoute, problem.KindBodyTooLarge, problem.KindBadCall:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/traffic/conn.go
@@ -0,0 +1,74 @@
+package traffic
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout is shorter than that of the servers, so that a connection is
+	// not closed by the other side just when a call is written to it.
+	idleTimeout = 30 * time.Second
+	// peerIdleMax bounds the idle connections to one node.
+	peerIdleMax = 64
+)
+
+// countingConn counts what is written, which proves whether a failed call ever
+// left the node.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write counts p as written before it is handed over, because a failed write
+// may still have sent a part of it.
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// newTransport returns a client of one address that never resends on its own.
+func newTransport(address string, idle int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: conn}, nil
+		},
+		MaxIdleConns:        idle,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		WriteBufferSize:     8 << 10,
+		ReadBufferSize:      8 << 10,
+	}
+}
+
+// onceBody is a request body that the client can't rewind. net/http resends
+// requests on its own only if they have no body or one that it can rewind.
+type onceBody struct {
+	data []byte
+}
+
+// Read hands out the body once.
+func (b *onceBody) Read(p []byte) (int, error) {
+	if len(b.data) == 0 {
+		return 0, errEndOfBody
+	}
+	n := copy(p, b.data)
+	b.data = b.data[n:]
+	return n, nil
+}
+
+// Close does nothing; the body is in memory.
+func (b *onceBody) Close() error {
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/fleet_test.go
@@ -0,0 +1,182 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/status"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// fleet is a few nodes in this process with endpoints that are functions.
+type fleet struct {
+	t     *testing.T
+	index *catalogue.Index
+	nodes map[string]*testNode
+}
+
+// testNode is one node of a fleet.
+type testNode struct {
+	name     string
+	service  string
+	zone     string
+	traffic  *Traffic
+	holder   *view.Holder
+	reports  *view.Reports
+	caller   *httptest.Server
+	peer     *httptest.Server
+	outbound *httptest.Server
+	endpoint *httptest.Server
+	runs     atomic.Int64
+}
+
+// testCatalogue has a chain of three services; only the last may be booked.
+func testCatalogue() *catalogue.Catalogue {
+	limits := catalogue.ServiceLimits{Slots: 20, Connections: 100, Queue: 20}
+	route := func(name, service, class, method, path string, idempotent bool) catalogue.Route {
+		return catalogue.Route{
+			Name: name, Owner: "team", Class: class, Service: service, Method: method, Path: path,
+			Idempotent: idempotent, Limits: catalogue.RouteLimits{TimeoutMs: 3000, BodyBytes: 16 << 20},
+		}
+	}
+	return &catalogue.Catalogue{
+		Classes: []catalogue.Class{{Name: "booking", Owner: "team"}, {Name: "lookup", Owner: "team"}},
+		Services: []catalogue.Service{
+			{Name: "front", Owner: "team", Class: "lookup", Limits: limits, Callees: []string{"middle"}},
+			{Name: "middle", Owner: "team", Class: "lookup", Limits: limits, Callees: []string{"deep"}},
+			{Name: "deep", Owner: "team", Class: "lookup", Limits: limits, RefusalStatuses: []int{503}},
+		},
+		Routes: []catalogue.Route{
+			route("front-look", "front", "lookup", "GET", "/front", true),
+			route("middle-look", "middle", "lookup", "GET", "/middle", true),
+			route("deep-look", "deep", "lookup", "GET", "/deep", true),
+			route("deep-head", "deep", "lookup", "HEAD", "/deep", true),
+			route("deep-book", "deep", "booking", "POST", "/deep", false),
+			route("middle-book", "middle", "booking", "POST", "/middle", false),
+		},
+		Retry:       catalogue.Retry{BudgetPerRequest: 3, PercentOfSuccesses: 10},
+		Idempotency: catalogue.Idempotency{TokenLifetimeMs: 60000, RecordsMax: 100, AnswerBytesMax: 64 << 10},
+	}
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return &fleet{t: t, index: catalogue.NewIndex(testCatalogue()), nodes: make(map[string]*testNode)}
+}
+
+// add starts a node. Its endpoint runs handler; start publishes the view.
+func (f *fleet) add(name, service, zone string, handler http.HandlerFunc) *testNode {
+	f.t.Helper()
+	n := &testNode{name: name, service: service, zone: zone, holder: &view.Holder{}, reports: view.NewReports()}
+	n.endpoint = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.runs.Add(1)
+		handler(w, r)
+	}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	started := time.Now()
+	n.traffic = New(Config{
+		Settings: &settings.Node{
+			VM: name, AvailabilityZone: zone, Region: "region", Service: service,
+			PeerAddress: listener.Addr().String(), EndpointAddress: n.endpoint.Listener.Addr().String(),
+			FleetKey: "a fleet key of some length", ConnectionSilenceMs: 200,
+		},
+		Incarnation: 7,
+		View:        n.holder,
+		Reports:     n.reports,
+		Log:         event.NewLog(io.Discard, "node", name, zerolog.InfoLevel),
+		Metrics:     metrics.NewSet(),
+		Refusals:    status.NewRefusals(),
+		Now:         func() time.Duration { return time.Since(started) },
+	})
+	n.peer = httptest.NewUnstartedServer(n.traffic.PeerHandler())
+	require.NoError(f.t, n.peer.Listener.Close())
+	n.peer.Listener = listener
+	n.peer.Start()
+	n.caller = httptest.NewServer(n.traffic.CallerHandler())
+	n.outbound = httptest.NewServer(n.traffic.OutboundHandler())
+	f.nodes[name] = n
+	return n
+}
+
+// start publishes the view of all nodes to all nodes.
+func (f *fleet) start() {
+	f.t.Helper()
+	v := &view.View{Index: f.index, Revision: 1, ByService: map[string][]*view.Member{}, ByVM: map[string]*view.Member{}}
+	for _, n := range f.nodes {
+		m := &view.Member{
+			VM: n.name, AvailabilityZone: n.zone, Region: "region", Service: n.service,
+			PeerAddress: n.peer.Listener.Addr().String(), Incarnation: 7,
+		}
+		v.ByService[n.service] = append(v.ByService[n.service], m)
+		v.ByVM[n.name] = m
+	}
+	ctx, cancel := context.WithCancel(f.t.Context())
+	for _, n := range f.nodes {
+		n.holder.Store(v)
+		n.traffic.apply(v)
+		go n.traffic.Run(ctx)
+	}
+	f.t.Cleanup(func() {
+		cancel()
+		for _, n := range f.nodes {
+			n.traffic.Close()
+		}
+		for _, n := range f.nodes {
+			for _, s := range []*httptest.Server{n.caller, n.outbound, n.peer, n.endpoint} {
+				s.CloseClientConnections()
+				s.Close()
+			}
+		}
+	})
+}
+
+// result is what a caller got.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (n *testNode) call(t *testing.T, method, target, key, body string) result {
+	t.Helper()
+	return send(t, n.caller.URL, method, target, key, body)
+}
+
+func send(t *testing.T, base, method, target, key, body string) result {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, base+target, strings.NewReader(body))
+	require.NoError(t, err)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return result{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
+func answerWith(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, text)
+	}
+}
--- /dev/null
+++ b/internal/traffic/home.go
@@ -0,0 +1,276 @@
+package traffic
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenacart/galenacart/decision/idempotency"
+	"github.com/galenacart/galenacart/internal/call"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/problem"
+	"github.com/galenacart/galenacart/internal/token"
+)
+
+// Paths for callers beside the routes of the catalogue.
+const (
+	// PathToken issues an idempotency token. The answer is a TokenAnswer.
+	PathToken = "/galenacart/token"
+	// PathFence makes sure that the request of the token in Idempotency-Key is
+	// never started any more, and says whether it was.
+	PathFence = "/galenacart/fence"
+)
+
+// TokenAnswer brings an idempotency token.
+type TokenAnswer struct {
+	// Token is to be sent as Idempotency-Key, with every resend as well.
+	Token string `json:"token"`
+	// LifetimeMs is the time for which the token may be used, in milliseconds.
+	LifetimeMs int64 `json:"lifetimeMs"`
+}
+
+// keyedCall is a non-idempotent request with an idempotency key.
+type keyedCall struct {
+	key         string
+	route       *catalogue.Route
+	request     *request
+	timeout     time.Duration
+	correlation string
+}
+
+// serveToken issues a token whose home is this node.
+func (t *Traffic) serveToken(w http.ResponseWriter, r *http.Request) {
+	correlation := correlationOf(r)
+	v := t.config.View.Load()
+	switch {
+	case t.Leaving():
+		t.refuse(w, problem.New(problem.KindLeaving, problem.RanNo, "the node is stopping"), correlation)
+		return
+	case v.Index == nil:
+		t.refuse(w, problem.New(problem.KindNotReady, problem.RanNo, "no catalogue is in force yet"), correlation)
+		return
+	}
+	lifetime := v.Index.Catalogue().Idempotency.TokenLifetime()
+	text, err := t.mint(lifetime)
+	if err != nil {
+		t.refuse(w, problem.New(problem.KindInternal, problem.RanNo, "%v", err), correlation)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(TokenAnswer{Token: text, LifetimeMs: lifetime.Milliseconds()}) // the caller may be gone
+}
+
+func (t *Traffic) mint(lifetime time.Duration) (string, error) {
+	return t.tokens.Encode(&token.Token{
+		VM:          t.config.Settings.VM,
+		Incarnation: t.config.Incarnation,
+		MintedMs:    uint64(t.config.Now().Milliseconds()),
+		Key:         idempotency.Key(newID()),
+		LifetimeMs:  uint64(lifetime.Milliseconds()),
+	})
+}
+
+// keyed brings a request to its home.
+func (t *Traffic) keyed(ctx context.Context, k *keyedCall) *answer {
+	if !token.Looks(k.key) {
+		return t.ownKey(ctx, k)
+	}
+	decoded, err := t.tokens.Decode(k.key)
+	if err != nil {
+		return failed(problem.New(problem.KindBadCall, problem.RanNo, "%v", err))
+	}
+	if decoded.VM == t.config.Settings.VM {
+		return t.home(ctx, k, decoded)
+	}
+	return t.toHome(ctx, decoded.VM, k, call.Meta{Token: k.key})
+}
+
+// home runs a request of which this node is the home.
+func (t *Traffic) home(ctx context.Context, k *keyedCall, decoded *token.Token) *answer {
+	if decoded.Incarnation != t.config.Incarnation {
+		return failed(problem.New(problem.KindHomeGone, problem.RanUnknown, "the process that issued the token is gone"))
+	}
+	if idempotency.JudgeToken(t.config.Now(), decoded.Minted(), decoded.Lifetime()) == idempotency.VerdictExpired {
+		return t.expired(ctx, decoded)
+	}
+	return t.runOnce(ctx, decoded.Key, k)
+}
+
+// expired answers a token that may start nothing any more. What it started
+// before is still told.
+func (t *Traffic) expired(ctx context.Context, decoded *token.Token) *answer {
+	a := t.requests.recorded(ctx, decoded.Key)
+	if a != nil {
+		return a
+	}
+	if idempotency.AbsenceProves(t.config.Now(), decoded.Minted(), decoded.Lifetime()) {
+		return failed(problem.New(problem.KindTokenExpired, problem.RanNo, "the token has expired unused"))
+	}
+	return failed(problem.New(problem.KindTokenExpired, problem.RanUnknown, "the token has expired and its record may be gone"))
+}
+
+// runOnce runs a request unless its key was seen before.
+func (t *Traffic) runOnce(ctx context.Context, key idempotency.Key, k *keyedCall) *answer {
+	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+	a := t.requests.do(ctx, key, k.request.fingerprint, func() *answer {
+		if t.Leaving() {
+			return failed(problem.New(problem.KindLeaving, problem.RanNo, "the node is stopping"))
+		}
+		detached, done := context.WithTimeout(context.WithoutCancel(ctx), k.timeout)
+		v := t.config.View.Load()
+		return t.carry(detached, t.rootCall(v, k.route, k.request, k.timeout, k.correlation)).onClose(done)
+	})
+	return a.onClose(cancel)
+}
+
+// ownKey brings a request with a key of the caller's own to its home, which the
+// catalogue's list of homes and the key alone determine.
+func (t *Traffic) ownKey(ctx context.Context, k *keyedCall) *answer {
+	homes := t.config.View.Load().Index.Catalogue().KeyHomes
+	if len(homes) == 0 {
+		return failed(problem.New(problem.KindBadCall, problem.RanNo,
+			"Idempotency-Key: want a token from POST %s; the catalogue lists no keyHomes", PathToken))
+	}
+	home := homeOf(k.key, homes)
+	if home == t.config.Settings.VM {
+		return t.ownKeyHome(ctx, k)
+	}
+	return t.toHome(ctx, home, k, call.Meta{OwnKey: k.key})
+}
+
+// ownKeyHome runs a request with a key of the caller's own at its home.
+func (t *Traffic) ownKeyHome(ctx context.Context, k *keyedCall) *answer {
+	v := t.config.View.Load()
+	if homes := v.Index.Catalogue().KeyHomes; len(homes) == 0 || homeOf(k.key, homes) != t.config.Settings.VM {
+		return failed(problem.New(problem.KindHomeUnreachable, problem.RanUnknown, "this node is not the home of the key"))
+	}
+	key := ownKeyID(k.key)
+	lifetime := v.Index.Catalogue().Idempotency.TokenLifetime()
+	if idempotency.JudgeOwnKey(t.config.Now(), lifetime) == idempotency.VerdictUnsure {
+		if a := t.requests.recorded(ctx, key); a != nil {
+			return a
+		}
+		return failed(problem.New(problem.KindHomeGone, problem.RanUnknown, "the home of the key has started too short a time ago"))
+	}
+	return t.runOnce(ctx, key, k)
+}
+
+// toHome sends a request on to the node that is its home.
+func (t *Traffic) toHome(ctx context.Context, vm string, k *keyedCall, m call.Meta) *answer {
+	member := t.config.View.Load().ByVM[vm]
+	if member == nil {
+		return failed(problem.New(problem.KindHomeUnreachable, problem.RanUnknown, "VM %s is not known here", vm))
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+	m.Attempt = newID()
+	m.RemainingMs = uint32(max(k.timeout.Milliseconds(), 1))
+	m.Method = k.request.method
+	m.Fingerprint = k.request.fingerprint
+	m.Correlation = k.correlation
+	m.Service = k.route.Service
+	m.Clock = t.config.Log.Clock().Tick()
+	a, _, err := t.peers.send(ctx, member.PeerAddress, &m, k.request)
+	if err != nil {
+		cancel()
+		return failed(problem.New(problem.KindHomeUnreachable, problem.RanUnknown, "VM %s, the home of the key, can't be reached", vm))
+	}
+	return a.onClose(cancel)
+}
+
+// homeForPeer serves a keyed request that another node sent to its home.
+func (t *Traffic) homeForPeer(ctx context.Context, m *call.Meta, q *request) *answer {
+	v := t.config.View.Load()
+	if v.Index == nil {
+		return failed(problem.New(problem.KindNotReady, problem.RanUnknown, "no catalogue is in force yet"))
+	}
+	route := v.Index.Route(m.Method, q.path)
+	if route == nil || route.Internal {
+		return failed(problem.New(problem.KindNoRoute, problem.RanUnknown, "no route for %s %s", m.Method, q.path))
+	}
+	k := &keyedCall{key: m.Token, route: route, request: q, timeout: m.Remaining(), correlation: m.Correlation}
+	if m.OwnKey != "" {
+		k.key = m.OwnKey
+		return t.ownKeyHome(ctx, k)
+	}
+	decoded, err := t.tokens.Decode(m.Token)
+	if err != nil || decoded.VM != t.config.Settings.VM {
+		return failed(problem.New(problem.KindHomeGone, problem.RanUnknown, "this node did not issue the token"))
+	}
+	return t.home(ctx, k, decoded)
+}
+
+// serveFence fences the request of a token.
+func (t *Traffic) serveFence(w http.ResponseWriter, r *http.Request) {
+	correlation := correlationOf(r)
+	a := t.fence(r.Context(), r.Header.Get(call.HeaderIdempotencyKey), correlation)
+	if a.problem != nil {
+		t.refuse(w, a.problem, correlation)
+		return
+	}
+	a.writeToCaller(w, r.Method)
+}
+
+func (t *Traffic) fence(ctx context.Context, text, correlation string) *answer {
+	decoded, err := t.tokens.Decode(text)
+	if err != nil {
+		return failed(problem.New(problem.KindBadCall, problem.RanUnknown, "Idempotency-Key: %v", err))
+	}
+	if decoded.VM == t.config.Settings.VM {
+		return t.fenceHere(ctx, text)
+	}
+	k := &keyedCall{
+		key:         text,
+		route:       &catalogue.Route{},
+		request:     &request{method: http.MethodPost, target: PathFence, path: PathFence, header: http.Header{}},
+		timeout:     fenceTimeout,
+		correlation: correlation,
+	}
+	return t.toHome(ctx, decoded.VM, k, call.Meta{Token: text, Fence: true})
+}
+
+// fenceTimeout bounds the wait for the home of a fenced request.
+const fenceTimeout = 5 * time.Second
+
+// fenceHere fences a request of which this node is the home.
+func (t *Traffic) fenceHere(ctx context.Context, text string) *answer {
+	decoded, err := t.tokens.Decode(text)
+	switch {
+	case err != nil:
+		return failed(problem.New(problem.KindBadCall, problem.RanUnknown, "Idempotency-Key: %v", err))
+	case decoded.VM != t.config.Settings.VM || decoded.Incarnation != t.config.Incarnation:
+		return failed(problem.New(problem.KindHomeGone, problem.RanUnknown, "the process that issued the token is gone"))
+	case !idempotency.AbsenceProves(t.config.Now(), decoded.Minted(), decoded.Lifetime()):
+		return t.expired(ctx, decoded)
+	default:
+		return t.requests.ask(ctx, decoded.Key, anyFingerprint)
+	}
+}
+
+// anyFingerprint marks the record of a request that was fenced before its
+// content was seen.
+const anyFingerprint = 0
+
+// homeOf returns the home of a caller's own key: the highest random weight over
+// the catalogue's list. It depends on nothing that two nodes may see otherwise
+// while they have the same catalogue.
+func homeOf(key string, homes []string) string {
+	best := homes[0]
+	var weight uint64
+	for _, home := range homes {
+		if w := xxhash.Sum64String(home + "\x00" + key); w > weight {
+			best, weight = home, w
+		}
+	}
+	return best
+}
+
+// ownKeyID returns the identity of a caller's own key.
+func ownKeyID(key string) idempotency.Key {
+	var k idempotency.Key
+	putUint64(k[:8], xxhash.Sum64String(key))
+	putUint64(k[8:], xxhash.Sum64String("own "+key))
+	return k
+}
--- /dev/null
+++ b/internal/traffic/parents.go
@@ -0,0 +1,142 @@
+package traffic
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/galenacart/galenacart/decision/priority"
+	"github.com/galenacart/galenacart/decision/retry"
+	"github.com/galenacart/galenacart/internal/call"
+)
+
+// parent is a call that the local endpoint runs. The endpoint's own calls name
+// it and inherit from it.
+type parent struct {
+	ctx         context.Context
+	root        call.ID
+	priority    priority.Priority
+	deadline    time.Duration
+	depth       uint8
+	correlation string
+	route       string
+	pool        *budget
+	children    *records
+
+	mu        sync.Mutex
+	flying    int
+	busySince time.Duration
+	waited    time.Duration
+	seen      map[uint64]*childState
+}
+
+// childState is what is known of earlier identical calls of the endpoint.
+type childState struct {
+	flying   int
+	answered bool
+}
+
+// parents holds the calls that the local endpoint runs.
+type parents struct {
+	mu   sync.Mutex
+	byID map[call.ID]*parent
+}
+
+func newParents() *parents {
+	return &parents{byID: make(map[call.ID]*parent)}
+}
+
+func (p *parents) add(id call.ID, one *parent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byID[id] = one
+}
+
+func (p *parents) remove(id call.ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.byID, id)
+}
+
+func (p *parents) get(id call.ID) *parent {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byID[id]
+}
+
+// childStarts counts a call of the endpoint. resend is true when the same call
+// is in flight or failed before.
+func (p *parent) childStarts(now time.Duration, fingerprint uint64) (resend bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.flying == 0 {
+		p.busySince = now
+	}
+	p.flying++
+	s, known := p.seen[fingerprint]
+	if !known {
+		s = &childState{}
+		p.seen[fingerprint] = s
+	}
+	resend = known && (s.flying > 0 || !s.answered)
+	s.flying++
+	return resend
+}
+
+// childEnds takes back a call of the endpoint.
+func (p *parent) childEnds(now time.Duration, fingerprint uint64, answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.flying--
+	if p.flying == 0 {
+		p.waited += now - p.busySince
+	}
+	s := p.seen[fingerprint]
+	s.flying--
+	s.answered = answered
+}
+
+// downstreamWait returns the time for which at least one call of the endpoint
+// was in flight.
+func (p *parent) downstreamWait(now time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.flying > 0 {
+		return p.waited + now - p.busySince
+	}
+	return p.waited
+}
+
+// budget is a retry pool that calls in flight side by side share.
+type budget struct {
+	mu   sync.Mutex
+	pool *retry.Pool
+}
+
+func newBudget(tokens int) *budget {
+	return &budget{pool: retry.NewPool(tokens)}
+}
+
+func (b *budget) left() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pool.Left()
+}
+
+func (b *budget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pool.Spend()
+}
+
+func (b *budget) hand() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pool.Hand()
+}
+
+func (b *budget) giveBack(handed, unspent int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pool.Return(handed, unspent)
+}
--- /dev/null
+++ b/internal/traffic/peer.go
@@ -0,0 +1,92 @@
+package traffic
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenacart/galenacart/decision/idempotency"
+	"github.com/galenacart/galenacart/internal/call"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/problem"
+)
+
+// peerBodyMax bounds a request body between nodes. The catalogue's own limits
+// were applied where the call entered.
+const peerBodyMax = 64 << 20
+
+// servePeer serves a call from another node.
+func (t *Traffic) servePeer(w http.ResponseWriter, r *http.Request) {
+	started := t.config.Now()
+	if !t.peers.trusts(r) {
+		t.config.Log.Emit(event.StrangerRefused, "", event.F("address", r.RemoteAddr))
+		problem.Write(w, problem.New(problem.KindBadCall, problem.RanNo, "not a node of this fleet"), "")
+		return
+	}
+	m, err := call.GetMeta(r.Header)
+	if err != nil {
+		problem.Write(w, problem.New(problem.KindBadCall, problem.RanNo, "%v", err), "")
+		return
+	}
+	t.config.Log.Clock().Observe(m.Clock)
+	target := strings.TrimPrefix(r.RequestURI, pathCall)
+	path := strings.TrimPrefix(r.URL.Path, pathCall)
+	q, refused := readRequest(r, m.Method, target, path, peerBodyMax)
+	if refused != nil {
+		t.writePeer(w, m, path, failed(refused))
+		return
+	}
+	shown := startProgress(w, t.peers.silence)
+	a := t.answerPeer(r, m, q)
+	shown.stop()
+	t.writePeer(w, m, path, a)
+	t.config.Metrics.Call(metrics.RolePeer, t.config.Now()-started)
+}
+
+// answerPeer does what another node asks for.
+func (t *Traffic) answerPeer(r *http.Request, m *call.Meta, q *request) *answer {
+	switch {
+	case m.Fence:
+		return t.fenceHere(r.Context(), m.Token)
+	case m.Token != "" || m.OwnKey != "":
+		return t.homeForPeer(r.Context(), m, q)
+	case m.Resume != 0 && m.Resume != t.config.Incarnation:
+		return failed(problem.New(problem.KindHomeGone, problem.RanUnknown, "the process that got the call is gone"))
+	case m.Resume != 0:
+		return t.attempts.ask(r.Context(), idempotency.Key(m.Attempt), q.fingerprint)
+	default:
+		return t.serveLocal(r.Context(), m, q)
+	}
+}
+
+// writePeer sends an answer to another node. The hash in the trailer proves
+// that it is whole.
+func (t *Traffic) writePeer(w http.ResponseWriter, m *call.Meta, path string, a *answer) {
+	h := w.Header()
+	if a.problem == nil {
+		a.copyHeaders(h)
+	}
+	if err := call.SetReply(h, t.reply(m, path, a)); err != nil {
+		a.close()
+		panic(http.ErrAbortHandler)
+	}
+	h.Set("Trailer", call.HeaderSum)
+	w.WriteHeader(http.StatusOK)
+	hash := xxhash.New()
+	if err := a.writeBody(io.MultiWriter(w, hash)); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range a.trailer() {
+		h[http.TrailerPrefix+trailerPrefix+name] = values
+	}
+	h.Set(call.HeaderSum, sumText(hash.Sum64()))
+}
+
+// remainingOf returns the time left on a deadline.
+func (t *Traffic) remainingOf(deadline time.Duration) time.Duration {
+	return max(deadline-t.config.Now(), 0)
+}
--- /dev/null
+++ b/internal/traffic/request.go
@@ -0,0 +1,91 @@
+package traffic
+
+import (
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenacart/galenacart/internal/call"
+	"github.com/galenacart/galenacart/internal/problem"
+)
+
+// request is a call's content, held whole so that it can be sent again.
+type request struct {
+	method      string
+	target      string // path and query, as the caller wrote them
+	path        string
+	header      http.Header
+	body        []byte
+	fingerprint uint64
+}
+
+// readRequest reads a whole request. target is its path and query.
+func readRequest(r *http.Request, method, target, path string, bodyLimit int64) (*request, *problem.Error) {
+	body, err := readBody(r, bodyLimit)
+	if err != nil {
+		return nil, err
+	}
+	q := &request{
+		method: method,
+		target: target,
+		path:   path,
+		header: endToEnd(r.Header),
+		body:   body,
+	}
+	q.fingerprint = fingerprint(q)
+	return q, nil
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, *problem.Error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, problem.New(problem.KindBadCall, problem.RanNo, "the body ended early: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, problem.New(problem.KindBodyTooLarge, problem.RanNo, "the body is over %d bytes", limit)
+	}
+	return body, nil
+}
+
+// fingerprint identifies a request by its content.
+func fingerprint(q *request) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(q.method) // a hash never fails to write
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(q.target)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(q.body)
+	return d.Sum64()
+}
+
+// hopByHop lists the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// endToEnd returns the headers that travel on with a message. Headers that only
+// nodes set are left out, so nobody outside can forge them.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !strings.HasPrefix(name, call.Prefix) {
+			out[name] = values
+		}
+	}
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/traffic/targets.go
@@ -0,0 +1,166 @@
+package traffic
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenacart/galenacart/decision/priority"
+	"github.com/galenacart/galenacart/decision/retry"
+	"github.com/galenacart/galenacart/decision/routing"
+	"github.com/galenacart/galenacart/decision/shedding"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// targets holds what this node knows of the endpoints that it sends calls to.
+type targets struct {
+	now func() time.Duration
+
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// service is what this node knows of the endpoints of one service.
+type service struct {
+	now func() time.Duration
+
+	mu           sync.Mutex
+	router       *routing.Router
+	thresholds   *shedding.Memory
+	brake        *retry.Brake
+	incarnations map[string]uint64
+	candidates   []routing.Candidate
+}
+
+func newTargets(now func() time.Duration) *targets {
+	return &targets{now: now, services: make(map[string]*service)}
+}
+
+func (t *targets) service(name string) *service {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.services[name]
+	if !ok {
+		s = &service{
+			now:          t.now,
+			router:       routing.NewRouter(),
+			thresholds:   shedding.NewMemory(),
+			brake:        retry.NewBrake(),
+			incarnations: make(map[string]uint64),
+		}
+		t.services[name] = s
+	}
+	return s
+}
+
+// retain forgets endpoints that left the view.
+func (t *targets) retain(v *view.View) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		s.retain(v)
+	}
+}
+
+func (s *service) retain(v *view.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.router.Retain(func(vm string) bool { return v.ByVM[vm] != nil })
+	for vm := range s.incarnations {
+		if v.ByVM[vm] == nil {
+			delete(s.incarnations, vm)
+		}
+	}
+}
+
+// place is where a node stands.
+type place struct {
+	vm, zone, region string
+}
+
+// pick chooses the endpoint for a call and counts the attempt. tried holds the
+// VMs to which the call was sent before.
+func (s *service) pick(from place, members []*view.Member, route string, p priority.Priority, tried []string) (*view.Member, routing.Miss) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.candidates = s.candidates[:0]
+	for _, m := range members {
+		s.candidates = append(s.candidates, routing.Candidate{
+			VM:       m.VM,
+			Distance: from.distance(m),
+			Leaving:  m.Leaving,
+			Tried:    contains(tried, m.VM),
+			Shedding: s.thresholds.Refuse(now, targetOf(m.VM, route), p),
+		})
+	}
+	at, miss := s.router.Pick(now, s.candidates, rand.Uint64())
+	if at < 0 {
+		return nil, miss
+	}
+	s.router.Start(now, members[at].VM)
+	return members[at], miss
+}
+
+// done takes an attempt back and learns from its end.
+func (s *service) done(vm string, f routing.Finished) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.router.Finish(s.now(), vm, f)
+}
+
+// report takes in what an answer said about its node.
+func (s *service) report(vm, route string, threshold priority.Priority, headroom uint16, incarnation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.thresholds.Report(s.now(), targetOf(vm, route), threshold, headroom)
+	s.incarnations[vm] = incarnation
+}
+
+// incarnation returns the run of a VM's process that answered last, or 0.
+func (s *service) incarnation(vm string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnations[vm]
+}
+
+// succeeded adds to the credit for extra attempts.
+func (s *service) succeeded(percent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.brake.Success(percent)
+}
+
+// mayRetry takes one extra attempt out of the credit.
+func (s *service) mayRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.brake.Spend()
+}
+
+func (p place) distance(m *view.Member) routing.Distance {
+	switch {
+	case m.AvailabilityZone == p.zone:
+		return routing.SameZone
+	case m.Region == p.region:
+		return routing.SameRegion
+	default:
+		return routing.OtherRegion
+	}
+}
+
+// targetOf names the calls of one route at one VM.
+func targetOf(vm, route string) shedding.Target {
+	return shedding.Target(xxhash.Sum64String(vm) ^ xxhash.Sum64String(route)<<1)
+}
+
+func contains(list []string, one string) bool {
+	for _, have := range list {
+		if have == one {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/traffic/traffic.go
@@ -0,0 +1,198 @@
+// Package traffic carries calls: from callers and from the local endpoint to
+// the node of an endpoint that serves them, and from other nodes to the local
+// endpoint.
+//
+// Traffic reads an immutable view with one atomic load and hands observations
+// to the control thread by a queue that never blocks a call. Every choice it
+// makes comes from a pure package under decision.
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenacart/galenacart/internal/call"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/status"
+	"github.com/galenacart/galenacart/internal/token"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// tickInterval is the time between two looks at queued calls.
+const tickInterval = 10 * time.Millisecond
+
+// Config is what traffic needs from the node around it.
+type Config struct {
+	// Settings are the node's settings.
+	Settings *settings.Node
+	// Incarnation identifies the run of this process. It is never 0, and larger
+	// than that of every earlier process of the VM.
+	Incarnation uint64
+	// View holds what the control thread knows.
+	View *view.Holder
+	// Reports takes observations to the control thread.
+	Reports *view.Reports
+	// Log takes events.
+	Log *event.Log
+	// Metrics holds the instruments.
+	Metrics *metrics.Set
+	// Refusals holds recent refusals for status pages.
+	Refusals *status.Refusals
+	// Now returns the time since the process started. It never goes back.
+	Now func() time.Duration
+}
+
+// Traffic carries the calls of one node.
+type Traffic struct {
+	config   Config
+	gate     *gatekeeper
+	local    *endpoint
+	peers    *peers
+	targets  *targets
+	parents  *parents
+	requests *records
+	attempts *records
+	suspects *suspects
+	chain    *chain
+	tokens   *token.Codec
+	leaving  atomic.Bool
+}
+
+// New returns the traffic side of a node.
+func New(c Config) *Traffic {
+	t := &Traffic{
+		config:   c,
+		gate:     newGatekeeper(c.Now),
+		local:    newEndpoint(c.Settings),
+		peers:    newPeers(c.Settings),
+		targets:  newTargets(c.Now),
+		parents:  newParents(),
+		requests: newRecords(c.Now),
+		attempts: newRecords(c.Now),
+		suspects: newSuspects(c.Now),
+		chain:    newChain(c.Now),
+		tokens:   token.NewCodec(c.Settings.FleetKey),
+	}
+	t.registerGauges()
+	return t
+}
+
+// Run looks after queued calls until ctx ends.
+func (t *Traffic) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var applied *view.View
+	for {
+		if v := t.config.View.Load(); v != applied {
+			t.apply(v)
+			applied = v
+		}
+		t.gate.tick()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// apply takes the limits of a new view into force.
+func (t *Traffic) apply(v *view.View) {
+	t.targets.retain(v)
+	t.peers.retain(v)
+	t.suspects.learn(v.Suspects)
+	if v.Index == nil {
+		return
+	}
+	c := v.Index.Catalogue()
+	t.requests.setBounds(c.Idempotency.RecordsMax, c.Idempotency.TokenLifetime(), c.Idempotency.AnswerBytesMax)
+	t.attempts.setBounds(c.Idempotency.RecordsMax, attemptLifetime, c.Idempotency.AnswerBytesMax)
+	if s := v.Index.Service(t.config.Settings.Service); s != nil {
+		t.gate.setLimits(min(s.Limits.Slots, s.Limits.Connections), s.Limits.Queue)
+	}
+}
+
+// Leave begins the planned stop: the node takes no new work from now on.
+func (t *Traffic) Leave() {
+	t.leaving.Store(true)
+}
+
+// Leaving reports whether the node takes no new work.
+func (t *Traffic) Leaving() bool {
+	return t.leaving.Load() || t.config.View.Load().Leaving
+}
+
+// Close drops idle connections.
+func (t *Traffic) Close() {
+	t.local.close()
+	t.peers.close()
+}
+
+// GateState returns the state of admission for status pages.
+func (t *Traffic) GateState() any {
+	return t.gate.state()
+}
+
+// RecordsState returns the state of the records for status pages.
+func (t *Traffic) RecordsState() any {
+	return RecordsState{Requests: t.requests.state(), Attempts: t.attempts.state()}
+}
+
+// RecordsState is the state of the records of non-idempotent calls.
+type RecordsState struct {
+	// Requests counts the requests of which this node is the home.
+	Requests TableState `json:"requests"`
+	// Attempts counts the attempts that other nodes may ask about.
+	Attempts TableState `json:"attempts"`
+}
+
+func (t *Traffic) registerGauges() {
+	m := t.config.Metrics
+	m.GaugeFunc(metrics.NameInFlight, func() int64 { return int64(t.gate.state().Running) })
+	m.GaugeFunc(metrics.NameQueued, func() int64 { return int64(t.gate.state().Queued) })
+	m.GaugeFunc(metrics.NameRecords, func() int64 {
+		return int64(t.requests.state().Records + t.attempts.state().Records)
+	})
+	m.GaugeFunc(metrics.NameRecordBytes, func() int64 {
+		return t.requests.state().AnswerBytes + t.attempts.state().AnswerBytes
+	})
+	m.GaugeFunc(metrics.NameRevision, func() int64 { return int64(t.config.View.Load().Revision) })
+}
+
+// newID returns a random ID.
+func newID() call.ID {
+	var id call.ID
+	putUint64(id[:8], rand.Uint64())
+	putUint64(id[8:], rand.Uint64())
+	return id
+}
+
+func putUint64(into []byte, value uint64) {
+	for i := range into {
+		into[i] = byte(value >> (8 * i))
+	}
+}
+
+// CallerHandler serves callers.
+func (t *Traffic) CallerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathToken, t.serveToken)
+	mux.HandleFunc("POST "+PathFence, t.serveFence)
+	mux.HandleFunc("/", t.serveCaller)
+	return mux
+}
+
+// PeerHandler serves calls from other nodes.
+func (t *Traffic) PeerHandler() http.Handler {
+	return http.HandlerFunc(t.servePeer)
+}
+
+// OutboundHandler serves the local endpoint's own calls.
+func (t *Traffic) OutboundHandler() http.Handler {
+	return http.HandlerFunc(t.serveOutbound)
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,43 @@
+// Package version names the version of the programs.
+package version
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+)
+
+// number is the version of all programs.
+const number = "0.1.0"
+
+// Text returns the version.
+func Text() string {
+	return number
+}
+
+// Command returns the subcommand that prints the version.
+func Command() subcommands.Command {
+	return command{}
+}
+
+type command struct{}
+
+// Name returns the command's name.
+func (command) Name() string { return "version" }
+
+// Synopsis returns a line about the command.
+func (command) Synopsis() string { return "print the version" }
+
+// Usage returns the command's usage.
+func (command) Usage() string { return "version\n" }
+
+// SetFlags declares no flags.
+func (command) SetFlags(*flag.FlagSet) {}
+
+// Execute prints the version.
+func (command) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Println(number)
+	return subcommands.ExitSuccess
+}
