Add stand-ins for the platform and the endpoints

Cause: the whole path needs outside systems to run against: a key service that is read and watched under a limit, and back ends with slots, limits and faults, with an exact log of what they ran.

Change: cmd/galenacart-standin with the subcommands platform, endpoint and version; internal/standin/platform (keys, revisions, watches, limit of reads, modes down, stale and rollback, lagging VM list), internal/standin/endpoint (slots, queue, service times, child calls by node or direct, draining, cancellation, crash, silence, misleading reports), internal/standin/truth (log, reader, summaries), internal/standin/answer, events 4001 to 4024.

--- /dev/null
+++ b/cmd/galenacart-standin/main.go
@@ -0,0 +1,30 @@
+// Command galenacart-standin runs small stand-ins for what galenacart meets in
+// its users' deployments: the platform's key service and the endpoints.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	commander := subcommands.NewCommander(flag.CommandLine, "galenacart-standin")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(commander.FlagsCommand(), "")
+	commander.Register(versionCommand{}, "")
+	commander.Register(&platformCommand{}, "stand-ins")
+	commander.Register(&endpointCommand{}, "stand-ins")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return int(commander.Execute(ctx))
+}
--- /dev/null
+++ b/internal/standin/endpoint/child.go
@@ -0,0 +1,186 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/call"
+	"github.com/galenacart/galenacart/internal/standin/answer"
+)
+
+const (
+	dialTimeout         = 2 * time.Second
+	idleConnTimeout     = 30 * time.Second
+	maxIdleConnsPerHost = 256
+	maxDetailBytes      = 512
+)
+
+// childCall is one child call of a running call.
+type childCall struct {
+	child    *Child
+	in       *incoming
+	position string
+}
+
+// childBody is the body of a child call, so that calls of different requests
+// differ in their content.
+type childBody struct {
+	Request  string `json:"request"`
+	Position string `json:"call"`
+}
+
+// childError is the failure of a child call after its last try.
+type childError struct {
+	child  *Child
+	status int // of the last answer; 0 for none
+	cause  error
+}
+
+// Error names the child call and the cause.
+func (c *childError) Error() string {
+	return fmt.Sprintf("%s %s: %v", c.child.Method, c.child.Path, c.cause)
+}
+
+// Unwrap returns the cause.
+func (c *childError) Unwrap() error {
+	return c.cause
+}
+
+// childCalls lists the child calls of a call, with repeats.
+func childCalls(in *incoming) []childCall {
+	var calls []childCall
+	for i := range in.route.Children {
+		child := &in.route.Children[i]
+		for range child.Repeat {
+			position := strconv.Itoa(len(calls))
+			if in.record.Position != "" {
+				position = in.record.Position + "." + position
+			}
+			calls = append(calls, childCall{child: child, in: in, position: position})
+		}
+	}
+	return calls
+}
+
+func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+// callChild tries a child call up to the number of tries.
+func (e *Endpoint) callChild(ctx context.Context, c *childCall) (*answer.Answer, error) {
+	failure := &childError{child: c.child}
+	for range e.settings.Downstream.Tries {
+		a, status, err := e.tryChild(ctx, c)
+		if err == nil {
+			return a, nil
+		}
+		failure.status, failure.cause = status, err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, failure
+}
+
+// tryChild makes one try. It returns the status of the answer, or 0 for none.
+func (e *Endpoint) tryChild(ctx context.Context, c *childCall) (*answer.Answer, int, error) {
+	if timeout := e.settings.Downstream.TryTimeout(); timeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		ctx = limited
+	}
+	r, err := e.childRequest(ctx, c)
+	if err != nil {
+		return nil, 0, err
+	}
+	response, err := e.client.Do(r)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "call")
+	}
+	defer func() { _ = response.Body.Close() }() // read to its end or given up
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return nil, response.StatusCode, errors.Wrap(err, "read answer")
+	}
+	if response.StatusCode != http.StatusOK {
+		detail := string(body[:min(len(body), maxDetailBytes)])
+		return nil, response.StatusCode, errors.Errorf("status %d: %s", response.StatusCode, detail)
+	}
+	a, err := answer.Decode(body, c.in.record.Request)
+	return a, response.StatusCode, err
+}
+
+// childRequest builds the HTTP request of one try.
+func (e *Endpoint) childRequest(ctx context.Context, c *childCall) (*http.Request, error) {
+	target := url.URL{
+		Scheme: "http",
+		Host:   e.childHost(c.child.Service),
+		Path:   c.child.Path,
+		RawQuery: url.Values{
+			queryRequest:  {c.in.record.Request},
+			queryPosition: {c.position},
+		}.Encode(),
+	}
+	var body []byte
+	if c.child.Method != http.MethodGet {
+		encoded, err := json.Marshal(childBody{Request: c.in.record.Request, Position: c.position})
+		if err != nil {
+			return nil, errors.Wrap(err, "encode child body")
+		}
+		body = encoded
+	}
+	r, err := http.NewRequestWithContext(ctx, c.child.Method, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "child request")
+	}
+	c.setHeaders(r.Header)
+	if e.settings.Downstream.Way == WayNode {
+		r.Header.Set(call.HeaderParent, c.in.record.Call)
+	}
+	return r, nil
+}
+
+func (c *childCall) setHeaders(h http.Header) {
+	setHeader(h, HeaderRequest, c.in.record.Request)
+	setHeader(h, HeaderAttempt, c.in.record.Attempt)
+	setHeader(h, HeaderCrash, c.in.crash)
+}
+
+func setHeader(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+// childHost chooses where a try goes: the local node, or any endpoint of the
+// service.
+func (e *Endpoint) childHost(service string) string {
+	d := &e.settings.Downstream
+	if d.Way == WayNode {
+		return d.OutboundAddress
+	}
+	for _, s := range d.Endpoints {
+		if s.Service == service {
+			return s.Addresses[e.sampler.intN(len(s.Addresses))]
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/standin/endpoint/endpoint.go
@@ -0,0 +1,100 @@
+package endpoint
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/standin/truth"
+)
+
+// CrashExitCode is the exit code of a process that a request ended.
+const CrashExitCode = 70
+
+// Options replaces parts of an endpoint, for tests inside one process. The zero
+// value replaces nothing.
+type Options struct {
+	// Crash is called in place of the end of the process. The connection of the
+	// call is then closed without an answer.
+	Crash func()
+	// Dial makes the connections of child calls.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Endpoint is the stand-in for a back end.
+type Endpoint struct {
+	settings  *Settings
+	options   Options
+	truth     *truth.Log
+	log       *event.Log
+	slots     *slots
+	gate      gate
+	sampler   *sampler
+	behaviour atomic.Pointer[Behaviour]
+	reports   reports
+	client    *http.Client
+	listener  atomic.Pointer[limitListener]
+	limitLog  atomic.Int64 // second of the last EndpointConnectionLimit
+}
+
+// New returns an endpoint that writes what it does to t.
+func New(s *Settings, t *truth.Log, log *event.Log, o Options) *Endpoint {
+	if o.Crash == nil {
+		o.Crash = func() { os.Exit(CrashExitCode) }
+	}
+	e := &Endpoint{
+		settings: s,
+		options:  o,
+		truth:    t,
+		log:      log,
+		sampler:  newSampler(s.Seed, s.ColdStart, time.Now()),
+		client:   newClient(o.Dial),
+	}
+	e.slots = newSlots(s.Slots, s.QueueMax, e.noteHealth)
+	e.behaviour.Store(&Behaviour{
+		SlowFactor:         1,
+		IgnoreCancellation: s.IgnoreCancellation,
+		Report:             s.Report,
+	})
+	return e
+}
+
+// Change changes the behaviour of later calls.
+func (e *Endpoint) Change(c BehaviourChange) {
+	for {
+		old := e.behaviour.Load()
+		next := old.apply(c)
+		if e.behaviour.CompareAndSwap(old, &next) {
+			e.log.Emit(event.EndpointBehaviour, "", event.F("behaviour", next))
+			return
+		}
+	}
+}
+
+// Silence makes all open connections stop answering for good and returns their
+// number.
+func (e *Endpoint) Silence() int {
+	l := e.listener.Load()
+	if l == nil {
+		return 0
+	}
+	n := l.silence()
+	e.log.Emit(event.EndpointSilenced, "", event.F("connections", n))
+	return n
+}
+
+// Drain makes the endpoint refuse new work. The channel is closed when nothing
+// runs or waits any more.
+func (e *Endpoint) Drain() <-chan struct{} {
+	idle, first := e.gate.close()
+	if first {
+		e.truth.Add(truth.Record{Kind: truth.Draining})
+		e.log.Emit(event.EndpointDraining, "")
+		e.noteHealth()
+	}
+	return idle
+}
--- /dev/null
+++ b/internal/standin/endpoint/incoming.go
@@ -0,0 +1,122 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/call"
+	"github.com/galenacart/galenacart/internal/standin/truth"
+)
+
+// Headers that the endpoint reads and passes on to its child calls.
+const (
+	// HeaderRequest identifies the root request.
+	HeaderRequest = "X-Request-Id"
+	// HeaderAttempt counts the caller's attempts.
+	HeaderAttempt = "X-Attempt"
+	// HeaderCrash ends the process of every endpoint ("1") or of the endpoints
+	// of one service (its name).
+	HeaderCrash = "X-Crash"
+)
+
+// Query parameters of child calls. They tell the calls of one tree apart.
+const (
+	queryRequest  = "request"
+	queryPosition = "call"
+)
+
+const maxBodyBytes = 64 << 20
+
+// incoming is one call as it reached the endpoint.
+type incoming struct {
+	route    *Route
+	record   truth.Record // the fields that all records of the call share
+	crash    string
+	body     []byte
+	target   string // path and query
+	deadline time.Time
+}
+
+// readIncoming reads a call whole. now is the time of its arrival.
+func (e *Endpoint) readIncoming(w http.ResponseWriter, r *http.Request, now time.Time) (*incoming, error) {
+	in := &incoming{
+		route: e.routeFor(r.Method, r.URL.Path),
+		record: truth.Record{
+			Method:   r.Method,
+			Path:     r.URL.Path,
+			Position: r.URL.Query().Get(queryPosition),
+			Request:  r.Header.Get(HeaderRequest),
+			Attempt:  r.Header.Get(HeaderAttempt),
+			Call:     r.Header.Get(call.HeaderCall),
+		},
+		crash:  r.Header.Get(HeaderCrash),
+		target: r.URL.RequestURI(),
+	}
+	if text := r.Header.Get(call.HeaderTimeout); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return nil, errors.Errorf("%s: want milliseconds, have %q", call.HeaderTimeout, text)
+		}
+		in.deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "read body")
+	}
+	in.body = body
+	return in, nil
+}
+
+// routeFor returns the route with the longest matching path, or nil.
+func (e *Endpoint) routeFor(method, path string) *Route {
+	var best *Route
+	for i := range e.settings.Routes {
+		r := &e.settings.Routes[i]
+		if r.Method != "" && r.Method != method {
+			continue
+		}
+		if !strings.HasPrefix(path, r.Path) {
+			continue
+		}
+		if best == nil || len(r.Path) > len(best.Path) {
+			best = r
+		}
+	}
+	return best
+}
+
+// context returns the context in which the call runs.
+func (in *incoming) context(ctx context.Context, ignoreCancellation bool) (context.Context, context.CancelFunc) {
+	if ignoreCancellation {
+		return context.WithCancel(context.WithoutCancel(ctx))
+	}
+	if in.deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, in.deadline)
+}
+
+// crashes reports whether the call ends the process.
+func (e *Endpoint) crashes(in *incoming) bool {
+	if in.crash == "1" || in.crash == e.settings.Service {
+		return true
+	}
+	c := e.settings.Crash
+	if c.PathContains != "" && strings.Contains(in.target, c.PathContains) {
+		return true
+	}
+	return c.BodyContains != "" && bytes.Contains(in.body, []byte(c.BodyContains))
+}
+
+func (in *incoming) bodyHash() string {
+	return fmt.Sprintf("%016x", xxhash.Sum64(in.body))
+}
--- /dev/null
+++ b/internal/standin/endpoint/run.go
@@ -0,0 +1,104 @@
+package endpoint
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/standin/truth"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	shutdownTimeout   = 2 * time.Second
+)
+
+// Run serves an endpoint until ctx ends and it has drained.
+func Run(ctx context.Context, s *Settings, log *event.Log) error {
+	out := io.Discard
+	if s.TruthFile != "" {
+		f, err := truth.OpenFile(s.TruthFile)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Close() }() // each record was written when it was made
+		out = f
+	}
+	e := New(s, truth.NewLog(out, s.VM, s.Service), log, Options{})
+	service, err := net.Listen("tcp", s.EndpointAddress)
+	if err != nil {
+		return errors.Wrapf(err, "endpointAddress %s", s.EndpointAddress)
+	}
+	admin, err := net.Listen("tcp", s.AdminAddress)
+	if err != nil {
+		_ = service.Close()
+		return errors.Wrapf(err, "adminAddress %s", s.AdminAddress)
+	}
+	return e.Serve(ctx, service, admin)
+}
+
+// Serve serves both listeners until ctx ends, drains, and closes them. admin
+// may be nil.
+func (e *Endpoint) Serve(ctx context.Context, service, admin net.Listener) error {
+	limited := newLimitListener(service, e.settings.Connections, e.noteLimit)
+	e.listener.Store(limited)
+	defer limited.closeSilenced()
+	failed := make(chan error, 2)
+	server := e.newServer()
+	go func() { failed <- server.Serve(limited) }()
+	adminServer := &http.Server{Handler: e.AdminHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	if admin != nil {
+		go func() { failed <- adminServer.Serve(admin) }()
+	}
+	e.truth.Add(truth.Record{Kind: truth.Up})
+	e.log.Emit(event.StandinStarted, "",
+		event.F("endpointAddress", e.settings.EndpointAddress), event.F("adminAddress", e.settings.AdminAddress))
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		_ = server.Close()
+		_ = adminServer.Close()
+		return errors.Wrap(err, "serve")
+	}
+	e.drain()
+	shutdown(server)
+	shutdown(adminServer)
+	e.client.CloseIdleConnections()
+	e.truth.Add(truth.Record{Kind: truth.Down})
+	e.log.Emit(event.StandinStopped, "")
+	return e.truth.Err()
+}
+
+func (e *Endpoint) newServer() *http.Server {
+	return &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+}
+
+// drain refuses new work and returns when nothing runs and the linger is over.
+func (e *Endpoint) drain() {
+	linger := time.NewTimer(e.settings.DrainLinger())
+	defer linger.Stop()
+	<-e.Drain()
+	<-linger.C
+}
+
+// shutdown closes a server when its connections are idle.
+func shutdown(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		_ = s.Close() // its connections didn't become idle in time
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/settings.go
@@ -0,0 +1,116 @@
+// Package platform is a small stand-in for the platform's key service: it is
+// read and watched by nodes and written only through its own admin listener.
+package platform
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/galenacart/galenacart/internal/strictjson"
+)
+
+const maxSettingsBytes = 64 << 10
+
+// Defaults of optional settings.
+const (
+	// DefaultReadsPerSecond is the limit of reads over all readers.
+	DefaultReadsPerSecond = 2000
+	// DefaultHistory is the number of older states kept for a rollback.
+	DefaultHistory = 100
+)
+
+// Settings is the settings document of the stand-in platform.
+type Settings struct {
+	// Address is the IP address and port of the key service.
+	Address string `json:"address" validate:"required"`
+	// AdminAddress is the IP address and port of the admin listener.
+	AdminAddress string `json:"adminAddress" validate:"required"`
+	// ReadsPerSecond is the limit of reads over all readers. Default 2000.
+	ReadsPerSecond int `json:"readsPerSecond,omitempty" validate:"gte=0,lte=1000000"`
+	// VMListLagMs is the time after which a new value of the key "vms" shows,
+	// in milliseconds. Default 0.
+	VMListLagMs int `json:"vmListLagMs,omitempty" validate:"gte=0,lte=3600000"`
+	// History is the number of older states kept for a rollback. Default 100.
+	History int `json:"history,omitempty" validate:"gte=0,lte=10000"`
+	// FirstRevision is the revision of the first initial key. Default 1.
+	FirstRevision uint64 `json:"firstRevision,omitempty"`
+	// Keys lists the initial keys, in the order of their revisions.
+	Keys []KeyFile `json:"keys,omitempty" validate:"max=1000,dive"`
+	// LogLevel is one of debug, info, warn, error. Default info.
+	LogLevel string `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// KeyFile names the file that holds the initial value of a key.
+type KeyFile struct {
+	// Key is the name of the key.
+	Key string `json:"key" validate:"required,max=256"`
+	// File is the path of the file, of at most 1 MiB.
+	File string `json:"file" validate:"required"`
+}
+
+// ReadFile reads and checks the settings in a file.
+func ReadFile(file string) (*Settings, error) {
+	data, err := strictjson.ReadFile(file, maxSettingsBytes)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(file, data)
+}
+
+// Decode reads and checks settings and fills in defaults. The error is a
+// *strictjson.Faults.
+func Decode(file string, data []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := strictjson.Decode(file, data, s); err != nil {
+		return nil, err
+	}
+	if faults := s.check(); len(faults) > 0 {
+		return nil, &strictjson.Faults{File: file, List: faults}
+	}
+	s.fillDefaults()
+	return s, nil
+}
+
+func (s *Settings) check() []strictjson.Fault {
+	var faults []strictjson.Fault
+	if err := validator.New().Struct(s); err != nil {
+		faults = append(faults, strictjson.Fault{Reason: err.Error()})
+	}
+	addresses := []struct{ pointer, value string }{
+		{"/address", s.Address},
+		{"/adminAddress", s.AdminAddress},
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			faults = append(faults, strictjson.Fault{Pointer: a.pointer, Reason: "want IP:port, have " + a.value})
+		}
+	}
+	seen := map[string]bool{}
+	for i, k := range s.Keys {
+		if seen[k.Key] {
+			faults = append(faults, strictjson.Fault{Pointer: fmt.Sprintf("/keys/%d/key", i), Reason: "key stands twice: " + k.Key})
+		}
+		seen[k.Key] = true
+	}
+	return faults
+}
+
+func (s *Settings) fillDefaults() {
+	if s.ReadsPerSecond == 0 {
+		s.ReadsPerSecond = DefaultReadsPerSecond
+	}
+	if s.History == 0 {
+		s.History = DefaultHistory
+	}
+	if s.FirstRevision == 0 {
+		s.FirstRevision = 1
+	}
+}
+
+// VMListLag is the time after which a new VM list shows.
+func (s *Settings) VMListLag() time.Duration {
+	return time.Duration(s.VMListLagMs) * time.Millisecond
+}
--- /dev/null
+++ b/internal/standin/truth/read.go
@@ -0,0 +1,66 @@
+package truth
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Read returns the records of one log. A last line without its end belongs to
+// a process that was killed while it wrote and is left out.
+func Read(r io.Reader) ([]Record, error) {
+	var records []Record
+	in := bufio.NewReader(r)
+	for number := 1; ; number++ {
+		line, err := in.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return records, nil
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "read line %d", number)
+		}
+		var one Record
+		if err := json.Unmarshal(bytes.TrimSpace(line), &one); err != nil {
+			return nil, errors.Wrapf(err, "decode line %d", number)
+		}
+		records = append(records, one)
+	}
+}
+
+// ReadFiles returns the records of several logs, ordered by wall clock.
+func ReadFiles(files ...string) ([]Record, error) {
+	var all []Record
+	for _, file := range files {
+		records, err := readFile(file)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, records...)
+	}
+	slices.SortStableFunc(all, func(a, b Record) int {
+		switch {
+		case a.WallNs < b.WallNs:
+			return -1
+		case a.WallNs > b.WallNs:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return all, nil
+}
+
+func readFile(file string) ([]Record, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open truth file %s", file)
+	}
+	defer func() { _ = f.Close() }() // only read from
+	records, err := Read(f)
+	return records, errors.Wrapf(err, "truth file %s", file)
+}
