Add the callers' package, the load tool and the example deployments

Cause: nothing could lay out a deployment, offer it load or say what callers got.

Change: caller/ sends requests with idempotency tokens and bounded resends. galenacart-load lays out the settings of a deployment's processes, plays phased open-loop experiments, compares reports, checks them against the endpoints' logs and measures what two nodes add.

--- /dev/null
+++ b/caller/answer.go
@@ -0,0 +1,129 @@
+package caller
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Headers of answers that are not the endpoint's own.
+const (
+	headerKind       = "Galenacart-Kind"
+	headerRan        = "Galenacart-Ran"
+	headerRetryAfter = "Retry-After"
+	headerKey        = "Idempotency-Key"
+)
+
+// Ran says whether a request was run.
+type Ran string
+
+// The three words for the fate of a request.
+const (
+	// RanNo means that the request was not run and never will be.
+	RanNo Ran = "no"
+	// RanYes means that the request was run.
+	RanYes Ran = "yes"
+	// RanUnknown means that nobody can tell.
+	RanUnknown Ran = "unknown"
+)
+
+// KindNone is the kind of the endpoint's own answers. The other kinds are in
+// docs/ERRORS.md.
+const KindNone = "none"
+
+// kindTokenExpired is the kind of answers to a token that is too old.
+const kindTokenExpired = "token_expired"
+
+// Answer is the final answer to a request.
+type Answer struct {
+	// Status is the HTTP status code.
+	Status int
+	// Header holds the answer's headers.
+	Header http.Header
+	// Body is the whole body.
+	Body []byte
+	// Kind names why a node answered in place of the endpoint, or is KindNone.
+	Kind string
+	// Ran says whether the request was run.
+	Ran Ran
+	// Sends counts how often the request was sent.
+	Sends int
+}
+
+// Own reports whether the answer is the endpoint's own.
+func (a *Answer) Own() bool {
+	return a.Kind == KindNone
+}
+
+func newAnswer(status int, h http.Header, body []byte) *Answer {
+	a := &Answer{Status: status, Header: h, Body: body, Kind: KindNone, Ran: RanYes}
+	if kind := h.Get(headerKind); kind != "" {
+		a.Kind = kind
+		a.Ran = parseRan(h.Get(headerRan))
+	}
+	return a
+}
+
+func parseRan(word string) Ran {
+	switch r := Ran(word); r {
+	case RanNo, RanYes:
+		return r
+	default:
+		return RanUnknown
+	}
+}
+
+// resendable reports whether another send may bring a better answer. Only a
+// node's answers that carry Retry-After ask for one.
+func (a *Answer) resendable() bool {
+	if a.Own() {
+		return a.Status == http.StatusServiceUnavailable && a.Header.Get(headerRetryAfter) != ""
+	}
+	return a.Header.Get(headerRetryAfter) != "" || a.Kind == kindTokenExpired
+}
+
+// retryAfter returns the wait that the answer asks for, or 0.
+func (a *Answer) retryAfter() time.Duration {
+	seconds, err := strconv.Atoi(a.Header.Get(headerRetryAfter))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// Send is one send of a request, for observers.
+type Send struct {
+	// Request is the request.
+	Request *Request
+	// Address is the node.
+	Address string
+	// Token says that the send asked for a token.
+	Token bool
+	// Answer is the node's answer, or nil.
+	Answer *Answer
+	// Err is set when no whole answer came.
+	Err error
+	// Duration is the time from the send to its end.
+	Duration time.Duration
+}
+
+// LostError means that no send of a request was answered.
+type LostError struct {
+	// Sends counts how often the request was sent.
+	Sends int
+	// Ran is RanNo when the request never left the caller, and else RanUnknown.
+	Ran Ran
+	// Cause is the error of the last send.
+	Cause error
+}
+
+// Error returns the count of sends, the fate and the cause.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("caller: no answer after %d sends (ran: %s): %v", e.Sends, e.Ran, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/caller/options.go
@@ -0,0 +1,71 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+)
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithMaxSends bounds how often one request is sent, the first send included.
+// A request for a token counts as a send only when it fails.
+func WithMaxSends(n int) Option {
+	return func(c *Client) { c.maxSends = n }
+}
+
+// WithSendTimeout bounds the wait for the answer to one send. 0 stands for the
+// request's own context alone.
+func WithSendTimeout(d time.Duration) Option {
+	return func(c *Client) { c.sendTimeout = d }
+}
+
+// WithMaxAnswerBytes bounds the answers that are read.
+func WithMaxAnswerBytes(n int64) Option {
+	return func(c *Client) { c.maxAnswerBytes = n }
+}
+
+// WithTransport replaces the HTTP transport.
+func WithTransport(t http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = t }
+}
+
+// WithPause replaces the wait between two sends.
+func WithPause(p Pause) Option {
+	return func(c *Client) { c.pause = p }
+}
+
+// WithObserver gets every send after it ended. It is called concurrently.
+func WithObserver(observe func(Send)) Option {
+	return func(c *Client) { c.observe = observe }
+}
+
+// Pause returns the wait before the next send. sends counts those made so far;
+// retryAfter is what the last answer asked for, or 0.
+type Pause func(sends int, retryAfter time.Duration) time.Duration
+
+// Waits between sends.
+const (
+	firstPause  = 50 * time.Millisecond
+	maxPause    = 5 * time.Second
+	jitterShare = 0.5
+)
+
+// HonourRetryAfter waits for as long as the node asked, and for a time that
+// doubles with each send when it didn't ask. Up to half is added at random, so
+// that callers don't come back together. random returns values in [0, 1).
+func HonourRetryAfter(random func() float64) Pause {
+	return func(sends int, retryAfter time.Duration) time.Duration {
+		wait := retryAfter
+		if wait <= 0 {
+			wait = firstPause << min(max(sends-1, 0), 10)
+		}
+		wait = min(wait, maxPause)
+		return wait + time.Duration(random()*jitterShare*float64(wait))
+	}
+}
+
+// Constant waits for the same time before every send and ignores Retry-After.
+func Constant(d time.Duration) Pause {
+	return func(int, time.Duration) time.Duration { return d }
+}
--- /dev/null
+++ b/cmd/galenacart-load/compare.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/load/chart"
+	"github.com/galenacart/galenacart/internal/load/report"
+)
+
+// compareCommand prints several reports in one table.
+type compareCommand struct {
+	plots plotFiles
+}
+
+// plotFiles collects the values of a repeated flag.
+type plotFiles []string
+
+// String returns the values for the flag package.
+func (p *plotFiles) String() string {
+	if p == nil || len(*p) == 0 {
+		return ""
+	}
+	return (*p)[0]
+}
+
+// Set adds a value.
+func (p *plotFiles) Set(value string) error {
+	*p = append(*p, value)
+	return nil
+}
+
+func (*compareCommand) Name() string     { return "compare" }
+func (*compareCommand) Synopsis() string { return "print reports of one experiment in one table" }
+func (*compareCommand) Usage() string {
+	return `galenacart-load compare [-plot FILE]... REPORT...
+Prints the reports of several runs of one experiment and seed side by side. -plot draws
+them into a .svg or .png file.
+Exit codes: 0 printed, 1 failed, 2 bad usage or input.
+`
+}
+
+func (c *compareCommand) SetFlags(f *flag.FlagSet) {
+	f.Var(&c.plots, "plot", "`file` to draw to, .svg or .png; may be repeated")
+}
+
+// Execute prints the table.
+func (c *compareCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var reports []*report.Report
+	for _, file := range f.Args() {
+		r, err := report.ReadFile(file)
+		if err != nil {
+			return badUsage(err)
+		}
+		reports = append(reports, r)
+	}
+	if err := report.Comparable(reports); err != nil {
+		return badUsage(errors.WithMessage(err, "REPORT"))
+	}
+	if err := report.Compare(os.Stdout, reports); err != nil {
+		return failed(err)
+	}
+	for _, file := range c.plots {
+		if err := chart.WriteFile(file, reports); err != nil {
+			return failed(err)
+		}
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/load/chart/chart.go
@@ -0,0 +1,152 @@
+// Package chart draws goodput and latency of reports over time.
+package chart
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/galenacart/galenacart/internal/load/report"
+)
+
+// Size of the picture.
+const (
+	width  = 10 * vg.Inch
+	height = 8 * vg.Inch
+	margin = vg.Inch / 6
+	dash   = vg.Inch / 12
+)
+
+// WriteFile draws reports of one experiment into a .svg or .png file.
+func WriteFile(file string, reports []*report.Report) error {
+	if err := report.Comparable(reports); err != nil {
+		return err
+	}
+	goodput, err := newGoodput(reports)
+	if err != nil {
+		return err
+	}
+	latency, err := newLatency(reports)
+	if err != nil {
+		return err
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return errors.Wrap(err, "write chart")
+	}
+	if err := write(f, filepath.Ext(file), goodput, latency); err != nil {
+		_ = f.Close() // the first error says more
+		return errors.Wrapf(err, "write %s", file)
+	}
+	return errors.Wrap(f.Close(), "write chart")
+}
+
+func write(f *os.File, extension string, goodput, latency *plot.Plot) error {
+	switch extension {
+	case ".svg":
+		c := vgsvg.New(width, height)
+		tile(draw.New(c), goodput, latency)
+		_, err := c.WriteTo(f)
+		return err
+	case ".png":
+		c := vgimg.New(width, height)
+		tile(draw.New(c), goodput, latency)
+		_, err := vgimg.PngCanvas{Canvas: c}.WriteTo(f)
+		return err
+	default:
+		return errors.Errorf("want .svg or .png, have %q", extension)
+	}
+}
+
+// tile draws two plots, one above the other, on a common time axis.
+func tile(c draw.Canvas, top, bottom *plot.Plot) {
+	tiles := draw.Tiles{
+		Rows: 2, Cols: 1,
+		PadTop: margin, PadBottom: margin, PadLeft: margin, PadRight: margin, PadY: margin,
+	}
+	canvases := plot.Align([][]*plot.Plot{{top}, {bottom}}, tiles, c)
+	top.Draw(canvases[0][0])
+	bottom.Draw(canvases[1][0])
+}
+
+func newGoodput(reports []*report.Report) (*plot.Plot, error) {
+	p := newPlot("Goodput of whole requests: "+reports[0].Name, "requests/s")
+	perStep := 1 / report.SeriesStep.Seconds()
+	good := func(pt report.Point) (float64, bool) { return float64(pt.Good) * perStep, true }
+	if err := addLines(p, reports, good); err != nil {
+		return nil, err
+	}
+	return p, addPhases(p, reports[0])
+}
+
+func newLatency(reports []*report.Report) (*plot.Plot, error) {
+	p := newPlot("Latency of good requests, 0.99 quantile", "ms")
+	p99 := func(pt report.Point) (float64, bool) { return pt.P99Ms, pt.Good > 0 }
+	if err := addLines(p, reports, p99); err != nil {
+		return nil, err
+	}
+	return p, addPhases(p, reports[0])
+}
+
+func newPlot(title, unit string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "arrival, s"
+	p.Y.Label.Text = unit
+	p.Y.Min = 0
+	p.Legend.Top = true
+	return p
+}
+
+// addLines adds a line for each class of each report.
+func addLines(p *plot.Plot, reports []*report.Report, value func(report.Point) (float64, bool)) error {
+	var named []any // names and points in turn
+	for _, r := range reports {
+		for _, class := range r.Phases[0].Classes {
+			named = append(named, r.Label+": "+class.Class, pointsOf(r, class.Class, value))
+		}
+	}
+	return errors.Wrap(plotutil.AddLines(p, named...), "draw lines")
+}
+
+// pointsOf returns the points of a class that have a value.
+func pointsOf(r *report.Report, class string, value func(report.Point) (float64, bool)) plotter.XYs {
+	var points plotter.XYs
+	for _, pt := range r.Series {
+		if y, ok := value(pt); ok && pt.Class == class {
+			points = append(points, plotter.XY{X: float64(pt.StartMs) / 1000, Y: y})
+		}
+	}
+	return points
+}
+
+// addPhases marks the start of each phase with a dashed line and its name.
+func addPhases(p *plot.Plot, r *report.Report) error {
+	var labels plotter.XYLabels
+	top := p.Y.Max
+	for _, phase := range r.Phases {
+		x := float64(phase.StartMs) / 1000
+		l, err := plotter.NewLine(plotter.XYs{{X: x, Y: 0}, {X: x, Y: top}})
+		if err != nil {
+			return errors.Wrapf(err, "mark phase %s", phase.Name)
+		}
+		l.Dashes = []vg.Length{dash, dash}
+		p.Add(l)
+		labels.XYs = append(labels.XYs, plotter.XY{X: x, Y: top})
+		labels.Labels = append(labels.Labels, " "+phase.Name)
+	}
+	names, err := plotter.NewLabels(labels)
+	if err != nil {
+		return errors.Wrap(err, "name phases")
+	}
+	p.Add(names)
+	return nil
+}
--- /dev/null
+++ b/internal/load/deployment/deployment.go
@@ -0,0 +1,97 @@
+// Package deployment describes the VMs of an example deployment: where they
+// are, how large they are, and how long their endpoints work for each route.
+package deployment
+
+import (
+	"github.com/galenacart/galenacart/internal/standin/endpoint"
+	"github.com/galenacart/galenacart/internal/strictjson"
+)
+
+const maxBytes = 1 << 20
+
+// Deployment is the whole document.
+type Deployment struct {
+	// Name is the short name of the deployment.
+	Name string `json:"name" validate:"required,max=64"`
+	// Region is the region of all availability zones.
+	Region string `json:"region" validate:"required,max=64"`
+	// AvailabilityZones lists the availability zones.
+	AvailabilityZones []string `json:"availabilityZones" validate:"required,min=1,max=10,unique,dive,required"`
+	// FleetKey is the secret that all nodes share. It protects nothing but a
+	// deployment of stand-ins on one machine.
+	FleetKey string `json:"fleetKey" validate:"required,min=16,max=256"`
+	// Platform describes the platform stand-in.
+	Platform Platform `json:"platform"`
+	// Services lists the services and their VMs.
+	Services []Service `json:"services" validate:"required,min=1,max=200,dive"`
+	// Routes lists the work behind each route of the catalogue.
+	Routes []Route `json:"routes" validate:"required,min=1,max=1000,dive"`
+}
+
+// Platform describes the platform stand-in.
+type Platform struct {
+	// ReadsPerSecond is the number of reads served to all readers together.
+	ReadsPerSecond int `json:"readsPerSecond" validate:"gte=1,lte=1000000"`
+	// VMListLagMs is the age of the list of VMs, in milliseconds.
+	VMListLagMs int `json:"vmListLagMs" validate:"gte=0,lte=600000"`
+}
+
+// Service is one service of the catalogue.
+type Service struct {
+	// Name is the service's name in the catalogue.
+	Name string `json:"name" validate:"required,max=64"`
+	// ConnectionCostMs is what a new connection to an endpoint costs, in
+	// milliseconds.
+	ConnectionCostMs float64 `json:"connectionCostMs" validate:"gte=0,lte=1000"`
+	// ProbeCostMs is what a health probe costs, in milliseconds.
+	ProbeCostMs float64 `json:"probeCostMs" validate:"gte=0,lte=1000"`
+	// ColdStart makes a new endpoint slower for a while.
+	ColdStart endpoint.ColdStart `json:"coldStart"`
+	// VMs lists the service's VMs.
+	VMs []VM `json:"vms" validate:"required,min=1,max=200,dive"`
+}
+
+// VM is one VM with its endpoint.
+type VM struct {
+	// Name is the unique name of the VM.
+	Name string `json:"name" validate:"required,max=128"`
+	// AvailabilityZone is the VM's availability zone.
+	AvailabilityZone string `json:"availabilityZone" validate:"required"`
+	// Slots is the number of calls that the endpoint runs at once.
+	Slots int `json:"slots" validate:"gte=1,lte=10000"`
+	// Queue is the number of calls that the endpoint lets wait for a slot.
+	Queue int `json:"queue" validate:"gte=0,lte=100000"`
+	// Connections is the number of connections that the endpoint accepts.
+	Connections int `json:"connections" validate:"gte=1,lte=100000"`
+}
+
+// Route is the work behind one route.
+type Route struct {
+	// Name is the route's name in the catalogue.
+	Name string `json:"name" validate:"required,max=64"`
+	// ServiceTime is the time in a slot without the calls below.
+	ServiceTime endpoint.ServiceTime `json:"serviceTime"`
+	// Calls names the routes that the endpoint calls, one after the other.
+	Calls []string `json:"calls,omitempty" validate:"max=32,dive,required"`
+}
+
+// Decode reads and checks a deployment. The error is a *strictjson.Faults.
+func Decode(file string, data []byte) (*Deployment, error) {
+	d := &Deployment{}
+	if err := strictjson.Decode(file, data, d); err != nil {
+		return nil, err
+	}
+	if faults := d.check(); len(faults) > 0 {
+		return nil, &strictjson.Faults{File: file, List: faults}
+	}
+	return d, nil
+}
+
+// ReadFile reads and checks the deployment in a file.
+func ReadFile(file string) (*Deployment, error) {
+	data, err := strictjson.ReadFile(file, maxBytes)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(file, data)
+}
--- /dev/null
+++ b/internal/load/experiment/experiment.go
@@ -0,0 +1,195 @@
+// Package experiment reads the file that describes a run of the load tool: its
+// timed phases, the rates of arrivals and how callers send again.
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/strictjson"
+)
+
+const (
+	maxBytes = 1 << 20
+	// MaxDuration bounds all phases together.
+	MaxDuration = 30 * time.Minute
+)
+
+// Experiment is the whole document.
+type Experiment struct {
+	// Name is the short name of the experiment.
+	Name string `json:"name" validate:"required,max=64"`
+	// Seed makes the arrivals repeatable.
+	Seed uint64 `json:"seed"`
+	// MaxRequests bounds the requests of all phases together.
+	MaxRequests int `json:"maxRequests" validate:"gte=1,lte=10000000"`
+	// Resends says how callers send again unless a phase says otherwise.
+	Resends Resends `json:"resends"`
+	// Phases lists the phases in their order.
+	Phases []Phase `json:"phases" validate:"required,min=1,max=100,dive"`
+}
+
+// Resends says how callers send a request again.
+type Resends struct {
+	// MaxSends bounds the sends of one request, the first included.
+	MaxSends int `json:"maxSends" validate:"gte=1,lte=1000"`
+	// PauseMs is the wait between sends, in milliseconds. It is used when
+	// Retry-After is not honoured.
+	PauseMs int `json:"pauseMs" validate:"gte=0,lte=60000"`
+	// SendTimeoutMs is the wait for one answer, in milliseconds; 0 waits until
+	// the request's time limit.
+	SendTimeoutMs int `json:"sendTimeoutMs" validate:"gte=0,lte=600000"`
+	// HonourRetryAfter makes callers wait for as long as an answer asks.
+	HonourRetryAfter bool `json:"honourRetryAfter"`
+}
+
+// Kind says what a phase is for.
+type Kind string
+
+// The kinds of phases.
+const (
+	// Warmup fills connections and caches; the report leaves it out of totals.
+	Warmup Kind = "warmup"
+	// Steady is the level that recovery is compared with.
+	Steady Kind = "steady"
+	// Overload is a phase of surge or slowness.
+	Overload Kind = "overload"
+	// Recovery follows the end of an overload.
+	Recovery Kind = "recovery"
+)
+
+// Phase is one timed part of an experiment.
+type Phase struct {
+	// Name is the unique name of the phase.
+	Name string `json:"name" validate:"required,max=64"`
+	// Kind says what the phase is for.
+	Kind Kind `json:"kind" validate:"required,oneof=warmup steady overload recovery"`
+	// DurationMs is the length of the phase, in milliseconds.
+	DurationMs int `json:"durationMs" validate:"gte=1,lte=1800000"`
+	// Rates lists the arrivals.
+	Rates []Rate `json:"rates" validate:"required,min=1,max=100,dive"`
+	// Resends replaces the experiment's way to send again.
+	Resends *Resends `json:"resends,omitempty"`
+	// Slow lists the services whose endpoints are slowed down. The others run
+	// at their own speed.
+	Slow []Slow `json:"slow,omitempty" validate:"max=100,dive"`
+}
+
+// Rate is a Poisson stream of arrivals.
+type Rate struct {
+	// Route names the route of the catalogue.
+	Route string `json:"route" validate:"required"`
+	// PerSecond is the mean number of arrivals a second.
+	PerSecond float64 `json:"perSecond" validate:"gte=0,lte=1000000"`
+}
+
+// Slow multiplies the service time of a service's endpoints.
+type Slow struct {
+	// Service names the service.
+	Service string `json:"service" validate:"required"`
+	// Factor multiplies the service time.
+	Factor float64 `json:"factor" validate:"gt=0,lte=1000"`
+}
+
+// Duration returns the length of the phase.
+func (p *Phase) Duration() time.Duration {
+	return time.Duration(p.DurationMs) * time.Millisecond
+}
+
+// Pause returns the wait between sends.
+func (r Resends) Pause() time.Duration {
+	return time.Duration(r.PauseMs) * time.Millisecond
+}
+
+// SendTimeout returns the wait for one answer, or 0.
+func (r Resends) SendTimeout() time.Duration {
+	return time.Duration(r.SendTimeoutMs) * time.Millisecond
+}
+
+// Duration returns the length of all phases together.
+func (e *Experiment) Duration() time.Duration {
+	var total time.Duration
+	for i := range e.Phases {
+		total += e.Phases[i].Duration()
+	}
+	return total
+}
+
+// ResendsOf returns the way to send again in a phase.
+func (e *Experiment) ResendsOf(phase int) Resends {
+	if r := e.Phases[phase].Resends; r != nil {
+		return *r
+	}
+	return e.Resends
+}
+
+// Decode reads and checks an experiment against the catalogue that it runs
+// with. The error is a *strictjson.Faults.
+func Decode(file string, data []byte, c *catalogue.Catalogue) (*Experiment, error) {
+	e := &Experiment{}
+	if err := strictjson.Decode(file, data, e); err != nil {
+		return nil, err
+	}
+	if faults := e.check(c); len(faults) > 0 {
+		return nil, &strictjson.Faults{File: file, List: faults}
+	}
+	return e, nil
+}
+
+// ReadFile reads and checks the experiment in a file.
+func ReadFile(file string, c *catalogue.Catalogue) (*Experiment, error) {
+	data, err := strictjson.ReadFile(file, maxBytes)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(file, data, c)
+}
+
+func (e *Experiment) check(c *catalogue.Catalogue) []strictjson.Fault {
+	var faults []strictjson.Fault
+	if err := validator.New().Struct(e); err != nil {
+		faults = append(faults, strictjson.Fault{Reason: err.Error()})
+	}
+	if e.Duration() > MaxDuration {
+		faults = append(faults, strictjson.Fault{
+			Pointer: "/phases",
+			Reason:  fmt.Sprintf("phases last %v, want at most %v", e.Duration(), MaxDuration),
+		})
+	}
+	for i := range e.Phases {
+		faults = append(faults, e.Phases[i].check(fmt.Sprintf("/phases/%d", i), c)...)
+	}
+	return faults
+}
+
+func (p *Phase) check(pointer string, c *catalogue.Catalogue) []strictjson.Fault {
+	routes := map[string]bool{} // true for those that callers may use
+	for i := range c.Routes {
+		routes[c.Routes[i].Name] = !c.Routes[i].Internal
+	}
+	services := map[string]bool{}
+	for i := range c.Services {
+		services[c.Services[i].Name] = true
+	}
+	var faults []strictjson.Fault
+	for i, r := range p.Rates {
+		if !routes[r.Route] {
+			faults = append(faults, strictjson.Fault{
+				Pointer: fmt.Sprintf("%s/rates/%d/route", pointer, i),
+				Reason:  fmt.Sprintf("no route of callers in the catalogue: %q", r.Route),
+			})
+		}
+	}
+	for i, s := range p.Slow {
+		if !services[s.Service] {
+			faults = append(faults, strictjson.Fault{
+				Pointer: fmt.Sprintf("%s/slow/%d/service", pointer, i),
+				Reason:  fmt.Sprintf("no such service: %q", s.Service),
+			})
+		}
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/load/outcome/outcome.go
@@ -0,0 +1,141 @@
+// Package outcome is the record of what became of each request of a run.
+package outcome
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Result says how a request ended for its caller.
+type Result string
+
+// The results.
+const (
+	// Whole means that the whole answer came within the time limit.
+	Whole Result = "whole"
+	// Late means that the time limit passed first.
+	Late Result = "late"
+	// Refused means that a node answered in place of the endpoint.
+	Refused Result = "refused"
+	// Failed means that the endpoint answered with an error.
+	Failed Result = "failed"
+	// NotWhole means that an answer came but was not the whole answer to the
+	// request.
+	NotWhole Result = "not_whole"
+	// Lost means that no answer came although there was time left.
+	Lost Result = "lost"
+)
+
+// Outcome is what became of one request.
+type Outcome struct {
+	// Request is the X-Request-Id.
+	Request string `json:"request"`
+	// Phase is the index of the phase in which the request arrived.
+	Phase int `json:"phase"`
+	// Route names the route.
+	Route string `json:"route"`
+	// Class is the class of the route.
+	Class string `json:"class"`
+	// Idempotent says that running the request twice does no harm.
+	Idempotent bool `json:"idempotent"`
+	// ArrivalNs is the intended arrival, in nanoseconds from the start.
+	ArrivalNs int64 `json:"arrivalNs"`
+	// LatencyNs is the time from the intended arrival to the end, in
+	// nanoseconds.
+	LatencyNs int64 `json:"latencyNs"`
+	// SendLagNs is the delay of the first send by the load tool itself, in
+	// nanoseconds.
+	SendLagNs int64 `json:"sendLagNs"`
+	// EndWallNs is the end on the wall clock, in nanoseconds since 1970.
+	EndWallNs int64 `json:"endWallNs"`
+	// Result says how the request ended.
+	Result Result `json:"result"`
+	// Kind is the node's kind of refusal, or empty.
+	Kind string `json:"kind,omitempty"`
+	// Ran is what the caller was told: no, yes or unknown.
+	Ran string `json:"ran"`
+	// Status is the HTTP status, or 0.
+	Status int `json:"status,omitempty"`
+	// Sends counts how often the caller sent the request.
+	Sends int `json:"sends"`
+	// Detail says what was wrong.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Arrival returns the intended arrival.
+func (o *Outcome) Arrival() time.Duration {
+	return time.Duration(o.ArrivalNs)
+}
+
+// Latency returns the time from the intended arrival to the end.
+func (o *Outcome) Latency() time.Duration {
+	return time.Duration(o.LatencyNs)
+}
+
+// Label returns the kind of a refusal, and the result of the others.
+func (o *Outcome) Label() string {
+	if o.Result == Refused {
+		return o.Kind
+	}
+	return string(o.Result)
+}
+
+// Collector gathers outcomes. It is safe for concurrent use.
+type Collector struct {
+	mu  sync.Mutex
+	all []Outcome
+}
+
+// Add records one outcome.
+func (c *Collector) Add(o Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, o)
+}
+
+// All returns the outcomes recorded so far.
+func (c *Collector) All() []Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Outcome(nil), c.all...)
+}
+
+// Write writes outcomes as JSON lines.
+func Write(w io.Writer, all []Outcome) error {
+	out := bufio.NewWriter(w)
+	e := json.NewEncoder(out)
+	for i := range all {
+		if err := e.Encode(&all[i]); err != nil {
+			return errors.Wrap(err, "write outcomes")
+		}
+	}
+	return errors.Wrap(out.Flush(), "write outcomes")
+}
+
+// ReadFile reads the outcomes that Write wrote.
+func ReadFile(file string) ([]Outcome, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open %s", file)
+	}
+	defer func() { _ = f.Close() }() // only read from
+	var all []Outcome
+	d := json.NewDecoder(bufio.NewReader(f))
+	for {
+		var o Outcome
+		err := d.Decode(&o)
+		if errors.Is(err, io.EOF) {
+			return all, nil
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "%s: outcome %d", file, len(all)+1)
+		}
+		all = append(all, o)
+	}
+}
--- /dev/null
+++ b/internal/load/report/report.go
@@ -0,0 +1,173 @@
+// Package report works out what a run of the load tool says: goodput of whole
+// requests, refusals, resends, latency and the time to recover.
+package report
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/load/experiment"
+	"github.com/galenacart/galenacart/internal/load/outcome"
+)
+
+// Report is what a run says. Shares are between 0 and 1.
+type Report struct {
+	// Name is the name of the experiment.
+	Name string `json:"name"`
+	// Label tells reports of one experiment apart.
+	Label string `json:"label"`
+	// Seed is the seed of the arrivals.
+	Seed uint64 `json:"seed"`
+	// Stopped says that the run ended before its experiment did.
+	Stopped bool `json:"stopped,omitempty"`
+	// SendLagP99Ms is the load tool's own delay of first sends, in
+	// milliseconds. A large one makes the other figures worthless.
+	SendLagP99Ms float64 `json:"sendLagP99Ms"`
+	// Phases holds the figures of each phase.
+	Phases []PhaseResult `json:"phases"`
+	// Recovery says how overload ended.
+	Recovery Recovery `json:"recovery"`
+	// Series holds the course over time.
+	Series []Point `json:"series"`
+	// Truth holds what the endpoints' own logs say; nil when there were none.
+	Truth *Truth `json:"truth,omitempty"`
+}
+
+// PhaseResult is the figures of one phase.
+type PhaseResult struct {
+	// Name is the name of the phase.
+	Name string `json:"name"`
+	// Kind says what the phase is for.
+	Kind experiment.Kind `json:"kind"`
+	// StartMs is the start of the phase, in milliseconds.
+	StartMs int64 `json:"startMs"`
+	// EndMs is the end of the phase, in milliseconds.
+	EndMs int64 `json:"endMs"`
+	// Classes holds the figures by class, in the catalogue's order.
+	Classes []ClassResult `json:"classes"`
+}
+
+// ClassResult is the figures of the requests of one class that arrived in one
+// phase.
+type ClassResult struct {
+	// Class is the class.
+	Class string `json:"class"`
+	// Offered counts the requests.
+	Offered int `json:"offered"`
+	// Good counts those that were answered whole and in time.
+	Good int `json:"good"`
+	// OfferedPerSecond is the rate of the requests.
+	OfferedPerSecond float64 `json:"offeredPerSecond"`
+	// GoodPerSecond is the goodput.
+	GoodPerSecond float64 `json:"goodPerSecond"`
+	// GoodShare is Good/Offered, or 1 when there was no request.
+	GoodShare float64 `json:"goodShare"`
+	// P50Ms is the median latency of good requests, in milliseconds.
+	P50Ms float64 `json:"p50Ms"`
+	// P90Ms is the 0.9 quantile, in milliseconds.
+	P90Ms float64 `json:"p90Ms"`
+	// P99Ms is the 0.99 quantile, in milliseconds.
+	P99Ms float64 `json:"p99Ms"`
+	// MaxMs is the largest, in milliseconds.
+	MaxMs float64 `json:"maxMs"`
+	// SendsPerRequest is how often callers sent a request, on average.
+	SendsPerRequest float64 `json:"sendsPerRequest"`
+	// Endings counts the ways in which requests ended, the most frequent first.
+	Endings []Ending `json:"endings"`
+}
+
+// Ending is one way in which requests ended.
+type Ending struct {
+	// Label is the kind of a refusal, or the result of the other requests.
+	Label string `json:"label"`
+	// Ran is what callers were told: no, yes or unknown.
+	Ran string `json:"ran"`
+	// Count counts the requests.
+	Count int `json:"count"`
+}
+
+// Input is what a report is made of.
+type Input struct {
+	// Label tells reports of one experiment apart.
+	Label string
+	// Experiment is what was played.
+	Experiment *experiment.Experiment
+	// Classes lists the classes, the most important first.
+	Classes []string
+	// Outcomes holds what became of each request.
+	Outcomes []outcome.Outcome
+}
+
+// New works out a report.
+func New(in Input) *Report {
+	r := &Report{
+		Name:         in.Experiment.Name,
+		Label:        in.Label,
+		Seed:         in.Experiment.Seed,
+		SendLagP99Ms: sendLag(in.Outcomes),
+		Series:       newSeries(in),
+		Recovery:     newRecovery(in),
+	}
+	var start time.Duration
+	for p := range in.Experiment.Phases {
+		phase := &in.Experiment.Phases[p]
+		end := start + phase.Duration()
+		r.Phases = append(r.Phases, newPhase(in, p, start, end))
+		start = end
+	}
+	return r
+}
+
+func newPhase(in Input, index int, start, end time.Duration) PhaseResult {
+	phase := &in.Experiment.Phases[index]
+	result := PhaseResult{
+		Name: phase.Name, Kind: phase.Kind,
+		StartMs: start.Milliseconds(), EndMs: end.Milliseconds(),
+	}
+	for _, class := range in.Classes {
+		t := newTally()
+		for i := range in.Outcomes {
+			o := &in.Outcomes[i]
+			if o.Phase == index && o.Class == class {
+				t.add(o)
+			}
+		}
+		result.Classes = append(result.Classes, t.result(class, phase.Duration()))
+	}
+	return result
+}
+
+func sendLag(all []outcome.Outcome) float64 {
+	h := newHistogram()
+	for i := range all {
+		record(h, time.Duration(all[i].SendLagNs))
+	}
+	return quantileMs(h, quantile99)
+}
+
+const fileMode = 0o644
+
+// WriteFile writes a report as JSON.
+func (r *Report) WriteFile(file string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode report")
+	}
+	return errors.Wrap(os.WriteFile(file, append(data, '\n'), fileMode), "write report")
+}
+
+// ReadFile reads a report that WriteFile wrote.
+func ReadFile(file string) (*Report, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read report")
+	}
+	r := &Report{}
+	if err := json.Unmarshal(data, r); err != nil {
+		return nil, errors.Wrapf(err, "%s: not a report", file)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/load/report/tally.go
@@ -0,0 +1,99 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/galenacart/galenacart/internal/load/outcome"
+)
+
+// Bounds of histograms of latency, in microseconds.
+const (
+	lowestMicros      = 1
+	highestMicros     = 600_000_000
+	significantDigits = 3
+)
+
+// Quantiles of reports.
+const (
+	quantile50 = 50
+	quantile90 = 90
+	quantile99 = 99
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestMicros, highestMicros, significantDigits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	micros := min(max(d.Microseconds(), lowestMicros), highestMicros)
+	_ = h.RecordValue(micros) // within the bounds by the line above
+}
+
+func quantileMs(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return ms(h.ValueAtQuantile(quantile))
+}
+
+func ms(micros int64) float64 {
+	return float64(micros) / 1000
+}
+
+// tally adds up the requests of one class in one phase.
+type tally struct {
+	offered int
+	good    int
+	sends   int
+	latency *hdrhistogram.Histogram
+	endings map[Ending]int // Count is 0 in the keys
+}
+
+func newTally() *tally {
+	return &tally{latency: newHistogram(), endings: map[Ending]int{}}
+}
+
+func (t *tally) add(o *outcome.Outcome) {
+	t.offered++
+	t.sends += o.Sends
+	t.endings[Ending{Label: o.Label(), Ran: o.Ran}]++
+	if o.Result == outcome.Whole {
+		t.good++
+		record(t.latency, o.Latency())
+	}
+}
+
+func (t *tally) result(class string, length time.Duration) ClassResult {
+	r := ClassResult{
+		Class:            class,
+		Offered:          t.offered,
+		Good:             t.good,
+		OfferedPerSecond: float64(t.offered) / length.Seconds(),
+		GoodPerSecond:    float64(t.good) / length.Seconds(),
+		GoodShare:        share(t.good, t.offered),
+		P50Ms:            quantileMs(t.latency, quantile50),
+		P90Ms:            quantileMs(t.latency, quantile90),
+		P99Ms:            quantileMs(t.latency, quantile99),
+		MaxMs:            ms(t.latency.Max()),
+	}
+	if t.offered > 0 {
+		r.SendsPerRequest = float64(t.sends) / float64(t.offered)
+	}
+	for e, count := range t.endings {
+		e.Count = count
+		r.Endings = append(r.Endings, e)
+	}
+	slices.SortFunc(r.Endings, func(a, b Ending) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Label, b.Label), cmp.Compare(a.Ran, b.Ran))
+	})
+	return r
+}
+
+// share returns part/whole, and 1 of nothing.
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/internal/load/report/text.go
@@ -0,0 +1,148 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// table writes aligned columns and keeps the first error.
+type table struct {
+	w   *tabwriter.Writer
+	err error
+}
+
+const columnGap = 2
+
+func newTable(w io.Writer) *table {
+	return &table{w: tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)}
+}
+
+func (t *table) row(cells ...string) {
+	if t.err == nil {
+		_, t.err = fmt.Fprintln(t.w, strings.Join(cells, "\t"))
+	}
+}
+
+func (t *table) flush() error {
+	if t.err == nil {
+		t.err = t.w.Flush()
+	}
+	return errors.Wrap(t.err, "write table")
+}
+
+// WriteText writes a report for people.
+func (r *Report) WriteText(w io.Writer) error {
+	return Compare(w, []*Report{r})
+}
+
+// Compare writes one table of several reports, side by side by phase and class.
+func Compare(w io.Writer, reports []*Report) error {
+	t := newTable(w)
+	t.row("phase", "class", "run", "offered/s", "good/s", "good", "p50 ms", "p99 ms", "sends/request", "other endings")
+	for p := range reports[0].Phases {
+		for c := range reports[0].Phases[p].Classes {
+			for _, r := range reports {
+				t.phaseRow(r, p, c)
+			}
+		}
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(w); err != nil {
+		return errors.Wrap(err, "write table")
+	}
+	t = newTable(w)
+	t.row("run", "recovery", "relapses", "extra attempts/request", "most of one", "wasted", "wasted after end", "run twice", "wrong not-run", "load tool's lag p99")
+	for _, r := range reports {
+		t.totalRow(r)
+	}
+	return t.flush()
+}
+
+// Comparable reports an error unless the reports are of the same experiment.
+func Comparable(reports []*Report) error {
+	if len(reports) == 0 {
+		return errors.New("no reports to compare")
+	}
+	first := reports[0]
+	for _, r := range reports[1:] {
+		if len(r.Phases) != len(first.Phases) || r.Name != first.Name || r.Seed != first.Seed {
+			return errors.Errorf("report %q is of %s with seed %d, report %q of %s with seed %d",
+				first.Label, first.Name, first.Seed, r.Label, r.Name, r.Seed)
+		}
+		for p := range r.Phases {
+			if len(r.Phases[p].Classes) != len(first.Phases[p].Classes) {
+				return errors.Errorf("reports %q and %q have different classes", first.Label, r.Label)
+			}
+		}
+	}
+	return nil
+}
+
+func (t *table) phaseRow(r *Report, phase, class int) {
+	p := &r.Phases[phase]
+	c := &p.Classes[class]
+	t.row(p.Name, c.Class, r.Label,
+		fmt.Sprintf("%.1f", c.OfferedPerSecond),
+		fmt.Sprintf("%.1f", c.GoodPerSecond),
+		fmt.Sprintf("%.3f", c.GoodShare),
+		fmt.Sprintf("%.1f", c.P50Ms),
+		fmt.Sprintf("%.1f", c.P99Ms),
+		fmt.Sprintf("%.2f", c.SendsPerRequest),
+		endings(c.Endings))
+}
+
+func endings(all []Ending) string {
+	var words []string
+	for _, e := range all {
+		if e.Label == "whole" {
+			continue
+		}
+		words = append(words, fmt.Sprintf("%s/%s %d", e.Label, e.Ran, e.Count))
+	}
+	if len(words) == 0 {
+		return "-"
+	}
+	return strings.Join(words, ", ")
+}
+
+func (t *table) totalRow(r *Report) {
+	extra, most, wasted, afterEnd, double, wrong := "-", "-", "-", "-", "-", "-"
+	if r.Truth != nil {
+		extra = fmt.Sprintf("%.3f", perRequest(r.Truth.ExtraAttempts, r.Truth.Requests))
+		most = fmt.Sprint(r.Truth.MaxExtraAttempts)
+		wasted = fmt.Sprintf("%.3f", r.Truth.WastedShare)
+		afterEnd = fmt.Sprintf("%.3f", r.Truth.WastedAfterEndShare)
+		double = fmt.Sprint(r.Truth.DoubleRuns)
+		wrong = fmt.Sprint(r.Truth.WrongNotRun)
+	}
+	label := r.Label
+	if r.Stopped {
+		label += " (stopped early)"
+	}
+	t.row(label, r.Recovery.text(), fmt.Sprintf("%d of %d", r.Recovery.Relapses, r.Recovery.Windows),
+		extra, most, wasted, afterEnd, double, wrong, fmt.Sprintf("%.1f ms", r.SendLagP99Ms))
+}
+
+func perRequest(count, requests int) float64 {
+	if requests == 0 {
+		return 0
+	}
+	return float64(count) / float64(requests)
+}
+
+func (r Recovery) text() string {
+	switch {
+	case !r.Measured:
+		return "-"
+	case r.Recovered:
+		return fmt.Sprintf("%.1f s", float64(r.Ms)/1000)
+	default:
+		return fmt.Sprintf("not within %.1f s", float64(r.Ms)/1000)
+	}
+}
--- /dev/null
+++ b/internal/load/report/truth.go
@@ -0,0 +1,158 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/galenacart/galenacart/internal/load/outcome"
+	"github.com/galenacart/galenacart/internal/standin/truth"
+)
+
+// Truth is what the endpoints' own logs say about a run.
+type Truth struct {
+	// Starts counts the calls that got a slot.
+	Starts int `json:"starts"`
+	// ExtraAttempts counts the calls received beyond the first for the same
+	// place in the tree of calls of the same request.
+	ExtraAttempts int `json:"extraAttempts"`
+	// Requests counts the requests that reached an endpoint.
+	Requests int `json:"requests"`
+	// MaxExtraAttempts is the most extra attempts of one request.
+	MaxExtraAttempts int `json:"maxExtraAttempts"`
+	// EndpointMs is the time for which calls held slots, in milliseconds.
+	EndpointMs int64 `json:"endpointMs"`
+	// WastedShare is the share of that time spent on requests whose callers did
+	// not get the whole answer in time.
+	WastedShare float64 `json:"wastedShare"`
+	// WastedAfterEndShare is the share of that time spent on requests that had
+	// ended for their callers.
+	WastedAfterEndShare float64 `json:"wastedAfterEndShare"`
+	// DoubleRuns counts the calls that must not repeat and were started more
+	// than once.
+	DoubleRuns int `json:"doubleRuns"`
+	// WrongNotRun counts the requests that must not repeat, whose callers were
+	// told that they were not run, and that were started.
+	WrongNotRun int `json:"wrongNotRun"`
+	// Examples names a few requests behind the last two counts.
+	Examples []string `json:"examples,omitempty"`
+}
+
+const maxExamples = 10
+
+// place is one place in the tree of calls of a request.
+type place struct {
+	request, position, method, path string
+}
+
+// NewTruth compares the endpoints' logs with what callers were told.
+func NewTruth(records []truth.Record, all []outcome.Outcome) *Truth {
+	byRequest := make(map[string]*outcome.Outcome, len(all))
+	for i := range all {
+		byRequest[all[i].Request] = &all[i]
+	}
+	t := &Truth{}
+	t.countAttempts(records, byRequest)
+	t.countWaste(records, byRequest)
+	t.countDoubles(records, byRequest)
+	t.countWrongNotRun(records, all)
+	return t
+}
+
+func (t *Truth) countAttempts(records []truth.Record, known map[string]*outcome.Outcome) {
+	places := map[place]int{}
+	requests := map[string]int{} // extra attempts
+	for i := range records {
+		r := &records[i]
+		if known[r.Request] == nil {
+			continue
+		}
+		switch r.Kind {
+		case truth.Started:
+			t.Starts++
+		case truth.Received:
+			p := place{r.Request, r.Position, r.Method, r.Path}
+			places[p]++
+			if places[p] > 1 {
+				requests[r.Request]++
+				t.ExtraAttempts++
+			} else if _, seen := requests[r.Request]; !seen {
+				requests[r.Request] = 0
+			}
+		default:
+		}
+	}
+	t.Requests = len(requests)
+	for _, extra := range requests {
+		t.MaxExtraAttempts = max(t.MaxExtraAttempts, extra)
+	}
+}
+
+func (t *Truth) countWaste(records []truth.Record, known map[string]*outcome.Outcome) {
+	succeeded := func(request string) bool {
+		o := known[request]
+		return o != nil && o.Result == outcome.Whole
+	}
+	ended := func(request string) (int64, bool) {
+		o := known[request]
+		if o == nil {
+			return 0, false
+		}
+		return o.EndWallNs, true
+	}
+	waste := truth.Wasted(records, succeeded)
+	t.EndpointMs = int64(waste.Total / time.Millisecond)
+	t.WastedShare = waste.Share()
+	t.WastedAfterEndShare = truth.WastedAfterEnd(records, ended).Share()
+}
+
+func (t *Truth) countDoubles(records []truth.Record, known map[string]*outcome.Outcome) {
+	mustNotRepeat := func(k truth.RunKey) bool {
+		o := known[k.Request]
+		return o != nil && !o.Idempotent
+	}
+	for _, d := range truth.DoubleRuns(records, mustNotRepeat) {
+		t.DoubleRuns++
+		t.example("run twice: " + d.Request + " " + d.Method + " " + d.Path)
+	}
+}
+
+func (t *Truth) countWrongNotRun(records []truth.Record, all []outcome.Outcome) {
+	started := map[string]bool{} // requests whose root call was started
+	for i := range records {
+		if r := &records[i]; r.Kind == truth.Started && r.Position == "" {
+			started[r.Request] = true
+		}
+	}
+	for i := range all {
+		o := &all[i]
+		if !o.Idempotent && o.Ran == "no" && started[o.Request] {
+			t.WrongNotRun++
+			t.example("told not run, but run: " + o.Request)
+		}
+	}
+}
+
+func (t *Truth) example(text string) {
+	if len(t.Examples) < maxExamples {
+		t.Examples = append(t.Examples, text)
+	}
+}
+
+// WriteText writes the counts for people.
+func (t *Truth) WriteText(w io.Writer) error {
+	out := newTable(w)
+	out.row("requests that reached an endpoint", fmt.Sprint(t.Requests))
+	out.row("calls started", fmt.Sprint(t.Starts))
+	out.row("extra attempts", fmt.Sprint(t.ExtraAttempts))
+	out.row("most extra attempts of one request", fmt.Sprint(t.MaxExtraAttempts))
+	out.row("endpoint time, ms", fmt.Sprint(t.EndpointMs))
+	out.row("share of it without a whole answer", fmt.Sprintf("%.4f", t.WastedShare))
+	out.row("share of it after the request's end", fmt.Sprintf("%.4f", t.WastedAfterEndShare))
+	out.row("calls run twice that must not repeat", fmt.Sprint(t.DoubleRuns))
+	out.row("requests told not run that were run", fmt.Sprint(t.WrongNotRun))
+	for _, example := range t.Examples {
+		out.row(example)
+	}
+	return out.flush()
+}
--- /dev/null
+++ b/internal/load/runner/admin.go
@@ -0,0 +1,59 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/standin/endpoint"
+)
+
+// Admin changes the behaviour of endpoint stand-ins over their admin listeners.
+type Admin struct {
+	targets *Targets
+	client  *http.Client
+}
+
+// NewAdmin returns an Admin of the endpoints in targets.
+func NewAdmin(targets *Targets) *Admin {
+	return &Admin{targets: targets, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Slow multiplies the service time of all endpoints of a service.
+func (a *Admin) Slow(ctx context.Context, service string, factor float64) error {
+	s := a.targets.service(service)
+	if s == nil {
+		return errors.Errorf("no endpoints of service %q in the targets", service)
+	}
+	body, err := json.Marshal(endpoint.BehaviourChange{SlowFactor: &factor})
+	if err != nil {
+		return errors.Wrap(err, "encode behaviour")
+	}
+	for _, address := range s.Admins {
+		if err := a.put(ctx, address, body); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *Admin) put(ctx context.Context, address string, body []byte) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/admin/behaviour", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "admin address %s", address)
+	}
+	response, err := a.client.Do(r)
+	if err != nil {
+		return errors.Wrapf(err, "admin address %s", address)
+	}
+	defer func() { _ = response.Body.Close() }() // read to its end
+	text, _ := io.ReadAll(io.LimitReader(response.Body, detailBytes))
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("admin address %s: status %d: %s", address, response.StatusCode, text)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/runner/targets.go
@@ -0,0 +1,98 @@
+package runner
+
+import (
+	"github.com/go-playground/validator/v10"
+
+	"github.com/galenacart/galenacart/internal/strictjson"
+)
+
+// Mode says how calls travel.
+type Mode string
+
+// The modes.
+const (
+	// Galenacart sends all calls through nodes.
+	Galenacart Mode = "galenacart"
+	// Direct lets callers and endpoints call endpoints themselves.
+	Direct Mode = "direct"
+)
+
+// Targets says where the processes of a deployment are.
+type Targets struct {
+	// Mode says how calls travel.
+	Mode Mode `json:"mode" validate:"required,oneof=galenacart direct"`
+	// Services lists the endpoints.
+	Services []ServiceTargets `json:"services" validate:"required,min=1,dive"`
+}
+
+// ServiceTargets says where the endpoints of one service are.
+type ServiceTargets struct {
+	// Service names the service.
+	Service string `json:"service" validate:"required"`
+	// Endpoints lists the endpoints' addresses.
+	Endpoints []string `json:"endpoints" validate:"required,min=1"`
+	// Nodes lists the caller addresses of the nodes beside the endpoints.
+	Nodes []string `json:"nodes" validate:"required,min=1"`
+	// Admins lists the endpoints' admin addresses.
+	Admins []string `json:"admins" validate:"required,min=1"`
+}
+
+// Addresses returns where callers send the requests of a service.
+func (t *Targets) Addresses(service string) []string {
+	if t.Mode == Galenacart {
+		return t.Nodes()
+	}
+	if s := t.service(service); s != nil {
+		return s.Endpoints
+	}
+	return nil
+}
+
+// Nodes returns the caller addresses of all nodes.
+func (t *Targets) Nodes() []string {
+	var all []string
+	for i := range t.Services {
+		all = append(all, t.Services[i].Nodes...)
+	}
+	return all
+}
+
+func (t *Targets) service(name string) *ServiceTargets {
+	for i := range t.Services {
+		if t.Services[i].Service == name {
+			return &t.Services[i]
+		}
+	}
+	return nil
+}
+
+const maxTargetsBytes = 4 << 20
+
+// ReadTargets reads and checks the targets in a file.
+func ReadTargets(file string) (*Targets, error) {
+	data, err := strictjson.ReadFile(file, maxTargetsBytes)
+	if err != nil {
+		return nil, err
+	}
+	t := &Targets{}
+	if err := strictjson.Decode(file, data, t); err != nil {
+		return nil, err
+	}
+	if err := validator.New().Struct(t); err != nil {
+		return nil, &strictjson.Faults{File: file, List: []strictjson.Fault{{Reason: err.Error()}}}
+	}
+	return t, nil
+}
+
+// Apart returns the nodes of all services but one, and that one's endpoints.
+func (t *Targets) Apart(service string) (nodes, endpoints []string) {
+	for i := range t.Services {
+		s := &t.Services[i]
+		if s.Service == service {
+			endpoints = s.Endpoints
+			continue
+		}
+		nodes = append(nodes, s.Nodes...)
+	}
+	return nodes, endpoints
+}
