List every structural fault of a JSON document

Cause: a document with three mistakes told of one, names matched without regard to case, duplicate keys and null passed in silence.

Change: strictjson walks the stream of tokens beside the Go type and lists unknown fields, duplicate keys, wrong types, numbers that don't fit, null and too deep nesting with their JSON pointers, then the first fault of syntax with line and column. Each says what would be right.

--- /dev/null
+++ b/internal/strictjson/file.go
@@ -0,0 +1,32 @@
+package strictjson
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// ReadFile reads a file of at most limit bytes. A larger one is a *Faults.
+func ReadFile(file string, limit int64) ([]byte, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read document")
+	}
+	defer func() { _ = f.Close() }() // only read from
+	data, err := io.ReadAll(io.LimitReader(f, limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read document")
+	}
+	if int64(len(data)) > limit {
+		return nil, TooLarge(file, limit)
+	}
+	return data, nil
+}
+
+// TooLarge returns the fault of a document over its limit, in bytes.
+func TooLarge(file string, limit int64) error {
+	reason := fmt.Sprintf("the document is too large; want at most %d bytes", limit)
+	return &Faults{File: file, List: []Fault{{Reason: reason}}}
+}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -6,65 +6,61 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
-	"os"
-	"strings"
+	"reflect"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 )
 
-// Fault is one thing wrong with a document.
-type Fault struct {
-	// Pointer is the JSON pointer (RFC 6901) to the faulty value.
-	Pointer string
-	// Reason says what is wrong and what would be right.
-	Reason string
-}
-
-// Faults is every fault of one document. It is an error.
-type Faults struct {
-	// File names the document.
-	File string
-	// List holds at least one fault.
-	List []Fault
-}
-
-// Error returns one line for each fault: file, pointer, reason.
-func (f *Faults) Error() string {
-	lines := make([]string, 0, len(f.List))
-	for _, one := range f.List {
-		lines = append(lines, fmt.Sprintf("%s: %s: %s", f.File, one.Pointer, one.Reason))
-	}
-	return strings.Join(lines, "\n")
-}
-
 // Decode reads data into the struct that into points to. file is used in
-// errors only. Unknown fields are faults. The error is a *Faults.
+// errors only. Field names count letter for letter. The error is a *Faults that
+// lists unknown fields, duplicate keys, values of a wrong type, null, nesting
+// deeper than 32 levels, and the first fault of syntax.
 func Decode(file string, data []byte, into any) error {
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(into); err != nil {
-		return &Faults{File: file, List: []Fault{{Pointer: "", Reason: err.Error()}}}
+	faults := check(data, reflect.TypeOf(into).Elem())
+	if len(faults) > 0 {
+		return &Faults{File: file, List: faults}
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return &Faults{File: file, List: []Fault{{Pointer: "", Reason: "text after the document"}}}
+	if err := json.Unmarshal(data, into); err != nil {
+		return &Faults{File: file, List: []Fault{{Reason: err.Error()}}}
 	}
 	return nil
 }
 
-// ReadFile reads a file of at most limit bytes.
-func ReadFile(file string, limit int64) ([]byte, error) {
-	f, err := os.Open(file)
-	if err != nil {
-		return nil, errors.Wrapf(err, "open %s", file)
+func check(data []byte, t reflect.Type) []Fault {
+	if len(bytes.TrimSpace(data)) == 0 {
+		return []Fault{{Reason: "the document is empty; want a JSON " + kindName(t)}}
+	}
+	if !utf8.Valid(data) {
+		return []Fault{{Reason: "the text is not UTF-8"}}
 	}
-	defer func() { _ = f.Close() }() // only read from
-	data, err := io.ReadAll(io.LimitReader(f, limit+1))
-	if err != nil {
-		return nil, errors.Wrapf(err, "read %s", file)
+	w := newWalker(data)
+	whole := w.document(t)
+	faults := w.faults
+	var syntax *json.SyntaxError
+	err := json.Unmarshal(data, &json.RawMessage{})
+	if errors.As(err, &syntax) {
+		faults = append(faults, syntaxFault(data, syntax, whole))
 	}
-	if int64(len(data)) > limit {
-		return nil, errors.Errorf("%s: larger than %d bytes", file, limit)
+	return faults
+}
+
+// syntaxFault places a fault of syntax. whole says that a complete document
+// lies before it.
+func syntaxFault(data []byte, err *json.SyntaxError, whole bool) Fault {
+	line, column := position(data, err.Offset)
+	reason := err.Error()
+	if whole {
+		reason = "text after the end of the document"
 	}
-	return data, nil
+	return Fault{Reason: fmt.Sprintf("line %d, column %d: %s", line, column, reason)}
+}
+
+// position returns the line and column, from 1, of the byte before offset.
+func position(data []byte, offset int64) (line, column int) {
+	at := min(max(offset-1, 0), int64(len(data)))
+	before := data[:at]
+	line = bytes.Count(before, []byte("\n")) + 1
+	column = len(before) - bytes.LastIndexByte(before, '\n')
+	return line, column
 }
