Check catalogues and settings whole, and compare catalogues

Cause: a catalogue with circles in its graph, two routes for one path, zero slots or no owner came into force; settings with shared or unreachable addresses failed only when the node listened; faults of validation had no JSON pointer.

Diff lists typed changes.

--- /dev/null
+++ b/internal/catalogue/diff.go
@@ -0,0 +1,160 @@
+package catalogue
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// Operation says how two catalogues differ in one place.
+type Operation string
+
+// The operations.
+const (
+	// Added means that only the new catalogue has the entry.
+	Added Operation = "added"
+	// Removed means that only the old catalogue has the entry.
+	Removed Operation = "removed"
+	// Changed means that a field has another value.
+	Changed Operation = "changed"
+)
+
+// Change is one difference between two catalogues.
+type Change struct {
+	// Operation says how they differ.
+	Operation Operation
+	// Section is "class", "service", "route", "retry", "idempotency" or
+	// "keyHomes".
+	Section string
+	// Name is the entry's name. It is empty for sections without entries.
+	Name string
+	// Field is the path of a changed field, with dots. "rank" is the position of
+	// a class.
+	Field string
+	// Old is the value in the old catalogue, of a changed field.
+	Old string
+	// New is the value in the new catalogue, of a changed field.
+	New string
+}
+
+// String returns the change as one line.
+func (c Change) String() string {
+	place := c.Section
+	if c.Name != "" {
+		place += " " + c.Name
+	}
+	if c.Operation != Changed {
+		return string(c.Operation) + " " + place
+	}
+	return fmt.Sprintf("changed %s: %s: %s → %s", place, c.Field, c.Old, c.New)
+}
+
+// Diff lists the differences between two catalogues: classes, services and
+// routes by name, then the other sections.
+func Diff(before, after *Catalogue) []Change {
+	var all []Change
+	all = append(all, diffEntries("class", classEntries(before), classEntries(after))...)
+	all = append(all, diffEntries("service", serviceEntries(before), serviceEntries(after))...)
+	all = append(all, diffEntries("route", routeEntries(before), routeEntries(after))...)
+	all = append(all, diffFields("retry", "", fieldsOf(before.Retry), fieldsOf(after.Retry))...)
+	all = append(all, diffFields("idempotency", "", fieldsOf(before.Idempotency), fieldsOf(after.Idempotency))...)
+	homes := func(c *Catalogue) []field { return []field{{"list", fmt.Sprint(c.KeyHomes)}} }
+	all = append(all, diffFields("keyHomes", "", homes(before), homes(after))...)
+	return all
+}
+
+// field is one value with its path.
+type field struct {
+	path, value string
+}
+
+// entry is a named part of a catalogue.
+type entry struct {
+	name   string
+	fields []field
+}
+
+func classEntries(c *Catalogue) []entry {
+	list := make([]entry, 0, len(c.Classes))
+	for rank, class := range c.Classes {
+		fields := append(fieldsOf(class), field{"rank", strconv.Itoa(rank)})
+		list = append(list, entry{class.Name, fields})
+	}
+	return list
+}
+
+func serviceEntries(c *Catalogue) []entry {
+	list := make([]entry, 0, len(c.Services))
+	for _, s := range c.Services {
+		list = append(list, entry{s.Name, fieldsOf(s)})
+	}
+	return list
+}
+
+func routeEntries(c *Catalogue) []entry {
+	list := make([]entry, 0, len(c.Routes))
+	for _, r := range c.Routes {
+		list = append(list, entry{r.Name, fieldsOf(r)})
+	}
+	return list
+}
+
+// diffEntries compares entries by name: those of the new list in its order,
+// then those that it lacks.
+func diffEntries(section string, before, after []entry) []Change {
+	var changes []Change
+	old := make(map[string][]field, len(before))
+	for _, e := range before {
+		old[e.name] = e.fields
+	}
+	kept := make(map[string]bool, len(after))
+	for _, e := range after {
+		kept[e.name] = true
+		fields, known := old[e.name]
+		if !known {
+			changes = append(changes, Change{Operation: Added, Section: section, Name: e.name})
+			continue
+		}
+		changes = append(changes, diffFields(section, e.name, fields, e.fields)...)
+	}
+	for _, e := range before {
+		if !kept[e.name] {
+			changes = append(changes, Change{Operation: Removed, Section: section, Name: e.name})
+		}
+	}
+	return changes
+}
+
+// diffFields compares two values of the same type, field by field.
+func diffFields(section, name string, before, after []field) []Change {
+	var changes []Change
+	for i, f := range after {
+		if before[i].value == f.value {
+			continue
+		}
+		changes = append(changes, Change{
+			Operation: Changed, Section: section, Name: name,
+			Field: f.path, Old: before[i].value, New: f.value,
+		})
+	}
+	return changes
+}
+
+// fieldsOf lists the fields of a struct, those of nested structs with dots, in
+// the order of the type.
+func fieldsOf(value any) []field {
+	var list []field
+	v := reflect.ValueOf(value)
+	for i := range v.NumField() {
+		path, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		if v.Field(i).Kind() != reflect.Struct {
+			list = append(list, field{path, fmt.Sprint(v.Field(i).Interface())})
+			continue
+		}
+		for _, nested := range fieldsOf(v.Field(i).Interface()) {
+			list = append(list, field{path + "." + nested.path, nested.value})
+		}
+	}
+	return list
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,14 +3,12 @@
 package settings
 
 import (
-	"net/netip"
 	"time"
 
-	"github.com/go-playground/validator/v10"
-
 	"github.com/galenacart/galenacart/internal/strictjson"
 )
 
+// maxBytes bounds a settings document.
 const maxBytes = 64 << 10
 
 // Node is the settings document of one node.
@@ -34,7 +32,7 @@
 	EndpointAddress string `json:"endpointAddress" validate:"required"`
 	// StatusAddress is the IP address and port of status, metrics and events.
 	StatusAddress string `json:"statusAddress" validate:"required"`
-	// PlatformAddresses are the addresses of the platform's service.
+	// PlatformAddresses are the IP addresses and ports of the platform's service.
 	PlatformAddresses []string `json:"platformAddresses" validate:"required,min=1,max=16"`
 	// FleetKey is the secret that all nodes of the deployment share.
 	FleetKey string `json:"fleetKey" validate:"required,min=16,max=256"`
@@ -53,7 +51,8 @@
 	defaultConnectionSilence = time.Second
 )
 
-// Decode reads and checks settings. The error is a *strictjson.Faults.
+// Decode reads and checks settings. file is used in errors only. The error is a
+// *strictjson.Faults that lists every fault.
 func Decode(file string, data []byte) (*Node, error) {
 	n := &Node{}
 	if err := strictjson.Decode(file, data, n); err != nil {
@@ -74,26 +73,6 @@
 	return Decode(file, data)
 }
 
-func (n *Node) check() []strictjson.Fault {
-	var faults []strictjson.Fault
-	if err := validator.New().Struct(n); err != nil {
-		faults = append(faults, strictjson.Fault{Reason: err.Error()})
-	}
-	addresses := []struct{ field, value string }{
-		{"/callerAddress", n.CallerAddress},
-		{"/peerAddress", n.PeerAddress},
-		{"/outboundAddress", n.OutboundAddress},
-		{"/endpointAddress", n.EndpointAddress},
-		{"/statusAddress", n.StatusAddress},
-	}
-	for _, a := range addresses {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			faults = append(faults, strictjson.Fault{Pointer: a.field, Reason: "want IP:port, have " + a.value})
-		}
-	}
-	return faults
-}
-
 // StopTimeout bounds a planned stop.
 func (n *Node) StopTimeout() time.Duration {
 	if n.StopTimeoutMs == 0 {
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -29,7 +29,7 @@
 
 func check(data []byte, t reflect.Type) []Fault {
 	if len(bytes.TrimSpace(data)) == 0 {
-		return []Fault{{Reason: "the document is empty; want a JSON " + kindName(t)}}
+		return []Fault{{Reason: "the document is empty; want " + kindName(t)}}
 	}
 	if !utf8.Valid(data) {
 		return []Fault{{Reason: "the text is not UTF-8"}}
