--- a/internal/standin/endpoint/run.go
+++ b/internal/standin/endpoint/run.go
@@ -49,6 +49,9 @@
 	limited := newLimitListener(service, e.settings.Connections, e.noteLimit)
 	e.listener.Store(limited)
 	defer limited.closeSilenced()
+	e.truth.Add(truth.Record{Kind: truth.Up})
+	e.log.Emit(event.StandinStarted, "",
+		event.F("endpointAddress", e.settings.EndpointAddress), event.F("adminAddress", e.settings.AdminAddress))
 	failed := make(chan error, 2)
 	server := e.newServer()
 	go func() { failed <- server.Serve(limited) }()
@@ -56,9 +59,6 @@
 	if admin != nil {
 		go func() { failed <- adminServer.Serve(admin) }()
 	}
-	e.truth.Add(truth.Record{Kind: truth.Up})
-	e.log.Emit(event.StandinStarted, "",
-		event.F("endpointAddress", e.settings.EndpointAddress), event.F("adminAddress", e.settings.AdminAddress))
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
--- /dev/null
+++ b/internal/standin/endpoint/settings_test.go
@@ -0,0 +1,72 @@
+package endpoint
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/strictjson"
+)
+
+func validSettings() *Settings {
+	s := testSettings()
+	s.EndpointAddress = "127.0.0.1:1"
+	s.AdminAddress = "127.0.0.1:2"
+	return s
+}
+
+func TestDecodeRefusesBadSettings(t *testing.T) {
+	children := []Child{{Service: "stock", Method: "GET", Path: "/a"}}
+	tests := []struct {
+		desc   string
+		change func(*Settings)
+		reason string
+	}{
+		{"valid", func(*Settings) {}, ""},
+		{"no slots", func(s *Settings) { s.Slots = 0 }, "lots"},
+		{"negative queue", func(s *Settings) { s.QueueMax = -1 }, "ueueMax"},
+		{"no routes", func(s *Settings) { s.Routes = nil }, "outes"},
+		{"address is a name", func(s *Settings) { s.EndpointAddress = "localhost:1" }, "/endpointAddress: want IP:port"},
+		{"unknown distribution", func(s *Settings) { s.Routes[0].ServiceTime.Distribution = "uniform" }, "istribution"},
+		{"children without a way", func(s *Settings) { s.Routes[0].Children = children }, "/routes/0/children"},
+		{"node without an address", func(s *Settings) { s.Downstream.Way = WayNode }, "/downstream/outboundAddress"},
+		{"direct without endpoints", func(s *Settings) {
+			s.Routes[0].Children = children
+			s.Downstream.Way = WayDirect
+		}, "/routes/0/children/0/service"},
+		{"direct with a bad address", func(s *Settings) {
+			s.Downstream.Way = WayDirect
+			s.Downstream.Endpoints = []ServiceEndpoints{{Service: "stock", Addresses: []string{"x"}}}
+		}, "/downstream/endpoints/0/addresses/0"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			s := validSettings()
+			test.change(s)
+			text, err := json.Marshal(s)
+			require.NoError(t, err)
+			_, err = Decode("e.json", text)
+			if test.reason == "" {
+				require.NoError(t, err)
+				return
+			}
+			faults := &strictjson.Faults{}
+			require.ErrorAs(t, err, &faults)
+			require.ErrorContains(t, err, test.reason)
+		})
+	}
+}
+
+func TestDecodeFillsInDefaults(t *testing.T) {
+	s := validSettings()
+	s.Downstream.Way = WayDirect
+	text, err := json.Marshal(s)
+	require.NoError(t, err)
+	s, err = Decode("e.json", text)
+	require.NoError(t, err)
+	require.Equal(t, defaultConnections, s.Connections)
+	require.Equal(t, Constant, s.Routes[0].ServiceTime.Distribution)
+	require.Equal(t, defaultDirectTries, s.Downstream.Tries)
+	require.Equal(t, defaultDirectTryTimeoutMs, s.Downstream.TryTimeoutMs)
+}
