--- a/internal/call/meta.go
+++ b/internal/call/meta.go
@@ -29,12 +29,18 @@
 	HeaderTimeout = "Galenacart-Timeout-Ms"
 	// HeaderIdempotencyKey carries a token of a node or a caller's own key.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderSum is the trailer with the hash of a whole answer between nodes.
+	HeaderSum = "Galenacart-Sum"
+	// HeaderToken gives a caller a fresh idempotency token.
+	HeaderToken = "Galenacart-Token"
+	// HeaderCorrelation gives a caller the ID under which events are logged.
+	HeaderCorrelation = "Galenacart-Correlation"
 	// Prefix is common to every header that only nodes set or read.
 	Prefix = "Galenacart-"
 )
 
 // maxEncodedBytes bounds an encoded Meta or Reply.
-const maxEncodedBytes = 2048
+const maxEncodedBytes = 4096
 
 // ID identifies one call, or one attempt of it, over the whole fleet.
 type ID [16]byte
@@ -61,6 +67,20 @@
 	Clock uint64 `cbor:"9,keyasint"`
 	// Correlation is the ID under which events of the request are logged.
 	Correlation string `cbor:"10,keyasint"`
+	// Service names the service that the call is for.
+	Service string `cbor:"11,keyasint"`
+	// Token is the idempotency token of a call that goes to its home, or empty.
+	Token string `cbor:"12,keyasint,omitempty"`
+	// OwnKey is the caller's own idempotency key of a call that goes to its
+	// home, or empty.
+	OwnKey string `cbor:"13,keyasint,omitempty"`
+	// Resume asks for the outcome of an attempt whose answer was lost. It never
+	// starts the call. It holds the incarnation of the process that got the
+	// attempt; 0 stands for an ordinary call.
+	Resume uint64 `cbor:"14,keyasint,omitempty"`
+	// Fence asks the home named by Token to make sure that the request is never
+	// started any more, and to say whether it was.
+	Fence bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Reply describes an answer to the node that made the call.
@@ -77,8 +97,19 @@
 	Leaving bool `cbor:"5,keyasint"`
 	// Clock is the sender's logical time.
 	Clock uint64 `cbor:"6,keyasint"`
-	// Crashed says that the endpoint broke down while it ran the call.
-	Crashed bool `cbor:"7,keyasint"`
+	// Status is the HTTP status of the endpoint's answer. 0 means that the node
+	// answered in place of the endpoint; then Kind says why.
+	Status uint16 `cbor:"8,keyasint"`
+	// Kind is the stable name of the kind of a problem.
+	Kind string `cbor:"9,keyasint,omitempty"`
+	// Ran is the fate of a call that ended in a problem: "no", "yes", "unknown".
+	Ran string `cbor:"10,keyasint,omitempty"`
+	// Detail explains a problem.
+	Detail string `cbor:"11,keyasint,omitempty"`
+	// Incarnation is the run of the answering node's process.
+	Incarnation uint64 `cbor:"13,keyasint"`
+	// DeclaredLength is the Content-Length of an answer to HEAD.
+	DeclaredLength int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Remaining returns the time left for the answer.
