Name every fault of a stand-in's settings, and prove its exit codes

Cause: faults of settings were named by Go field and not by JSON pointer; a route "/a" of a stand-in also answered "/ab", which the catalogue's routes don't; a missing -settings flag gave an error without the fix; a test still asked for the old wording of an empty document.

Change: the stand-ins use the common check of struct tags; distribution and way, which are types of their own, are checked by hand; paths match at whole segments; the command line says what it wants; the common version command replaces its own. The test of an empty document asks for the new wording, as strictly.

Ruled out: tags "oneof" on types of their own make the common check panic.

--- a/cmd/galenacart-standin/commands.go
+++ b/cmd/galenacart-standin/commands.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/google/subcommands"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/galenacart/galenacart/internal/event"
@@ -34,10 +35,13 @@
 }
 
 // Execute runs the platform until ctx ends.
-func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *platformCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := checkUsage(f, c.settings); err != nil {
+		return badUsage(err)
+	}
 	s, err := platform.ReadFile(c.settings)
 	if err != nil {
-		return badSettings(err)
+		return badUsage(err)
 	}
 	if c.check {
 		return subcommands.ExitSuccess
@@ -66,10 +70,13 @@
 }
 
 // Execute runs the endpoint until ctx ends and it has drained.
-func (c *endpointCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *endpointCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := checkUsage(f, c.settings); err != nil {
+		return badUsage(err)
+	}
 	s, err := endpoint.ReadFile(c.settings)
 	if err != nil {
-		return badSettings(err)
+		return badUsage(err)
 	}
 	if c.check {
 		return subcommands.ExitSuccess
@@ -83,7 +90,18 @@
 	f.BoolVar(check, "check", false, "check the settings and end")
 }
 
-func badSettings(err error) subcommands.ExitStatus {
+// checkUsage returns an error unless there is a settings file and nothing else.
+func checkUsage(f *flag.FlagSet, settings string) error {
+	if settings == "" {
+		return errors.New("want -settings FILE")
+	}
+	if f.NArg() > 0 {
+		return errors.Errorf("want no argument beside the flags, have %q", f.Arg(0))
+	}
+	return nil
+}
+
+func badUsage(err error) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, "galenacart-standin:", err)
 	return subcommands.ExitUsageError
 }
--- a/cmd/galenacart-standin/main.go
+++ b/cmd/galenacart-standin/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	"github.com/galenacart/galenacart/internal/version"
 )
 
 func main() {
@@ -20,7 +22,7 @@
 	commander := subcommands.NewCommander(flag.CommandLine, "galenacart-standin")
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
-	commander.Register(versionCommand{}, "")
+	commander.Register(version.Command(), "")
 	commander.Register(&platformCommand{}, "stand-ins")
 	commander.Register(&endpointCommand{}, "stand-ins")
 	flag.Parse()
--- /dev/null
+++ b/cmd/galenacart-standin/main_test.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/standin/endpoint"
+	"github.com/galenacart/galenacart/internal/standin/platform"
+	"github.com/galenacart/galenacart/internal/standin/truth"
+)
+
+// runVariable makes the test binary act as the program.
+const runVariable = "GALENACART_STANDIN_TEST_RUN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runVariable) != "" {
+		os.Exit(run())
+	}
+	os.Exit(m.Run())
+}
+
+// command returns the program as a process that is yet to start.
+func command(t *testing.T, args ...string) (*exec.Cmd, *strings.Builder) {
+	t.Helper()
+	c := exec.CommandContext(t.Context(), os.Args[0], args...)
+	c.Env = append(os.Environ(), runVariable+"=1")
+	out := &strings.Builder{}
+	c.Stdout = out
+	c.Stderr = out
+	return c, out
+}
+
+// exitCode runs the program to its end.
+func exitCode(t *testing.T, args ...string) (int, string) {
+	t.Helper()
+	c, out := command(t, args...)
+	_ = c.Run() // the exit code tells
+	return c.ProcessState.ExitCode(), out.String()
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
+func writeSettings(t *testing.T, settings any) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.json")
+	text, err := json.Marshal(settings)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(file, text, 0o600))
+	return file
+}
+
+func endpointSettings(t *testing.T) *endpoint.Settings {
+	t.Helper()
+	return &endpoint.Settings{
+		VM: "vm-1", Service: "stock", Slots: 1,
+		EndpointAddress: freeAddress(t),
+		AdminAddress:    freeAddress(t),
+		TruthFile:       filepath.Join(t.TempDir(), "truth.jsonl"),
+		Routes:          []endpoint.Route{{Path: "/", ServiceTime: endpoint.ServiceTime{MeanMs: 1}}},
+	}
+}
+
+// startProcess starts the program and waits until a URL answers.
+func startProcess(t *testing.T, url string, args ...string) *exec.Cmd {
+	t.Helper()
+	c, out := command(t, args...)
+	require.NoError(t, c.Start())
+	require.Eventually(t, func() bool {
+		_, err := fetch(url, nil)
+		return err == nil
+	}, 20*time.Second, 10*time.Millisecond, out)
+	return c
+}
+
+func fetch(url string, header http.Header) (string, error) {
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return "", err
+	}
+	r.Header = header
+	r.Close = true
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }() // read to its end
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func TestBadUsage(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = taken.Close() })
+	busy := endpointSettings(t)
+	busy.EndpointAddress = taken.Addr().String()
+	noSlots := endpointSettings(t)
+	noSlots.Slots = 0
+	noKey := &platform.Settings{
+		Address: freeAddress(t), AdminAddress: freeAddress(t),
+		Keys: []platform.KeyFile{{Key: "catalogue", File: "none.json"}},
+	}
+	tests := []struct {
+		desc string
+		args []string
+		code int
+		out  string
+	}{
+		{"help", []string{"help"}, 0, "run one endpoint"},
+		{"version", []string{"version"}, 0, "."},
+		{"no such command", []string{"sideways"}, 2, "Usage"},
+		{"settings missing", []string{"endpoint"}, 2, "-settings"},
+		{"argument too many", []string{"endpoint", "-settings", "none.json", "x"}, 2, `"x"`},
+		{"settings file missing", []string{"platform", "-settings", "none.json"}, 2, "none.json"},
+		{"settings faulty", []string{"endpoint", "-settings", writeSettings(t, noSlots)}, 2, "/slots"},
+		{"settings checked", []string{"endpoint", "-check", "-settings", writeSettings(t, endpointSettings(t))}, 0, ""},
+		{"address in use", []string{"endpoint", "-settings", writeSettings(t, busy)}, 1, "endpointAddress " + busy.EndpointAddress},
+		{"key file missing", []string{"platform", "-settings", writeSettings(t, noKey)}, 1, "none.json"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			code, out := exitCode(t, test.args...)
+			require.Equal(t, test.code, code, out)
+			require.Contains(t, out, test.out)
+		})
+	}
+}
+
+func TestEndpointCrashesWithItsCodeAndKeepsItsLog(t *testing.T) {
+	s := endpointSettings(t)
+	url := "http://" + s.EndpointAddress
+	c := startProcess(t, url+endpoint.HealthPath, "endpoint", "-settings", writeSettings(t, s))
+	_, err := fetch(url+"/a", http.Header{endpoint.HeaderCrash: {"1"}})
+	require.Error(t, err)
+	_ = c.Wait() // the exit code tells
+	require.Equal(t, endpoint.CrashExitCode, c.ProcessState.ExitCode())
+	records, err := truth.ReadFiles(s.TruthFile)
+	require.NoError(t, err)
+	require.Equal(t, truth.Crashed, records[len(records)-1].Kind)
+}
+
+func TestEndpointDrainsAtTheSignal(t *testing.T) {
+	s := endpointSettings(t)
+	s.Routes[0].ServiceTime.MeanMs = 300
+	url := "http://" + s.EndpointAddress
+	c := startProcess(t, url+endpoint.HealthPath, "endpoint", "-settings", writeSettings(t, s))
+	done := make(chan error, 1)
+	go func() {
+		_, err := fetch(url+"/a", nil)
+		done <- err
+	}()
+	started := func() bool {
+		records, err := truth.ReadFiles(s.TruthFile)
+		return err == nil && records[len(records)-1].Kind == truth.Started
+	}
+	require.Eventually(t, started, 20*time.Second, time.Millisecond)
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, <-done)
+	require.NoError(t, c.Wait())
+	records, err := truth.ReadFiles(s.TruthFile)
+	require.NoError(t, err)
+	require.Equal(t, truth.Down, records[len(records)-1].Kind)
+	require.Equal(t, truth.Finished, records[len(records)-2].Kind)
+}
+
+func TestPlatformStopsAtTheSignal(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "catalogue.json")
+	require.NoError(t, os.WriteFile(file, []byte("{}"), 0o600))
+	s := &platform.Settings{
+		Address: freeAddress(t), AdminAddress: freeAddress(t),
+		Keys: []platform.KeyFile{{Key: "catalogue", File: file}},
+	}
+	url := "http://" + s.Address + "/v1/keys/catalogue"
+	c := startProcess(t, url, "platform", "-settings", writeSettings(t, s))
+	body, err := fetch(url, nil)
+	require.NoError(t, err)
+	require.Equal(t, "{}", body)
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, c.Wait())
+}
--- a/internal/standin/endpoint/decode.go
+++ b/internal/standin/endpoint/decode.go
@@ -2,10 +2,9 @@
 
 import (
 	"fmt"
-	"net/netip"
-
-	"github.com/go-playground/validator/v10"
+	"slices"
 
+	"github.com/galenacart/galenacart/internal/standin/address"
 	"github.com/galenacart/galenacart/internal/strictjson"
 )
 
@@ -46,13 +45,12 @@
 }
 
 func (s *Settings) check() []strictjson.Fault {
-	var faults []strictjson.Fault
-	if err := validator.New().Struct(s); err != nil {
-		faults = append(faults, strictjson.Fault{Reason: err.Error()})
-	}
-	faults = append(faults, checkAddress("/endpointAddress", s.EndpointAddress)...)
-	faults = append(faults, checkAddress("/adminAddress", s.AdminAddress)...)
+	faults := strictjson.Validate(s)
+	faults = append(faults, address.Check("/endpointAddress", s.EndpointAddress)...)
+	faults = append(faults, address.Check("/adminAddress", s.AdminAddress)...)
 	for i, r := range s.Routes {
+		pointer := fmt.Sprintf("/routes/%d/serviceTime/distribution", i)
+		faults = append(faults, checkOneOf(pointer, r.ServiceTime.Distribution, Constant, Exponential, Lognormal)...)
 		if len(r.Children) > 0 && s.Downstream.Way == "" {
 			faults = append(faults, strictjson.Fault{
 				Pointer: fmt.Sprintf("/routes/%d/children", i),
@@ -60,13 +58,22 @@
 			})
 		}
 	}
+	faults = append(faults, checkOneOf("/downstream/way", s.Downstream.Way, WayNode, WayDirect)...)
 	return append(faults, s.checkDownstream()...)
 }
 
+// checkOneOf returns a fault unless value is empty or among the known ones.
+func checkOneOf[T ~string](pointer string, value T, known ...T) []strictjson.Fault {
+	if value == "" || slices.Contains(known, value) {
+		return nil
+	}
+	return []strictjson.Fault{{Pointer: pointer, Reason: fmt.Sprintf("have %q; want one of %v", value, known)}}
+}
+
 func (s *Settings) checkDownstream() []strictjson.Fault {
 	switch s.Downstream.Way {
 	case WayNode:
-		return checkAddress("/downstream/outboundAddress", s.Downstream.OutboundAddress)
+		return s.checkNode()
 	case WayDirect:
 		return s.checkDirect()
 	default:
@@ -74,14 +81,22 @@
 	}
 }
 
+func (s *Settings) checkNode() []strictjson.Fault {
+	const pointer = "/downstream/outboundAddress"
+	if s.Downstream.OutboundAddress == "" {
+		return []strictjson.Fault{{Pointer: pointer, Reason: "the value is missing; the way node needs it"}}
+	}
+	return address.Check(pointer, s.Downstream.OutboundAddress)
+}
+
 func (s *Settings) checkDirect() []strictjson.Fault {
 	var faults []strictjson.Fault
 	known := map[string]bool{}
 	for i, e := range s.Downstream.Endpoints {
 		known[e.Service] = true
-		for j, address := range e.Addresses {
+		for j, value := range e.Addresses {
 			pointer := fmt.Sprintf("/downstream/endpoints/%d/addresses/%d", i, j)
-			faults = append(faults, checkAddress(pointer, address)...)
+			faults = append(faults, address.Check(pointer, value)...)
 		}
 	}
 	for i, r := range s.Routes {
@@ -97,13 +112,6 @@
 	return faults
 }
 
-func checkAddress(pointer, value string) []strictjson.Fault {
-	if _, err := netip.ParseAddrPort(value); err != nil {
-		return []strictjson.Fault{{Pointer: pointer, Reason: fmt.Sprintf("want IP:port, have %q", value)}}
-	}
-	return nil
-}
-
 func (s *Settings) fillDefaults() {
 	setDefault(&s.Seed, defaultSeed)
 	setDefault(&s.RetryAfterSeconds, defaultRetryAfterSeconds)
--- a/internal/standin/endpoint/incoming.go
+++ b/internal/standin/endpoint/incoming.go
@@ -84,7 +84,7 @@
 		if r.Method != "" && r.Method != method {
 			continue
 		}
-		if !strings.HasPrefix(path, r.Path) {
+		if !below(r.Path, path) {
 			continue
 		}
 		if best == nil || len(r.Path) > len(best.Path) {
@@ -94,6 +94,17 @@
 	return best
 }
 
+// below reports whether path lies at or below prefix.
+func below(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	if len(path) == len(prefix) || strings.HasSuffix(prefix, "/") {
+		return true
+	}
+	return path[len(prefix)] == '/'
+}
+
 // context returns the context in which the call runs.
 func (in *incoming) context(ctx context.Context, ignoreCancellation bool) (context.Context, context.CancelFunc) {
 	if ignoreCancellation {
--- a/internal/standin/endpoint/settings.go
+++ b/internal/standin/endpoint/settings.go
@@ -90,7 +90,7 @@
 // ServiceTime is the distribution of the time that the own work takes.
 type ServiceTime struct {
 	// Distribution is constant, exponential or lognormal. Default constant.
-	Distribution Distribution `json:"distribution,omitempty" validate:"omitempty,oneof=constant exponential lognormal"`
+	Distribution Distribution `json:"distribution,omitempty"`
 	// MeanMs is the mean, in milliseconds.
 	MeanMs float64 `json:"meanMs" validate:"gte=0,lte=600000"`
 	// Sigma is the standard deviation of the logarithm, for lognormal only.
@@ -150,7 +150,7 @@
 // Downstream says how child calls are made.
 type Downstream struct {
 	// Way is node or direct.
-	Way Way `json:"way,omitempty" validate:"omitempty,oneof=node direct"`
+	Way Way `json:"way,omitempty"`
 	// OutboundAddress is the local node's address for child calls, for node.
 	OutboundAddress string `json:"outboundAddress,omitempty"`
 	// Endpoints lists the endpoints of each service, for direct.
--- a/internal/standin/endpoint/settings_test.go
+++ b/internal/standin/endpoint/settings_test.go
@@ -24,11 +24,12 @@
 		reason string
 	}{
 		{"valid", func(*Settings) {}, ""},
-		{"no slots", func(s *Settings) { s.Slots = 0 }, "lots"},
-		{"negative queue", func(s *Settings) { s.QueueMax = -1 }, "ueueMax"},
-		{"no routes", func(s *Settings) { s.Routes = nil }, "outes"},
-		{"address is a name", func(s *Settings) { s.EndpointAddress = "localhost:1" }, "/endpointAddress: want IP:port"},
-		{"unknown distribution", func(s *Settings) { s.Routes[0].ServiceTime.Distribution = "uniform" }, "istribution"},
+		{"no slots", func(s *Settings) { s.Slots = 0 }, "/slots: the value is missing or zero; want at least 1"},
+		{"negative queue", func(s *Settings) { s.QueueMax = -1 }, "/queueMax: have -1"},
+		{"no routes", func(s *Settings) { s.Routes = nil }, "/routes: "},
+		{"address is a name", func(s *Settings) { s.EndpointAddress = "localhost:1" }, "/endpointAddress: have \"localhost:1\"; want an IP address"},
+		{"unknown distribution", func(s *Settings) { s.Routes[0].ServiceTime.Distribution = "uniform" }, "/routes/0/serviceTime/distribution: have \"uniform\""},
+		{"unknown way", func(s *Settings) { s.Downstream.Way = "pigeon" }, "/downstream/way: have \"pigeon\"; want one of [node direct]"},
 		{"children without a way", func(s *Settings) { s.Routes[0].Children = children }, "/routes/0/children"},
 		{"node without an address", func(s *Settings) { s.Downstream.Way = WayNode }, "/downstream/outboundAddress"},
 		{"direct without endpoints", func(s *Settings) {
--- a/internal/standin/platform/settings.go
+++ b/internal/standin/platform/settings.go
@@ -4,11 +4,9 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"time"
 
-	"github.com/go-playground/validator/v10"
-
+	"github.com/galenacart/galenacart/internal/standin/address"
 	"github.com/galenacart/galenacart/internal/strictjson"
 )
 
@@ -75,19 +73,9 @@
 }
 
 func (s *Settings) check() []strictjson.Fault {
-	var faults []strictjson.Fault
-	if err := validator.New().Struct(s); err != nil {
-		faults = append(faults, strictjson.Fault{Reason: err.Error()})
-	}
-	addresses := []struct{ pointer, value string }{
-		{"/address", s.Address},
-		{"/adminAddress", s.AdminAddress},
-	}
-	for _, a := range addresses {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			faults = append(faults, strictjson.Fault{Pointer: a.pointer, Reason: "want IP:port, have " + a.value})
-		}
-	}
+	faults := strictjson.Validate(s)
+	faults = append(faults, address.Check("/address", s.Address)...)
+	faults = append(faults, address.Check("/adminAddress", s.AdminAddress)...)
 	seen := map[string]bool{}
 	for i, k := range s.Keys {
 		if seen[k.Key] {
--- a/internal/standin/platform/settings_test.go
+++ b/internal/standin/platform/settings_test.go
@@ -12,11 +12,11 @@
 	tests := []struct {
 		desc, text, reason string
 	}{
-		{"empty", ``, "EOF"},
+		{"empty", ``, "the document is empty"},
 		{"unknown field", `{"speed":1}`, "speed"},
-		{"address missing", `{"adminAddress":"127.0.0.1:2"}`, "/address: want IP:port"},
+		{"address missing", `{"adminAddress":"127.0.0.1:2"}`, "/address: the value is missing"},
 		{"address is a name", `{"address":"localhost:1","adminAddress":"127.0.0.1:2"}`, "localhost:1"},
-		{"negative limit", `{"address":"127.0.0.1:1","adminAddress":"127.0.0.1:2","readsPerSecond":-1}`, "eadsPerSecond"},
+		{"negative limit", `{"address":"127.0.0.1:1","adminAddress":"127.0.0.1:2","readsPerSecond":-1}`, "/readsPerSecond: have -1; want at least 0"},
 		{"key twice", `{"address":"127.0.0.1:1","adminAddress":"127.0.0.1:2","keys":[{"key":"a","file":"x"},{"key":"a","file":"y"}]}`, "/keys/1/key"},
 	}
 	for _, test := range tests {
