Test answers of child calls that are not whole, and the end of silence

Cause: with the check of a child's answer taken out, and with a silent connection closed towards its peer, all tests still passed.

Change: tests for both.

--- a/internal/standin/endpoint/child_test.go
+++ b/internal/standin/endpoint/child_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	frontAddress = "127.0.0.1:1"
+	nodeAddress  = "127.0.0.1:1"
 	stockAddress = "127.0.0.1:2"
 )
 
@@ -170,32 +170,82 @@
 	})
 }
 
+// startWithNode serves an endpoint with one child call, whose node is answer.
+func startWithNode(t *testing.T, answer http.HandlerFunc) *bench {
+	node := newMemListener()
+	server := &http.Server{Handler: answer}
+	go func() { _ = server.Serve(node) }()
+	b := start(t, func(s *Settings) {
+		s.Routes[0].Children = []Child{{Service: "stock", Method: http.MethodPost, Path: "/reserve"}}
+		s.Downstream = Downstream{Way: WayNode, OutboundAddress: nodeAddress, Tries: 2}
+	}, Options{Dial: node.dial})
+	t.Cleanup(func() {
+		b.Endpoint.client.CloseIdleConnections()
+		require.NoError(t, server.Close())
+	})
+	return b
+}
+
 func TestNodeModeSendsTheParent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		seen := make(chan *http.Request, 10)
-		node := newMemListener()
-		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := startWithNode(t, func(w http.ResponseWriter, r *http.Request) {
 			seen <- r
 			if len(seen) == 1 {
 				http.Error(w, "overloaded", http.StatusServiceUnavailable)
 				return
 			}
 			writeJSON(w, http.StatusOK, answer.Answer{Request: r.Header.Get(HeaderRequest)})
-		})}
-		go func() { _ = server.Serve(node) }()
-		b := start(t, func(s *Settings) {
-			s.Routes[0].Children = []Child{{Service: "stock", Method: http.MethodPost, Path: "/reserve"}}
-			s.Downstream = Downstream{Way: WayNode, OutboundAddress: frontAddress, Tries: 2}
-		}, Options{Dial: node.dial})
+		})
 		b.wholeAnswer(b.post("/book", call.HeaderCall, "c1"))
 		require.Len(t, seen, 2)
 		for range 2 {
 			r := <-seen
 			require.Equal(t, "c1", r.Header.Get(call.HeaderParent))
 			require.Equal(t, "/reserve?call=0&request=r1", r.URL.RequestURI())
-			require.Equal(t, frontAddress, r.Host)
+			require.Equal(t, nodeAddress, r.Host)
 		}
-		b.Endpoint.client.CloseIdleConnections()
-		require.NoError(t, server.Close())
 	})
 }
+
+func TestChildAnswersThatAreNotWholeFail(t *testing.T) {
+	tests := []struct {
+		desc   string
+		answer http.HandlerFunc
+		reason string
+	}{
+		{
+			desc: "answer to another request",
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				writeJSON(w, http.StatusOK, answer.Answer{Request: "r2"})
+			},
+			reason: "answer to request",
+		},
+		{
+			desc: "truncated answer",
+			answer: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "100")
+				_, _ = w.Write([]byte("{"))
+			},
+			reason: "read answer",
+		},
+		{
+			desc:   "no JSON",
+			answer: func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) },
+			reason: "decode answer",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := startWithNode(t, test.answer)
+				o := b.post("/book")
+				require.Equal(t, http.StatusBadGateway, o.status)
+				f := answer.Failure{}
+				require.NoError(t, json.Unmarshal([]byte(o.body), &f))
+				require.Equal(t, "POST /reserve", f.Child)
+				require.Contains(t, f.Detail, test.reason)
+			})
+		})
+	}
+}
--- a/internal/standin/endpoint/conns_test.go
+++ b/internal/standin/endpoint/conns_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,11 @@
 		// The work ran to its end, and its answer never came.
 		require.Equal(t, whole, b.kinds("/in-use"))
 		require.ErrorIs(t, (<-inUse).err, context.DeadlineExceeded)
+
+		// The idle one stays open towards its peer beyond every timeout.
+		require.NoError(t, idle.SetReadDeadline(time.Now().Add(2*idleTimeout)))
+		_, err = idle.Read(make([]byte, 1))
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
 		require.NoError(t, idle.Close())
 	})
 }
