--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,8 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 1000x -benchmem ./decision/...
 
+demo: build
+	demo/run.sh
+
 clean:
 	rm -rf $(BIN) out
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -13,22 +13,26 @@
 readonly SETTINGS=examples/$DEPLOYMENT/deployment.json
 readonly STOP_SECONDS=10
 
-pids=()
-
-# stop_all ends the processes that this script started, by their process IDs.
+# stop_all ends the processes that this script started and that still run, by
+# their process IDs.
 stop_all() {
-	local pid waited=0
-	((${#pids[@]})) || return 0
-	kill -TERM "${pids[@]}" 2>/dev/null
-	for pid in "${pids[@]}"; do
-		while kill -0 "$pid" 2>/dev/null && ((waited < STOP_SECONDS * 10)); do
-			sleep 0.1
-			waited=$((waited + 1))
-		done
+	local running tenths=0
+	running=$(jobs -pr)
+	[[ -n $running ]] || return 0
+	# The list is split into its process IDs.
+	# shellcheck disable=SC2086
+	kill -TERM $running 2>/dev/null
+	while [[ -n $(jobs -pr) ]] && ((tenths < STOP_SECONDS * 10)); do
+		sleep 0.1
+		tenths=$((tenths + 1))
 	done
-	kill -KILL "${pids[@]}" 2>/dev/null
-	wait "${pids[@]}" 2>/dev/null
-	pids=()
+	running=$(jobs -pr)
+	if [[ -n $running ]]; then
+		echo "demo: killed after $STOP_SECONDS s: $running" >&2
+		# shellcheck disable=SC2086
+		kill -KILL $running 2>/dev/null
+	fi
+	wait
 }
 
 # start_all starts every process of a mode. Its events go to a file of its own.
@@ -39,19 +43,16 @@
 		# The words of a command hold no white space.
 		# shellcheck disable=SC2086
 		$BIN/$command 2>"$OUT/$mode/events/$name.jsonl" >/dev/null </dev/null &
-		pids+=($!)
 	done <"$OUT/settings/processes-$mode.txt"
 }
 
 # load plays the experiment. It runs in the background, so that a signal to
 # this script is handled at once.
 load() {
-	local mode=$1 pid
+	local mode=$1
 	$BIN/galenacart-load run -experiment "$EXPERIMENT" -catalogue "$CATALOGUE" -deployment "$SETTINGS" \
 		-targets "$OUT/settings/targets-$mode.json" -out "$OUT/$mode" >"$OUT/$mode/report.txt" &
-	pid=$!
-	pids+=("$pid")
-	wait "$pid"
+	wait $!
 }
 
 # check adds what the endpoints' own logs say to the report of a mode.
--- a/internal/load/chart/chart.go
+++ b/internal/load/chart/chart.go
@@ -111,7 +111,9 @@
 	var named []any // names and points in turn
 	for _, r := range reports {
 		for _, class := range r.Phases[0].Classes {
-			named = append(named, r.Label+": "+class.Class, pointsOf(r, class.Class, value))
+			if points := pointsOf(r, class.Class, value); len(points) > 0 {
+				named = append(named, r.Label+": "+class.Class, points)
+			}
 		}
 	}
 	return errors.Wrap(plotutil.AddLines(p, named...), "draw lines")
--- /dev/null
+++ b/internal/load/experiment/experiment_test.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/catalogue"
+)
+
+func dorvakt(t *testing.T) *catalogue.Catalogue {
+	t.Helper()
+	c, err := catalogue.ReadFile("../../../examples/dorvakt/catalogue.json")
+	require.NoError(t, err)
+	return c
+}
+
+func TestDemoExperimentIsValid(t *testing.T) {
+	e, err := ReadFile("../../../demo/overload.json", dorvakt(t))
+	require.NoError(t, err)
+	kinds := map[Kind]bool{}
+	for _, p := range e.Phases {
+		kinds[p.Kind] = true
+	}
+	require.True(t, kinds[Steady] && kinds[Overload] && kinds[Recovery])
+	require.Less(t, 2*e.Duration(), 80*time.Second, "the demo plays it twice in 90 s")
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	data, err := os.ReadFile("../../../demo/overload.json")
+	require.NoError(t, err)
+	good := string(data)
+	cases := []struct {
+		desc, old, changed, want string
+	}{
+		{"unknown field", `"seed"`, `"seeed"`, "seeed"},
+		{"unknown route", `"route": "spare-part"`, `"route": "spare"`, `/phases/0/rates/2/route: no route of callers in the catalogue: "spare"`},
+		{"internal route", `"route": "spare-part"`, `"route": "door-parts"`, "/phases/0/rates/2/route"},
+		{"unknown service", `"service": "stock"`, `"service": "stick"`, `/phases/2/slow/0/service: no such service: "stick"`},
+		{"unknown kind", `"kind": "steady"`, `"kind": "steadfast"`, "Kind"},
+		{"too long", `"durationMs": 3000`, `"durationMs": 1799000`, "/phases"},
+		{"no bound on requests", `"maxRequests": 50000`, `"maxRequests": 0`, "MaxRequests"},
+		{"negative rate", `"perSecond": 15`, `"perSecond": -1`, "PerSecond"},
+		{"no sends", `"maxSends": 10`, `"maxSends": 0`, "MaxSends"},
+		{"empty", good, "", "EOF"},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			require.Contains(t, good, c.old)
+			_, err := Decode("x.json", []byte(strings.Replace(good, c.old, c.changed, 1)), dorvakt(t))
+			require.ErrorContains(t, err, "x.json: ")
+			require.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+func TestResendsOfAPhase(t *testing.T) {
+	hard := Resends{MaxSends: 10, PauseMs: 50, SendTimeoutMs: 1000}
+	e := &Experiment{Resends: Resends{MaxSends: 1}, Phases: []Phase{{}, {Resends: &hard}}}
+	require.Equal(t, 1, e.ResendsOf(0).MaxSends)
+	require.Equal(t, 50*time.Millisecond, e.ResendsOf(1).Pause())
+	require.Equal(t, time.Second, e.ResendsOf(1).SendTimeout())
+}
--- /dev/null
+++ b/internal/load/outcome/outcome_test.go
@@ -0,0 +1,29 @@
+package outcome
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestOutcomesSurviveAFile(t *testing.T) {
+	c := &Collector{}
+	c.Add(Outcome{Request: "a", Result: Refused, Kind: "overloaded", Ran: "no", Sends: 2})
+	c.Add(Outcome{Request: "b", Result: Whole, Ran: "yes", Sends: 1, LatencyNs: 5})
+	file := filepath.Join(t.TempDir(), "answers.jsonl")
+	f, err := os.Create(file)
+	require.NoError(t, err)
+	require.NoError(t, Write(f, c.All()))
+	require.NoError(t, f.Close())
+	again, err := ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, c.All(), again)
+	require.Equal(t, "overloaded", again[0].Label())
+	require.Equal(t, "whole", again[1].Label())
+
+	require.NoError(t, os.WriteFile(file, []byte("{\"request\":\"a\"}\n{"), 0o600))
+	_, err = ReadFile(file)
+	require.ErrorContains(t, err, "outcome 2")
+}
--- a/internal/load/report/recovery.go
+++ b/internal/load/report/recovery.go
@@ -20,8 +20,8 @@
 // level is the share of arrivals that were answered whole and in time, so that
 // the chance in the number of arrivals plays no part.
 type Recovery struct {
-	// Measured says that the experiment has a steady phase, an overload and
-	// something after it.
+	// Measured says that the experiment has a steady phase with good requests,
+	// an overload and something after it.
 	Measured bool `json:"measured"`
 	// SteadyShare is the share of good requests in the steady phases.
 	SteadyShare float64 `json:"steadyShare"`
@@ -41,7 +41,6 @@
 	var r Recovery
 	var steadyGood, steadyOffered float64
 	var at, overloadEnd time.Duration
-	hasSteady := false
 	for p := range in.Experiment.Phases {
 		phase := &in.Experiment.Phases[p]
 		end := at + phase.Duration()
@@ -50,14 +49,13 @@
 			part, offered := goodShare(in.Outcomes, at, end)
 			steadyGood += part * float64(offered)
 			steadyOffered += float64(offered)
-			hasSteady = hasSteady || offered > 0
 		case experiment.Overload:
 			overloadEnd = end
 		default:
 		}
 		at = end
 	}
-	if !hasSteady || overloadEnd == 0 || overloadEnd+RecoveryWindow > at {
+	if steadyGood == 0 || overloadEnd == 0 || overloadEnd+RecoveryWindow > at {
 		return r
 	}
 	r.Measured = true
--- /dev/null
+++ b/internal/load/report/report_test.go
@@ -0,0 +1,174 @@
+package report
+
+import (
+	"bytes"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenacart/galenacart/internal/load/experiment"
+	"github.com/galenacart/galenacart/internal/load/outcome"
+)
+
+// threePhases lasts 2 s steady, 2 s overloaded and 5 s in recovery.
+func threePhases() *experiment.Experiment {
+	return &experiment.Experiment{Name: "test", Seed: 1, Phases: []experiment.Phase{
+		{Name: "before", Kind: experiment.Steady, DurationMs: 2000},
+		{Name: "during", Kind: experiment.Overload, DurationMs: 2000},
+		{Name: "after", Kind: experiment.Recovery, DurationMs: 5000},
+	}}
+}
+
+// evenly returns 100 outcomes a second over all phases. good tells which are.
+func evenly(good func(at time.Duration) bool) []outcome.Outcome {
+	var all []outcome.Outcome
+	for at := time.Duration(0); at < 9*time.Second; at += 10 * time.Millisecond {
+		o := outcome.Outcome{
+			Class: "booking", ArrivalNs: int64(at), LatencyNs: int64(20 * time.Millisecond),
+			Phase: min(int(at/(2*time.Second)), 2), Result: outcome.Whole, Ran: "yes", Sends: 1,
+		}
+		if !good(at) {
+			o.Result, o.Kind, o.Ran, o.Sends = outcome.Refused, "overloaded", "no", 3
+		}
+		all = append(all, o)
+	}
+	return all
+}
+
+func input(good func(at time.Duration) bool) Input {
+	return Input{Label: "x", Experiment: threePhases(), Classes: []string{"booking", "lookup"}, Outcomes: evenly(good)}
+}
+
+func TestRecovery(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	cases := []struct {
+		desc string
+		good func(at time.Duration) bool
+		want Recovery
+	}{
+		{
+			"at once", func(at time.Duration) bool { return at < ms(2000) || at >= ms(4000) },
+			Recovery{Measured: true, SteadyShare: 1, Recovered: true, Ms: 0, Windows: 40},
+		},
+		{
+			"after 1.5 s", func(at time.Duration) bool { return at < ms(2000) || at >= ms(5500) },
+			Recovery{Measured: true, SteadyShare: 1, Recovered: true, Ms: 1500, Windows: 25},
+		},
+		{
+			"one bad request in a hundred is still 0.99", func(at time.Duration) bool { return at < ms(2000) || at >= ms(4000) && at%ms(1000) != 0 },
+			Recovery{Measured: true, SteadyShare: 1, Recovered: true, Ms: 0, Windows: 40},
+		},
+		{
+			"two are not", func(at time.Duration) bool { return at < ms(2000) || at >= ms(4000) && at%ms(500) != 0 },
+			Recovery{Measured: true, SteadyShare: 1, Recovered: false, Ms: 4000},
+		},
+		{
+			"compared with a steady level below 1", func(at time.Duration) bool { return at%ms(20) == 0 },
+			Recovery{Measured: true, SteadyShare: 0.5, Recovered: true, Ms: 0, Windows: 40},
+		},
+		{
+			"a relapse", func(at time.Duration) bool {
+				return at < ms(2000) || at >= ms(4000) && (at < ms(7000) || at >= ms(7020))
+			},
+			Recovery{Measured: true, SteadyShare: 1, Recovered: true, Ms: 0, Windows: 40, Relapses: 10},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			require.Equal(t, c.want, New(input(c.good)).Recovery)
+		})
+	}
+}
+
+func TestRecoveryNeedsItsPhases(t *testing.T) {
+	for _, drop := range []int{0, 1, 2} {
+		in := input(func(time.Duration) bool { return true })
+		in.Experiment.Phases = append(in.Experiment.Phases[:drop:drop], in.Experiment.Phases[drop+1:]...)
+		require.False(t, New(in).Recovery.Measured, "without phase %d", drop)
+	}
+}
+
+func TestPhaseFigures(t *testing.T) {
+	in := input(func(at time.Duration) bool { return at < 2*time.Second || at%(40*time.Millisecond) == 0 })
+	in.Outcomes[0].LatencyNs = int64(2 * time.Second) // the slowest of the first phase
+	r := New(in)
+	before, during := r.Phases[0].Classes[0], r.Phases[1].Classes[0]
+	require.Equal(t, 200, before.Good)
+	require.InDelta(t, 100, before.GoodPerSecond, 1e-9)
+	require.InDelta(t, 20, before.P99Ms, 0.1)
+	require.InDelta(t, 2000, before.MaxMs, 2)
+	require.Equal(t, []Ending{{Label: "whole", Ran: "yes", Count: 200}}, before.Endings)
+	require.Equal(t, 50, during.Good)
+	require.InDelta(t, 0.25, during.GoodShare, 1e-9)
+	require.InDelta(t, 2.5, during.SendsPerRequest, 1e-9)
+	require.Equal(t, []Ending{{Label: "overloaded", Ran: "no", Count: 150}, {Label: "whole", Ran: "yes", Count: 50}}, during.Endings)
+	require.Equal(t, []int64{2000, 4000}, []int64{r.Phases[1].StartMs, r.Phases[1].EndMs})
+
+	lookups := r.Phases[0].Classes[1]
+	require.Zero(t, lookups.Offered)
+	require.InDelta(t, 1, lookups.GoodShare, 0, "nothing offered, nothing missed")
+}
+
+// TestSumsAgree compares phases and series with a count by hand.
+func TestSumsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		period := rapid.IntRange(1, 7).Draw(t, "period")
+		in := input(func(at time.Duration) bool { return int(at/(10*time.Millisecond))%period == 0 })
+		r := New(in)
+		offered, good := 0, 0
+		for _, p := range r.Phases {
+			for _, c := range p.Classes {
+				offered, good = offered+c.Offered, good+c.Good
+			}
+		}
+		for _, p := range r.Series {
+			offered, good = offered-p.Offered, good-p.Good
+		}
+		require.Zero(t, offered)
+		require.Zero(t, good)
+		require.Len(t, r.Series, 2*18)
+	})
+}
+
+func TestReportFileAndTable(t *testing.T) {
+	r := New(input(func(at time.Duration) bool { return at < 2*time.Second || at >= 4500*time.Millisecond }))
+	r.Truth = &Truth{Requests: 4, ExtraAttempts: 2, MaxExtraAttempts: 2, WastedShare: 0.125}
+	file := filepath.Join(t.TempDir(), "report.json")
+	require.NoError(t, r.WriteFile(file))
+	again, err := ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, r, again)
+
+	other := New(input(func(time.Duration) bool { return false }))
+	other.Label, other.Stopped = "y", true
+	var out bytes.Buffer
+	require.NoError(t, Compare(&out, []*Report{r, other}))
+	text := strings.Join(strings.Fields(out.String()), " ")
+	for _, want := range []string{
+		"before booking x 100.0 100.0 1.000 20.0 20.0 1.00 -",
+		"during booking y 100.0 0.0 0.000 0.0 0.0 3.00 overloaded/no 200",
+		"x 0.5 s 0 of 35 0.500 2 0.125",
+		"y (stopped early) - 0 of 0 -",
+	} {
+		require.Contains(t, text, want)
+	}
+}
+
+func TestComparable(t *testing.T) {
+	always := func(time.Duration) bool { return true }
+	a, b := New(input(always)), New(input(always))
+	require.NoError(t, Comparable([]*Report{a, b}))
+	require.Error(t, Comparable(nil))
+	b.Seed = 2
+	require.ErrorContains(t, Comparable([]*Report{a, b}), "seed 2")
+	b = New(input(always))
+	b.Phases = b.Phases[1:]
+	require.Error(t, Comparable([]*Report{a, b}))
+	b = New(input(always))
+	b.Phases[0].Classes = nil
+	require.ErrorContains(t, Comparable([]*Report{a, b}), "classes")
+}
--- /dev/null
+++ b/internal/load/report/truth_test.go
@@ -0,0 +1,86 @@
+package report
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/load/outcome"
+	"github.com/galenacart/galenacart/internal/standin/truth"
+)
+
+func rec(kind truth.Kind, request, position string) truth.Record {
+	return truth.Record{Kind: kind, Request: request, Position: position, Method: "POST", Path: "/p" + position}
+}
+
+func finished(request, position string, wall, run time.Duration) truth.Record {
+	r := rec(truth.Finished, request, position)
+	r.WallNs, r.RunMs = int64(wall), float64(run.Milliseconds())
+	return r
+}
+
+func told(request string, idempotent bool, result outcome.Result, ran string, end time.Duration) outcome.Outcome {
+	return outcome.Outcome{Request: request, Idempotent: idempotent, Result: result, Ran: ran, EndWallNs: int64(end)}
+}
+
+func TestTruth(t *testing.T) {
+	booking := func(ran string) []outcome.Outcome {
+		return []outcome.Outcome{told("b", false, outcome.Whole, ran, time.Second)}
+	}
+	cases := []struct {
+		desc    string
+		records []truth.Record
+		told    []outcome.Outcome
+		want    Truth
+	}{
+		{
+			"one clean run",
+			[]truth.Record{rec(truth.Received, "b", ""), rec(truth.Started, "b", "")},
+			booking("yes"),
+			Truth{Requests: 1, Starts: 1},
+		},
+		{"refused by one endpoint, run by another", []truth.Record{
+			rec(truth.Received, "b", ""), rec(truth.Refused, "b", ""), rec(truth.Received, "b", ""), rec(truth.Started, "b", ""),
+		}, booking("yes"), Truth{Requests: 1, Starts: 1, ExtraAttempts: 1, MaxExtraAttempts: 1}},
+		{"run twice", []truth.Record{
+			rec(truth.Received, "b", "0"), rec(truth.Started, "b", "0"), rec(truth.Received, "b", "0"), rec(truth.Started, "b", "0"),
+		}, booking("yes"), Truth{Requests: 1, Starts: 2, ExtraAttempts: 1, MaxExtraAttempts: 1, DoubleRuns: 1}},
+		{
+			"a lookup may run twice",
+			[]truth.Record{rec(truth.Started, "b", ""), rec(truth.Started, "b", "")},
+			[]outcome.Outcome{told("b", true, outcome.Whole, "no", 0)},
+			Truth{Starts: 2},
+		},
+		{"two places of one tree are not a repeat", []truth.Record{
+			rec(truth.Received, "b", "0"), rec(truth.Started, "b", "0"), rec(truth.Received, "b", "1"), rec(truth.Started, "b", "1"),
+		}, booking("yes"), Truth{Requests: 1, Starts: 2}},
+		{"told not run, but run", []truth.Record{rec(truth.Started, "b", "")}, booking("no"), Truth{Starts: 1, WrongNotRun: 1}},
+		{"told unknown, and run", []truth.Record{rec(truth.Started, "b", "")}, booking("unknown"), Truth{Starts: 1}},
+		{"told not run, and refused", []truth.Record{rec(truth.Received, "b", ""), rec(truth.Refused, "b", "")}, booking("no"), Truth{Requests: 1}},
+		{"a request of somebody else", []truth.Record{rec(truth.Received, "z", ""), rec(truth.Started, "z", "")}, booking("no"), Truth{}},
+		{
+			"wasted time",
+			[]truth.Record{
+				finished("b", "", time.Second, 300*time.Millisecond),
+				finished("l", "", 2*time.Second, 100*time.Millisecond),
+			},
+			append(booking("yes"), told("l", true, outcome.Late, "unknown", 1950*time.Millisecond)),
+			Truth{EndpointMs: 400, WastedShare: 0.25, WastedAfterEndShare: 0.125},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			got := NewTruth(c.records, c.told)
+			require.Len(t, got.Examples, c.want.DoubleRuns+c.want.WrongNotRun)
+			var out bytes.Buffer
+			require.NoError(t, got.WriteText(&out))
+			for _, example := range got.Examples {
+				require.Contains(t, out.String(), example)
+			}
+			got.Examples = nil
+			require.Equal(t, &c.want, got)
+		})
+	}
+}
--- a/internal/load/runner/runner.go
+++ b/internal/load/runner/runner.go
@@ -140,25 +140,33 @@
 }
 
 // runPhases sets the speeds of endpoints at the start of each phase, and their
-// own speed at the end.
+// own speed at the end, also of a run that stops early.
 func (r *Runner) runPhases(ctx context.Context) error {
-	speeds := speeds{slower: r.config.Slower}
+	s := &speeds{slower: r.config.Slower}
+	err := r.playPhases(ctx, s)
+	if restoreErr := s.set(context.WithoutCancel(ctx), nil); err == nil {
+		err = restoreErr
+	}
+	return err
+}
+
+func (r *Runner) playPhases(ctx context.Context, s *speeds) error {
 	var at time.Duration
 	for p := range r.config.Experiment.Phases {
 		phase := &r.config.Experiment.Phases[p]
 		if !waitUntil(ctx, r.start.Add(at)) {
-			break
+			return nil // Run tells that the run stopped early
 		}
 		if r.config.Progress != nil {
 			r.config.Progress(phase)
 		}
-		if err := speeds.set(ctx, phase.Slow); err != nil {
+		if err := s.set(ctx, phase.Slow); err != nil {
 			return err
 		}
 		at += phase.Duration()
 	}
 	waitUntil(ctx, r.start.Add(at))
-	return speeds.set(context.WithoutCancel(ctx), nil)
+	return nil
 }
 
 func (r *Runner) close() {
--- /dev/null
+++ b/internal/load/runner/runner_test.go
@@ -0,0 +1,208 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/load/deployment"
+	"github.com/galenacart/galenacart/internal/load/experiment"
+	"github.com/galenacart/galenacart/internal/load/outcome"
+	"github.com/galenacart/galenacart/internal/problem"
+	"github.com/galenacart/galenacart/internal/standin/answer"
+	"github.com/galenacart/galenacart/internal/standin/endpoint"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const routeTimeoutMs = 300
+
+// config returns a configuration in which the spare-part route has a short
+// time limit and is served at address.
+func config(t *testing.T, address string) Config {
+	t.Helper()
+	c, err := catalogue.ReadFile("../../../examples/dorvakt/catalogue.json")
+	require.NoError(t, err)
+	for i := range c.Routes {
+		c.Routes[i].Limits.TimeoutMs = routeTimeoutMs
+	}
+	d, err := deployment.ReadFile("../../../examples/dorvakt/deployment.json")
+	require.NoError(t, err)
+	return Config{
+		Catalogue: c, Deployment: d,
+		Targets: &Targets{Mode: Direct, Services: []ServiceTargets{
+			{Service: "stock", Endpoints: []string{address}, Nodes: []string{address}, Admins: []string{address}},
+		}},
+		Experiment: &experiment.Experiment{
+			Name: "test", Seed: 1, MaxRequests: 1000,
+			Resends: experiment.Resends{MaxSends: 1},
+			Phases: []experiment.Phase{
+				{Name: "steady", Kind: experiment.Steady, DurationMs: 200, Rates: []experiment.Rate{{Route: "spare-part", PerSecond: 200}}},
+				{
+					Name: "slow", Kind: experiment.Overload, DurationMs: 200, Rates: []experiment.Rate{{Route: "spare-part", PerSecond: 200}},
+					Slow: []experiment.Slow{{Service: "stock", Factor: 5}},
+				},
+			},
+		},
+	}
+}
+
+// endings is what the fake endpoint does with the requests, in turn.
+var endings = []outcome.Result{outcome.Whole, outcome.Refused, outcome.Failed, outcome.NotWhole, outcome.Lost, outcome.Late}
+
+// serve ends each request as its number says.
+func serve(w http.ResponseWriter, r *http.Request) {
+	number, _ := strconv.Atoi(r.URL.Query().Get("number"))
+	a := answer.Answer{Request: r.Header.Get(headerRequest), Service: "stock", Method: r.Method, Path: r.URL.Path}
+	switch endings[number%len(endings)] {
+	case outcome.Refused:
+		problem.Write(w, problem.New(problem.KindOverloaded, problem.RanNo, "full"), "")
+		return
+	case outcome.Failed:
+		http.Error(w, "broken", http.StatusInternalServerError)
+		return
+	case outcome.NotWhole:
+		a.Request = "another"
+	case outcome.Lost:
+		panic(http.ErrAbortHandler)
+	case outcome.Late:
+		<-r.Context().Done()
+		return
+	default:
+	}
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+// speedLog records changes of speed.
+type speedLog struct {
+	mu      sync.Mutex
+	changes []experiment.Slow
+}
+
+func (s *speedLog) Slow(_ context.Context, service string, factor float64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes = append(s.changes, experiment.Slow{Service: service, Factor: factor})
+	return nil
+}
+
+func TestRunRecordsHowEachRequestEnds(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(serve))
+	defer server.Close()
+	c := config(t, server.Listener.Addr().String())
+	speeds := &speedLog{}
+	c.Slower = speeds
+	var phases []string
+	c.Progress = func(p *experiment.Phase) { phases = append(phases, p.Name) }
+	r, err := New(c)
+	require.NoError(t, err)
+	all, err := r.Run(t.Context())
+	require.NoError(t, err)
+	require.Greater(t, len(all), 2*len(endings))
+	ids := map[string]bool{}
+	for _, o := range all {
+		number, err := strconv.Atoi(o.Request[strings.LastIndex(o.Request, "-")+1:])
+		require.NoError(t, err)
+		require.Equal(t, endings[number%len(endings)], o.Result, "%+v", o)
+		require.Equal(t, o.Result == outcome.Refused, o.Ran == "no")
+		require.Equal(t, o.Arrival() >= 200*time.Millisecond, o.Phase == 1)
+		require.Equal(t, 1, o.Sends)
+		require.Equal(t, "lookup", o.Class)
+		ids[o.Request] = true
+	}
+	require.Len(t, ids, len(all), "each request has an ID of its own")
+	require.Equal(t, []string{"steady", "slow"}, phases)
+	require.Equal(t, []experiment.Slow{{Service: "stock", Factor: 5}, {Service: "stock", Factor: 1}}, speeds.changes)
+}
+
+func TestRunStopsWithItsContext(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(serve))
+	defer server.Close()
+	c := config(t, server.Listener.Addr().String())
+	speeds := &speedLog{}
+	c.Slower = speeds
+	c.Experiment.Phases[1].DurationMs = 60_000
+	c.Experiment.MaxRequests = 100_000
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c.Progress = func(p *experiment.Phase) {
+		if p.Name == "slow" {
+			cancel()
+		}
+	}
+	r, err := New(c)
+	require.NoError(t, err)
+	all, err := r.Run(ctx)
+	require.ErrorIs(t, err, context.Canceled)
+	require.NotEmpty(t, all)
+	for _, change := range speeds.changes {
+		require.Equal(t, "stock", change.Service)
+	}
+	if n := len(speeds.changes); n > 0 {
+		require.InDelta(t, 1, speeds.changes[n-1].Factor, 0, "endpoints get their own speed back")
+	}
+}
+
+func TestNewRefuses(t *testing.T) {
+	c := config(t, "127.0.0.1:1")
+	_, err := New(c)
+	require.ErrorContains(t, err, `phase "slow"`, "nothing can slow endpoints down")
+	c = config(t, "127.0.0.1:1")
+	c.Slower = &speedLog{}
+	c.Targets.Services = nil
+	_, err = New(c)
+	require.ErrorContains(t, err, "service stock")
+}
+
+func TestAdminSlowsEveryEndpoint(t *testing.T) {
+	var got []endpoint.BehaviourChange
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var change endpoint.BehaviourChange
+		if r.URL.Path != "/admin/behaviour" || json.NewDecoder(r.Body).Decode(&change) != nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		got = append(got, change)
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	a := NewAdmin(&Targets{Services: []ServiceTargets{{Service: "stock", Admins: []string{address, address}}}})
+	require.NoError(t, a.Slow(t.Context(), "stock", 5))
+	require.Len(t, got, 2)
+	require.InDelta(t, 5, *got[1].SlowFactor, 0)
+	require.ErrorContains(t, a.Slow(t.Context(), "dispatch", 5), "dispatch")
+}
+
+func TestWaitReady(t *testing.T) {
+	var mu sync.Mutex
+	asked := 0
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if asked++; asked < 3 {
+			problem.Write(w, problem.New(problem.KindNotReady, problem.RanNo, ""), "")
+		}
+	}))
+	defer node.Close()
+	address := node.Listener.Addr().String()
+	targets := &Targets{Mode: Galenacart, Services: []ServiceTargets{{Service: "s", Endpoints: []string{address}, Nodes: []string{address}}}}
+	require.NoError(t, WaitReady(t.Context(), targets))
+	require.Equal(t, 3, asked)
+
+	targets.Services[0].Endpoints = []string{"127.0.0.1:1"}
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	require.ErrorContains(t, WaitReady(ctx, targets), "127.0.0.1:1 is not ready")
+}
--- a/internal/load/runner/speeds.go
+++ b/internal/load/runner/speeds.go
@@ -33,12 +33,12 @@
 			return errors.Wrapf(err, "give service %s its own speed back", old.Service)
 		}
 	}
+	s.slow = slow // also when a change below fails: it may have been made in part
 	for _, one := range slow {
 		if err := s.slower.Slow(ctx, one.Service, one.Factor); err != nil {
 			return errors.Wrapf(err, "slow service %s down", one.Service)
 		}
 	}
-	s.slow = slow
 	return nil
 }
 
