Merge event logs into one causally ordered time line

Cause: events of many processes could be read only log by log, and wall clocks of VMs differ.

Conclusion: a property test holds that no effect stands before its cause under skewed wall clocks.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -8,6 +8,17 @@
 // Number identifies a kind of event for ever. Numbers are never reused.
 type Number int
 
+// firstUnlinked is the first number of processes that carry no logical time on
+// their messages.
+const firstUnlinked Number = 4000
+
+// Linked reports whether processes that emit events of this number carry
+// logical time on their messages to each other. Only between such processes
+// does logical time tell what came first.
+func (n Number) Linked() bool {
+	return n < firstUnlinked
+}
+
 // Definition describes one kind of event for the catalogue in docs/EVENTS.md.
 type Definition struct {
 	// Number is the stable number.
--- /dev/null
+++ b/internal/inspect/addresses.go
@@ -0,0 +1,67 @@
+package inspect
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/strictjson"
+	"github.com/galenacart/galenacart/internal/vmlist"
+)
+
+// maxListBytes bounds a file of addresses and a VM list.
+const maxListBytes = 4 << 20
+
+// ReadAddresses reads a file of status addresses, one a line. Empty lines and
+// lines that start with # are left out.
+func ReadAddresses(file string) ([]string, error) {
+	data, err := strictjson.ReadFile(file, maxListBytes)
+	if err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for number, line := range strings.Split(string(data), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		if err := CheckAddress(line); err != nil {
+			return nil, errors.Wrapf(err, "%s: line %d", file, number+1)
+		}
+		addresses = append(addresses, line)
+	}
+	return addresses, nil
+}
+
+// ReadVMs reads a VM list and returns the status address of each VM: the IP
+// address of its node with the given port.
+func ReadVMs(file string, port uint16) ([]string, error) {
+	data, err := strictjson.ReadFile(file, maxListBytes)
+	if err != nil {
+		return nil, err
+	}
+	list, err := vmlist.Decode(data)
+	if err != nil {
+		return nil, errors.Wrap(err, file)
+	}
+	addresses := make([]string, 0, len(list.VMs))
+	for _, vm := range list.VMs {
+		peer, err := netip.ParseAddrPort(vm.PeerAddress)
+		if err != nil {
+			return nil, errors.Wrapf(err, "%s: VM %s", file, vm.Name)
+		}
+		addresses = append(addresses, netip.AddrPortFrom(peer.Addr(), port).String())
+	}
+	return addresses, nil
+}
+
+// CheckAddress refuses what is no IP address with a port.
+func CheckAddress(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a.Port() == 0 {
+		return errors.Errorf("have %s; want an IP address and a port from 1, such as 10.0.0.1:7004", strconv.Quote(address))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/inspect/why.go
@@ -0,0 +1,69 @@
+package inspect
+
+import (
+	"io"
+	"slices"
+
+	"github.com/galenacart/galenacart/internal/status"
+	"github.com/galenacart/galenacart/internal/timeline"
+)
+
+// Refusal is a refusal with the node that made it.
+type Refusal struct {
+	status.Refusal
+	// VM is the VM of the node.
+	VM string
+}
+
+// Story is what the nodes still know of one request.
+type Story struct {
+	// Refusals holds its refusals, by wall time.
+	Refusals []Refusal
+	// Events holds its events, causes before effects.
+	Events []timeline.Event
+}
+
+// StoryOf collects what the answers hold about a request.
+func StoryOf(correlation string, answers []Answer) *Story {
+	s := &Story{}
+	var logs []*timeline.Log
+	for _, a := range answers {
+		if a.Node == nil {
+			continue
+		}
+		for _, r := range a.Node.Refusals {
+			if r.Correlation == correlation {
+				s.Refusals = append(s.Refusals, Refusal{Refusal: r, VM: a.Node.VM})
+			}
+		}
+		if a.Events != nil {
+			logs = append(logs, a.Events)
+		}
+	}
+	slices.SortStableFunc(s.Refusals, func(a, b Refusal) int { return a.Time.Compare(b.Time) })
+	s.Events = timeline.Filter(timeline.Merge(logs...), correlation)
+	return s
+}
+
+// Empty reports whether no node knows of the request any more.
+func (s *Story) Empty() bool {
+	return len(s.Refusals) == 0 && len(s.Events) == 0
+}
+
+// storyTime shows the wall time of a refusal.
+const storyTime = "2006-01-02 15:04:05.000"
+
+// Write writes the refusals, then the events.
+func (s *Story) Write(w io.Writer) error {
+	out := newTable(w, "TIME", "REFUSED BY", "KIND", "REASON")
+	for _, r := range s.Refusals {
+		out.row(r.Time.UTC().Format(storyTime), r.VM, r.Kind, r.Detail)
+	}
+	if err := out.flush(); err != nil || len(s.Events) == 0 {
+		return err
+	}
+	if _, err := io.WriteString(w, "\n"); err != nil {
+		return err
+	}
+	return timeline.WriteText(w, s.Events)
+}
--- /dev/null
+++ b/internal/timeline/html.go
@@ -0,0 +1,90 @@
+package timeline
+
+import (
+	_ "embed" // for the page's template
+	"html/template"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+//go:embed page.html.tmpl
+var pageText string
+
+// page is the template of the page. It loads nothing from anywhere.
+var page = template.Must(template.New("page").Parse(pageText))
+
+// laneWidth is the width of one process in the page, in pixels.
+const laneWidth = 18
+
+// pageData is what the page shows.
+type pageData struct {
+	Lanes  []lane
+	Rows   []row
+	Width  int
+	Left   int // events that are left out
+	Filter string
+}
+
+type lane struct {
+	Name   string
+	Number int
+	X      int
+}
+
+type row struct {
+	Clock       uint64
+	Time        string
+	X           int
+	Lane        lane
+	Number      int
+	Name        string
+	Level       string
+	Correlation string
+	Details     string
+}
+
+// HTMLOptions bound and preset the page.
+type HTMLOptions struct {
+	// MaxEvents bounds the events on the page; the newest are kept. 0 keeps all.
+	MaxEvents int
+	// Correlation is the request that the page shows at first, or empty for all.
+	Correlation string
+}
+
+// WriteHTML writes the events as one page that needs nothing beside it: a lane
+// for each process, one row for each event, and a filter by request, process and
+// text.
+func WriteHTML(w io.Writer, events []Event, o HTMLOptions) error {
+	data := pageData{Filter: o.Correlation}
+	if o.MaxEvents > 0 && len(events) > o.MaxEvents {
+		data.Left = len(events) - o.MaxEvents
+		events = events[data.Left:]
+	}
+	byName := make(map[string]lane)
+	for i, name := range Lanes(events) {
+		l := lane{Name: name, Number: i + 1, X: i*laneWidth + laneWidth/2}
+		byName[name] = l
+		data.Lanes = append(data.Lanes, l)
+	}
+	data.Width = max(len(data.Lanes), 1) * laneWidth
+	for i := range events {
+		data.Rows = append(data.Rows, rowOf(&events[i], byName))
+	}
+	return errors.Wrap(page.Execute(w, data), "write page")
+}
+
+func rowOf(e *Event, lanes map[string]lane) row {
+	l := lanes[e.Lane()]
+	return row{
+		Clock:       e.Clock,
+		Time:        e.Time.UTC().Format(textTime),
+		X:           l.X,
+		Lane:        l,
+		Number:      int(e.Number),
+		Name:        e.Name,
+		Level:       e.Level,
+		Correlation: e.Correlation,
+		Details:     e.Details(),
+	}
+}
--- /dev/null
+++ b/internal/timeline/parse.go
@@ -0,0 +1,174 @@
+// Package timeline merges the event logs of many processes into one order in
+// which causes come before their effects, although wall clocks differ.
+package timeline
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/event"
+)
+
+// Event is one line of a log.
+type Event struct {
+	// Clock is the logical time.
+	Clock uint64
+	// Time is the wall time of the process.
+	Time time.Time
+	// Process is the program.
+	Process string
+	// VM is the VM of the program.
+	VM string
+	// Number is the kind of event.
+	Number event.Number
+	// Name is the stable name of the number.
+	Name string
+	// Level is the level, such as "info".
+	Level string
+	// Correlation is the ID of the request, or empty.
+	Correlation string
+	// Fields holds the remaining values, ordered by key.
+	Fields []Field
+}
+
+// Field is one value of an event.
+type Field struct {
+	// Key is the field's name.
+	Key string
+	// Value is the value as text.
+	Value string
+}
+
+// Lane names the process of an event.
+func (e *Event) Lane() string {
+	return e.VM + " " + e.Process
+}
+
+// Details returns the fields as one line.
+func (e *Event) Details() string {
+	var b strings.Builder
+	for i, f := range e.Fields {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(f.Key)
+		b.WriteByte('=')
+		b.WriteString(f.Value)
+	}
+	return b.String()
+}
+
+// Log is what was read from one source.
+type Log struct {
+	// Events holds the events in the order of the lines.
+	Events []Event
+	// Skipped counts lines that are no events, such as the trace of a panic.
+	Skipped int
+}
+
+// maxLineBytes bounds one line of a log. Longer lines are skipped.
+const maxLineBytes = 1 << 20
+
+// Parse reads a log of JSON lines.
+func Parse(r io.Reader) (*Log, error) {
+	l := &Log{}
+	in := bufio.NewReaderSize(r, maxLineBytes)
+	long := false // the line so far is over the limit
+	for {
+		line, err := in.ReadSlice('\n')
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			long = true
+			continue
+		case long:
+			l.Skipped++
+			long = false
+		default:
+			l.add(line)
+		}
+		if errors.Is(err, io.EOF) {
+			return l, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read log")
+		}
+	}
+}
+
+// ReadFile reads a log from a file.
+func ReadFile(file string) (*Log, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read log")
+	}
+	defer func() { _ = f.Close() }() // only read from
+	return Parse(f)
+}
+
+func (l *Log) add(line []byte) {
+	if len(bytes.TrimSpace(line)) == 0 {
+		return
+	}
+	e, ok := parseLine(line)
+	if !ok {
+		l.Skipped++
+		return
+	}
+	l.Events = append(l.Events, e)
+}
+
+// common holds the keys that every event has.
+type common struct {
+	Clock       uint64       `json:"clock"`
+	Time        time.Time    `json:"time"`
+	Process     string       `json:"process"`
+	VM          string       `json:"vm"`
+	Number      event.Number `json:"event"`
+	Name        string       `json:"name"`
+	Level       string       `json:"level"`
+	Correlation string       `json:"correlation"`
+}
+
+func parseLine(line []byte) (Event, bool) {
+	var c common
+	var all map[string]json.RawMessage
+	if json.Unmarshal(line, &c) != nil || json.Unmarshal(line, &all) != nil || c.Number == 0 {
+		return Event{}, false
+	}
+	for _, key := range commonKeys() {
+		delete(all, key)
+	}
+	e := Event{
+		Clock: c.Clock, Time: c.Time, Process: c.Process, VM: c.VM,
+		Number: c.Number, Name: c.Name, Level: c.Level, Correlation: c.Correlation,
+	}
+	for key, value := range all {
+		e.Fields = append(e.Fields, Field{Key: key, Value: plain(value)})
+	}
+	sort.Slice(e.Fields, func(i, j int) bool { return e.Fields[i].Key < e.Fields[j].Key })
+	return e, true
+}
+
+func commonKeys() []string {
+	return []string{
+		event.KeyClock, event.KeyTime, event.KeyProcess, event.KeyVM,
+		event.KeyEvent, event.KeyName, event.KeyLevel, event.KeyCorrelation,
+	}
+}
+
+// plain returns a JSON value as a person writes it.
+func plain(value json.RawMessage) string {
+	var text string
+	if json.Unmarshal(value, &text) == nil {
+		return text
+	}
+	return string(value)
+}
