Add galenacart-ctl, the operators' read-only command

Cause: an operator had no way to check a document before publishing it, to see how far a revision got, or to ask why a call was refused.

It sends GET only.

--- /dev/null
+++ b/cmd/galenacart-ctl/status.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/galenacart/galenacart/internal/inspect"
+)
+
+// statusCommand shows the state of nodes.
+type statusCommand struct {
+	terminal
+	targets
+	revision uint64
+	json     bool
+}
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "show the state of one or all nodes" }
+func (*statusCommand) Usage() string {
+	return `galenacart-ctl status [-nodes FILE] [-vms FILE -port N] [-revision N | -json] [ADDRESS...]
+Shows one row for each node. ADDRESS is a node's status address.
+With -revision: on how many nodes of each availability zone that revision of the
+catalogue is in force, and what holds it back on the others.
+Exit codes: 0 every node answered (and has the revision or a newer one), 1 not so,
+2 bad usage.
+`
+}
+
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.Uint64Var(&c.revision, "revision", 0, "`revision` of the catalogue to look for")
+	f.BoolVar(&c.json, "json", false, "print the whole state of each node as JSON")
+}
+
+// Execute asks the nodes and prints one table.
+func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	addresses, err := c.addresses(f.Args())
+	if err != nil {
+		return c.misuse("status: %v", err)
+	}
+	client := inspect.NewClient(c.timeout)
+	defer client.Close()
+	answers := client.Status(ctx, addresses)
+	switch {
+	case c.json:
+		return c.printJSON(answers)
+	case c.revision > 0:
+		return c.printSpread(answers)
+	}
+	if err := inspect.WriteFleet(c.out, answers); err != nil {
+		return c.fail(err)
+	}
+	return verdict(inspect.Failed(answers) == 0)
+}
+
+func (c *statusCommand) printSpread(answers []inspect.Answer) subcommands.ExitStatus {
+	spread := inspect.SpreadOf(c.revision, answers)
+	if err := spread.Write(c.out); err != nil {
+		return c.fail(err)
+	}
+	return verdict(len(spread.Missing) == 0)
+}
+
+func (c *statusCommand) printJSON(answers []inspect.Answer) subcommands.ExitStatus {
+	encoder := json.NewEncoder(c.out)
+	encoder.SetIndent("", "  ")
+	good := true
+	for _, a := range answers {
+		if a.Err != nil {
+			c.fail(a.Err)
+			good = false
+			continue
+		}
+		if err := encoder.Encode(a.Node); err != nil {
+			return c.fail(err)
+		}
+	}
+	return verdict(good)
+}
+
+func verdict(good bool) subcommands.ExitStatus {
+	if good {
+		return subcommands.ExitSuccess
+	}
+	return subcommands.ExitFailure
+}
--- /dev/null
+++ b/cmd/galenacart-ctl/targets.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"flag"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/inspect"
+)
+
+const (
+	defaultTimeout = 3 * time.Second
+	maxPort        = 1<<16 - 1
+)
+
+// targets says which nodes to ask.
+type targets struct {
+	nodes   string
+	vms     string
+	port    uint
+	timeout time.Duration
+}
+
+func (t *targets) setFlags(f *flag.FlagSet) {
+	f.StringVar(&t.nodes, "nodes", "", "`file` of status addresses, one a line")
+	f.StringVar(&t.vms, "vms", "", "JSON `file` of the platform's VM list; needs -port")
+	f.UintVar(&t.port, "port", 0, "status `port` of the VMs of -vms")
+	f.DurationVar(&t.timeout, "timeout", defaultTimeout, "`time` that each node has to answer")
+}
+
+// addresses returns the status addresses of the arguments and files.
+func (t *targets) addresses(arguments []string) ([]string, error) {
+	all := make([]string, 0, len(arguments))
+	for _, address := range arguments {
+		if err := inspect.CheckAddress(address); err != nil {
+			return nil, err
+		}
+		all = append(all, address)
+	}
+	if t.nodes != "" {
+		listed, err := inspect.ReadAddresses(t.nodes)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, listed...)
+	}
+	if t.vms != "" {
+		if t.port == 0 || t.port > maxPort {
+			return nil, errors.Errorf("-port: want the status port of the VMs, 1 to %d", maxPort)
+		}
+		listed, err := inspect.ReadVMs(t.vms, uint16(t.port))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, listed...)
+	}
+	if len(all) == 0 {
+		return nil, errors.New("no node to ask; want status addresses, -nodes FILE or -vms FILE")
+	}
+	return all, nil
+}
--- /dev/null
+++ b/cmd/galenacart-ctl/why.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/galenacart/galenacart/internal/inspect"
+)
+
+// whyCommand tells why a call was refused.
+type whyCommand struct {
+	terminal
+	targets
+}
+
+func (*whyCommand) Name() string     { return "why" }
+func (*whyCommand) Synopsis() string { return "tell why a call was refused" }
+func (*whyCommand) Usage() string {
+	return `galenacart-ctl why [-nodes FILE] [-vms FILE -port N] CORRELATION [ADDRESS...]
+Shows what nodes still know of a request: who refused it, of which kind and why,
+and its recent events in order. CORRELATION stands in the answer's problem body.
+Exit codes: 0 something is known, 1 no node knows of the request, 2 bad usage.
+`
+}
+
+func (c *whyCommand) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+}
+
+// Execute asks the nodes and prints what they know.
+func (c *whyCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < 1 {
+		return c.misuse("why: want a CORRELATION and nodes to ask")
+	}
+	addresses, err := c.addresses(f.Args()[1:])
+	if err != nil {
+		return c.misuse("why: %v", err)
+	}
+	client := inspect.NewClient(c.timeout)
+	defer client.Close()
+	answers := client.StatusAndEvents(ctx, addresses)
+	for _, a := range answers {
+		if a.Err != nil {
+			c.fail(a.Err)
+		}
+	}
+	story := inspect.StoryOf(f.Arg(0), answers)
+	if story.Empty() {
+		c.print("no node knows of %s (answered: %d of %d); nodes keep only the newest refusals and events",
+			f.Arg(0), len(answers)-inspect.Failed(answers), len(answers))
+		return subcommands.ExitFailure
+	}
+	if err := story.Write(c.out); err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/internal/inspect/why.go
+++ b/internal/inspect/why.go
@@ -4,6 +4,7 @@
 	"io"
 	"slices"
 
+	"github.com/galenacart/galenacart/internal/problem"
 	"github.com/galenacart/galenacart/internal/status"
 	"github.com/galenacart/galenacart/internal/timeline"
 )
@@ -57,7 +58,7 @@
 func (s *Story) Write(w io.Writer) error {
 	out := newTable(w, "TIME", "REFUSED BY", "KIND", "REASON")
 	for _, r := range s.Refusals {
-		out.row(r.Time.UTC().Format(storyTime), r.VM, r.Kind, r.Detail)
+		out.row(r.Time.UTC().Format(storyTime), r.VM, r.Kind, reasonOf(r))
 	}
 	if err := out.flush(); err != nil || len(s.Events) == 0 {
 		return err
@@ -67,3 +68,12 @@
 	}
 	return timeline.WriteText(w, s.Events)
 }
+
+// reasonOf returns what the kind means, with the cause in this case.
+func reasonOf(r Refusal) string {
+	kind, known := problem.Parse(r.Kind)
+	if !known {
+		return r.Detail
+	}
+	return withReason(kind.Row().Title, r.Detail)
+}
