--- a/cmd/galenacart-ctl/main.go
+++ b/cmd/galenacart-ctl/main.go
@@ -32,7 +32,7 @@
 	commander.Output, commander.Error = stdout, stderr
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
-	commander.Register(version.Command(program), "")
+	commander.Register(version.Command(), "")
 	register(commander, terminal{stdout, stderr})
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -1,48 +1,43 @@
-// Package version is the command by which every program tells its version.
+// Package version names the version of the programs.
 package version
 
 import (
 	"context"
 	"flag"
 	"fmt"
-	"runtime/debug"
 
 	"github.com/google/subcommands"
 )
 
-// unknown stands for the version of a program built without module data.
-const unknown = "(unknown)"
+// number is the version of all programs.
+const number = "0.1.0"
 
-// String returns the module's version.
-func String() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok || info.Main.Version == "" {
-		return unknown
-	}
-	return info.Main.Version
+// Text returns the version.
+func Text() string {
+	return number
 }
 
-// command prints the version of one program.
-type command struct {
-	program string
+// Command returns the subcommand that prints the version.
+func Command() subcommands.Command {
+	return command{}
 }
 
-// Command returns the subcommand "version" of a program.
-func Command(program string) subcommands.Command {
-	return command{program: program}
-}
+type command struct{}
+
+// Name returns the command's name.
+func (command) Name() string { return "version" }
+
+// Synopsis returns a line about the command.
+func (command) Synopsis() string { return "print the version" }
+
+// Usage returns the command's usage.
+func (command) Usage() string { return "version\n" }
+
+// SetFlags declares no flags.
+func (command) SetFlags(*flag.FlagSet) {}
 
-func (command) Name() string             { return "version" }
-func (command) Synopsis() string         { return "print the version" }
-func (c command) Usage() string          { return c.program + " version\n" }
-func (command) SetFlags(_ *flag.FlagSet) {}
-
-// Execute prints the program's version and the toolchain's.
-func (c command) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	toolchain := unknown
-	if info, ok := debug.ReadBuildInfo(); ok {
-		toolchain = info.GoVersion
-	}
-	fmt.Println(c.program, String(), toolchain)
+// Execute prints the version.
+func (command) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Println(number)
 	return subcommands.ExitSuccess
 }
