Add the operators' page, with tables that the code prints

Cause: settings, catalogue fields and metrics were described in comments only, and go-metrics names with dots can't stand in the scrapers' text form.

Its tables of settings, catalogue and metrics come from the Go types and definitions; tests compare them. Names in the text form get the prefix and underscores, counters the suffix _total. Routes below /galenacart/ are refused: nodes answer there themselves.

Conclusion: a new field without a doc comment on the page fails a test.

--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/galenacart/galenacart/internal/docpage"
 )
 
 const valid = `{
@@ -76,6 +78,7 @@
 		{"path without slash", `"/plan"`, `"plan"`, []string{`/routes/2/path: have "plan"; want a text that starts with /`}},
 		{"unclean path", `"/plan"`, `"/a/../plan"`, []string{`/routes/2/path: have "/a/../plan"; want a clean path such as "/plan"`}},
 		{"query in path", `"/plan"`, `"/plan?x"`, []string{`/routes/2/path: have "/plan?x"; want a clean path`}},
+		{"reserved path", `"/plan"`, `"/galenacart/plan"`, []string{"/routes/2/path: paths below /galenacart/ belong to the nodes"}},
 		{"name with a line break", `"name": "plan"`, `"name": "pl\nan"`, []string{`/routes/2/name: have "pl\nan"; want no control characters`}},
 		{"limit too large", `"budgetPerRequest": 3`, `"budgetPerRequest": 101`, []string{"/retry/budgetPerRequest: have 101; want at most 100"}},
 		{"section empty", `{"tokenLifetimeMs": 60000, "recordsMax": 10000, "answerBytesMax": 1024}`, `{}`, []string{
@@ -211,6 +214,14 @@
 	})
 }
 
+func TestPageListsEveryField(t *testing.T) {
+	var b strings.Builder
+	for _, name := range []string{"Catalogue", "Class", "Service", "ServiceLimits", "Route", "RouteLimits", "Retry", "Idempotency"} {
+		fmt.Fprintf(&b, "**%s**\n\n%s\n", name, docpage.StructTable(t, "types.go", name))
+	}
+	docpage.Section(t, "../../docs/OPERATING.md", "catalogue", b.String())
+}
+
 func TestDiff(t *testing.T) {
 	before, after := decode(t), decode(t)
 	require.Empty(t, Diff(before, after))
--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -107,11 +107,17 @@
 	}
 }
 
+// reservedPath starts the paths that nodes answer themselves.
+const reservedPath = "/galenacart/"
+
 // checkPath refuses paths that no call can have.
 func (k *checker) checkPath(at, prefix string) {
 	if prefix == "" {
 		return
 	}
+	if strings.HasPrefix(prefix+"/", reservedPath) {
+		k.fault(at, "paths below %s belong to the nodes; want another path", reservedPath)
+	}
 	clean := path.Clean(prefix)
 	if strings.HasSuffix(prefix, "/") && clean != "/" {
 		clean += "/"
--- a/internal/docpage/docpage.go
+++ b/internal/docpage/docpage.go
@@ -22,7 +22,7 @@
 	}
 	have, err := os.ReadFile(file)
 	require.NoError(t, err)
-	require.Equal(t, want, string(have), "%s differs from the code; run: %s=1 go test ./...", file, UpdateVariable)
+	require.Equal(t, want, string(have), "%s differs from the code; run: %s=1 go test -p 1 ./...", file, UpdateVariable)
 }
 
 // Section fails the test unless the part of the file between the lines
--- a/internal/metrics/definition.go
+++ b/internal/metrics/definition.go
@@ -47,8 +47,6 @@
 	NameRecordBytes = "galenacart_record_bytes"
 	// NameRevision is the platform's revision of the catalogue in force.
 	NameRevision = "galenacart_catalogue_revision"
-	// NamePeers counts open peer links.
-	NamePeers = "galenacart_peer_links"
 	// NameGoroutines counts goroutines of the process.
 	NameGoroutines = "galenacart_goroutines"
 	// NameHeapBytes is the memory of live and not yet collected objects.
@@ -68,8 +66,16 @@
 		{NameRecords, Gauge, "records", "Records of non-idempotent calls."},
 		{NameRecordBytes, Gauge, "bytes", "Memory that records of non-idempotent calls hold."},
 		{NameRevision, Gauge, "revision", "The platform's revision of the catalogue in force; 0 before the first."},
-		{NamePeers, Gauge, "links", "Open peer links."},
 		{NameGoroutines, Gauge, "goroutines", "Goroutines of the process."},
 		{NameHeapBytes, Gauge, "bytes", "Memory of live and not yet collected objects."},
+		{"galenacart_control_catalogue_revision", Gauge, "revision", "The revision that the control thread last published."},
+		{"galenacart_control_members", Gauge, "VMs", "VMs that the node knows of."},
+		{"galenacart_control_reports_dropped", Gauge, "reports", "Observations of traffic that were lost to a full queue, since the start."},
+		{"galenacart_control_messages_sent", Gauge, "messages", "Messages sent to peers, since the start."},
+		{"galenacart_control_bytes_sent", Gauge, "bytes", "Bytes sent to peers, since the start."},
+		{"galenacart_control_messages_received", Gauge, "messages", "Messages received from peers, since the start."},
+		{"galenacart_control_bytes_received", Gauge, "bytes", "Bytes received from peers, since the start."},
+		{"galenacart_control_platform_reads_total", Counter, "reads", "Reads of the platform."},
+		{"galenacart_control_late_wakeups_total", Counter, "wake-ups", "Times that the control thread had not run for a while."},
 	}
 }
--- a/internal/metrics/exposition.go
+++ b/internal/metrics/exposition.go
@@ -27,8 +27,9 @@
 // _seconds hold nanoseconds.
 func WriteText(w io.Writer, r gometrics.Registry) error {
 	values := make(map[string]any)
-	names := make([]string, 0, len(values))
+	var names []string
 	r.Each(func(name string, value any) {
+		name = textName(name, value)
 		values[name] = value
 		names = append(names, name)
 	})
@@ -60,6 +61,26 @@
 	return byName
 }
 
+// prefix starts every name in the text form.
+const prefix = "galenacart_"
+
+// textName returns the name that a metric has in the text form. A name with
+// dots, as go-metrics has them, becomes one with underscores.
+func textName(name string, value any) string {
+	family, labels, labelled := strings.Cut(name, "{")
+	family = strings.NewReplacer(".", "_", "-", "_").Replace(family)
+	if !strings.HasPrefix(family, prefix) {
+		family = prefix + family
+	}
+	if typeOf(value) == Counter && !strings.HasSuffix(family, "_total") {
+		family += "_total"
+	}
+	if !labelled {
+		return family
+	}
+	return family + "{" + labels
+}
+
 // split parts a registry name into family and labels, the latter without braces.
 func split(name string) (family, labels string) {
 	family, rest, found := strings.Cut(name, "{")
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"fmt"
 	"regexp"
 	"strings"
 	"testing"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenacart/galenacart/internal/docpage"
 	"github.com/galenacart/galenacart/internal/problem"
 )
 
@@ -56,6 +59,22 @@
 	}
 }
 
+func TestNamesOfOtherParts(t *testing.T) {
+	s := NewSet()
+	gometrics.GetOrRegisterCounter("control.platform_reads", s.Registry()).Inc(2)
+	out := text(t, s)
+	require.Contains(t, out, "# TYPE galenacart_control_platform_reads_total counter\ngalenacart_control_platform_reads_total 2\n")
+}
+
+func TestPageAgreesWithDefinitions(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("| Name | Type | Unit | Meaning |\n|---|---|---|---|\n")
+	for _, d := range Definitions() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.Name, d.Type, d.Unit, d.Help)
+	}
+	docpage.Section(t, "../../docs/OPERATING.md", "metrics", b.String())
+}
+
 func TestDefinitions(t *testing.T) {
 	seen := map[string]bool{}
 	for _, d := range Definitions() {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/docpage"
 )
 
 const valid = `{
@@ -67,6 +69,11 @@
 	}
 }
 
+func TestPageListsEveryField(t *testing.T) {
+	table := docpage.StructTable(t, "settings.go", "Node")
+	docpage.Section(t, "../../docs/OPERATING.md", "settings", table)
+}
+
 func TestReadFile(t *testing.T) {
 	dir := t.TempDir()
 	_, err := ReadFile(filepath.Join(dir, "none.json"))
