Keep what operators read from a node small in a large fleet

Cause: galenacart-ctl read the whole state of every node, with all members and all refusals, to print one row; at thousands of nodes that is gigabytes.

Change: a node serves /summary, /refusals and /events by request; status and why ask for these, and -json alone for the whole state. The table counts the refusals of the last minute. The example catalogues are checked by a test.

Conclusion: what status reads from one node no longer grows with the fleet.

--- a/cmd/galenacart-ctl/ctl_test.go
+++ b/cmd/galenacart-ctl/ctl_test.go
@@ -58,7 +58,7 @@
 func node(t *testing.T, n status.Node) string {
 	t.Helper()
 	refusals := status.NewRefusals()
-	refusals.Add(time.Unix(1, 0), "c-1", problem.KindOverloaded, "lookups are shed from rank 1 on")
+	refusals.Add(time.Now(), "c-1", problem.KindOverloaded, "lookups are shed from rank 1 on")
 	ring := event.NewRing(10)
 	_, err := ring.Write([]byte(strings.SplitAfter(logText, "\n")[0]))
 	require.NoError(t, err)
--- a/cmd/galenacart-ctl/status.go
+++ b/cmd/galenacart-ctl/status.go
@@ -44,11 +44,11 @@
 	}
 	client := inspect.NewClient(c.timeout)
 	defer client.Close()
-	answers := client.Status(ctx, addresses)
-	switch {
-	case c.json:
-		return c.printJSON(answers)
-	case c.revision > 0:
+	if c.json {
+		return c.printJSON(client.Nodes(ctx, addresses))
+	}
+	answers := client.Summaries(ctx, addresses)
+	if c.revision > 0 {
 		return c.printSpread(answers)
 	}
 	if err := inspect.WriteFleet(c.out, answers); err != nil {
--- a/cmd/galenacart-ctl/why.go
+++ b/cmd/galenacart-ctl/why.go
@@ -40,13 +40,13 @@
 	}
 	client := inspect.NewClient(c.timeout)
 	defer client.Close()
-	answers := client.StatusAndEvents(ctx, addresses)
+	answers := client.About(ctx, f.Arg(0), addresses)
 	for _, a := range answers {
 		if a.Err != nil {
 			c.fail(a.Err)
 		}
 	}
-	story := inspect.StoryOf(f.Arg(0), answers)
+	story := inspect.StoryOf(answers)
 	if story.Empty() {
 		c.print("no node knows of %s (answered: %d of %d); nodes keep only the newest refusals and events",
 			f.Arg(0), len(answers)-inspect.Failed(answers), len(answers))
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -43,6 +43,16 @@
 	require.Empty(t, c.Warnings())
 }
 
+func TestExamplesAreAccepted(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/catalogue.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		_, err := ReadFile(file)
+		require.NoError(t, err)
+	}
+}
+
 func TestFaultsNamePlaceAndFix(t *testing.T) {
 	tests := []struct {
 		desc, from, to string
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -166,7 +166,7 @@
 				want += line
 			}
 		}
-		require.Equal(t, want, string(r.After(uint64(after))))
+		require.Equal(t, want, string(r.Select(uint64(after), "")))
 	})
 }
 
@@ -177,7 +177,7 @@
 		require.NoError(t, err)
 		require.Len(t, line, n)
 	}
-	require.Equal(t, "{\"clock\":2}\n", string(r.After(0)))
+	require.Equal(t, "{\"clock\":2}\n", string(r.Select(0, "")))
 }
 
 // stuckWriter takes nothing until it is released.
--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -122,6 +122,8 @@
 		e.Str(f.Key, v)
 	case int:
 		e.Int(f.Key, v)
+	case uint32:
+		e.Uint32(f.Key, v)
 	case int64:
 		e.Int64(f.Key, v)
 	case uint64:
--- a/internal/event/ring.go
+++ b/internal/event/ring.go
@@ -37,18 +37,22 @@
 	return len(line), nil
 }
 
-// After returns the kept lines whose logical time is larger than clock, the
-// oldest first. Each line ends with a newline.
-func (r *Ring) After(clock uint64) []byte {
+// Select returns the kept lines whose logical time is larger than after, the
+// oldest first: those of one request, or all when correlation is empty. Each line
+// ends with a newline.
+func (r *Ring) Select(after uint64, correlation string) []byte {
 	var out bytes.Buffer
 	for _, line := range r.snapshot() {
 		var stamp struct {
-			Clock uint64 `json:"clock"`
+			Clock       uint64 `json:"clock"`
+			Correlation string `json:"correlation"`
 		}
-		if json.Unmarshal(line, &stamp) != nil || stamp.Clock <= clock {
+		if json.Unmarshal(line, &stamp) != nil || stamp.Clock <= after {
 			continue
 		}
-		out.Write(line)
+		if correlation == "" || stamp.Correlation == correlation {
+			out.Write(line)
+		}
 	}
 	return out.Bytes()
 }
--- a/internal/inspect/client.go
+++ b/internal/inspect/client.go
@@ -47,41 +47,61 @@
 type Answer struct {
 	// Address is the status address that was asked.
 	Address string
-	// Node is the state, or nil when Err is set.
+	// Summary is the short state. It is empty when Err is set.
+	Summary status.Summary
+	// Node is the whole state, where it was asked for.
 	Node *status.Node
-	// Events holds recent events, where they were asked for.
+	// Refusals holds the refusals of the request that was asked about.
+	Refusals []status.Refusal
+	// Events holds the recent events of the request that was asked about.
 	Events *timeline.Log
 	// Err says why there is no answer.
 	Err error
 }
 
-// Status asks every address for its state. Answers have the order of the
-// addresses.
-func (c *Client) Status(ctx context.Context, addresses []string) []Answer {
-	return each(addresses, func(address string) Answer {
-		return c.status(ctx, address)
+// Summaries asks every address for its short state. Answers have the order of
+// the addresses.
+func (c *Client) Summaries(ctx context.Context, addresses []string) []Answer {
+	return each(addresses, func(a *Answer) error {
+		return c.getJSON(ctx, a.Address, status.PathSummary, nil, &a.Summary)
 	})
 }
 
-// StatusAndEvents asks every address for its state and its recent events.
-func (c *Client) StatusAndEvents(ctx context.Context, addresses []string) []Answer {
-	return each(addresses, func(address string) Answer {
-		a := c.status(ctx, address)
-		if a.Err != nil {
-			return a
+// Nodes asks every address for its whole state.
+func (c *Client) Nodes(ctx context.Context, addresses []string) []Answer {
+	return each(addresses, func(a *Answer) error {
+		a.Node = &status.Node{}
+		return c.getJSON(ctx, a.Address, status.PathStatus, nil, a.Node)
+	})
+}
+
+// About asks every address what it still knows of a request.
+func (c *Client) About(ctx context.Context, correlation string, addresses []string) []Answer {
+	query := url.Values{status.QueryCorrelation: {correlation}}
+	return each(addresses, func(a *Answer) error {
+		if err := c.getJSON(ctx, a.Address, status.PathSummary, nil, &a.Summary); err != nil {
+			return err
 		}
-		a.Events, a.Err = c.events(ctx, address)
-		return a
+		if err := c.getJSON(ctx, a.Address, status.PathRefusals, query, &a.Refusals); err != nil {
+			return err
+		}
+		return c.get(ctx, a.Address, status.PathEvents, query, func(body io.Reader) error {
+			var err error
+			a.Events, err = timeline.Parse(body)
+			return err
+		})
 	})
 }
 
-func each(addresses []string, ask func(address string) Answer) []Answer {
+func each(addresses []string, ask func(*Answer) error) []Answer {
 	answers := make([]Answer, len(addresses))
 	var group errgroup.Group
 	group.SetLimit(maxParallel)
 	for i, address := range addresses {
 		group.Go(func() error {
-			answers[i] = ask(address)
+			a := &answers[i]
+			a.Address = address
+			a.Err = ask(a)
 			return nil
 		})
 	}
@@ -89,31 +109,14 @@
 	return answers
 }
 
-func (c *Client) status(ctx context.Context, address string) Answer {
-	a := Answer{Address: address}
-	a.Err = c.get(ctx, address, status.PathStatus, func(body io.Reader) error {
-		n := &status.Node{}
-		if err := json.NewDecoder(body).Decode(n); err != nil {
-			return errors.Wrap(err, "decode status")
-		}
-		a.Node = n
-		return nil
-	})
-	return a
-}
-
-func (c *Client) events(ctx context.Context, address string) (*timeline.Log, error) {
-	var l *timeline.Log
-	err := c.get(ctx, address, status.PathEvents, func(body io.Reader) error {
-		var err error
-		l, err = timeline.Parse(body)
-		return err
+func (c *Client) getJSON(ctx context.Context, address, path string, query url.Values, into any) error {
+	return c.get(ctx, address, path, query, func(body io.Reader) error {
+		return errors.Wrapf(json.NewDecoder(body).Decode(into), "decode %s of %s", path, address)
 	})
-	return l, err
 }
 
-func (c *Client) get(ctx context.Context, address, path string, read func(io.Reader) error) error {
-	target := url.URL{Scheme: "http", Host: address, Path: path}
+func (c *Client) get(ctx context.Context, address, path string, query url.Values, read func(io.Reader) error) error {
+	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), http.NoBody)
 	if err != nil {
 		return errors.Wrap(err, "build request")
--- a/internal/inspect/fleet.go
+++ b/internal/inspect/fleet.go
@@ -20,14 +20,14 @@
 // WriteFleet writes one table with a row for each node, grouped by availability
 // zone.
 func WriteFleet(w io.Writer, answers []Answer) error {
-	out := newTable(w, "AVAILABILITY ZONE", "VM", "SERVICE", "REVISION", "STATE", "REFUSALS", "VERSION")
+	out := newTable(w, "AVAILABILITY ZONE", "VM", "SERVICE", "REVISION", "STATE", "REFUSALS/MIN", "VERSION")
 	for _, a := range sorted(answers) {
 		if a.Err != nil {
 			out.row(unreachableZone, a.Address, "-", "-", a.Err.Error(), "-", "-")
 			continue
 		}
-		n := a.Node
-		out.row(n.AvailabilityZone, n.VM, n.Service, revision(n.Catalogue.Revision), stateOf(n), strconv.Itoa(len(n.Refusals)), n.Version)
+		n := &a.Summary
+		out.row(n.AvailabilityZone, n.VM, n.Service, revision(n.Catalogue.Revision), stateOf(n), strconv.Itoa(n.Refusals), n.Version)
 	}
 	return out.flush()
 }
@@ -51,7 +51,7 @@
 		if a.Err != nil || b.Err != nil {
 			return cmp.Or(cmp.Compare(boolToInt(a.Err != nil), boolToInt(b.Err != nil)), cmp.Compare(a.Address, b.Address))
 		}
-		return cmp.Or(cmp.Compare(a.Node.AvailabilityZone, b.Node.AvailabilityZone), cmp.Compare(a.Node.VM, b.Node.VM))
+		return cmp.Or(cmp.Compare(a.Summary.AvailabilityZone, b.Summary.AvailabilityZone), cmp.Compare(a.Summary.VM, b.Summary.VM))
 	})
 	return list
 }
@@ -63,7 +63,7 @@
 	return 0
 }
 
-func stateOf(n *status.Node) string {
+func stateOf(n *status.Summary) string {
 	switch {
 	case n.Leaving:
 		return "leaving"
--- a/internal/inspect/revision.go
+++ b/internal/inspect/revision.go
@@ -48,12 +48,12 @@
 			s.Missing = append(s.Missing, Missing{Name: a.Address, Reason: a.Err.Error()})
 			continue
 		}
-		s.add(a.Node)
+		s.add(&a.Summary)
 	}
 	return s
 }
 
-func (s *Spread) add(n *status.Node) {
+func (s *Spread) add(n *status.Summary) {
 	at := slices.IndexFunc(s.Zones, func(z ZoneCount) bool { return z.AvailabilityZone == n.AvailabilityZone })
 	if at < 0 {
 		at = len(s.Zones)
@@ -72,7 +72,7 @@
 }
 
 // reason says why a node acts on an older revision.
-func (s *Spread) reason(n *status.Node) string {
+func (s *Spread) reason(n *status.Summary) string {
 	c := n.Catalogue
 	have := fmt.Sprintf("revision %d is in force", c.Revision)
 	if c.Revision == 0 {
--- a/internal/inspect/why.go
+++ b/internal/inspect/why.go
@@ -24,25 +24,20 @@
 	Events []timeline.Event
 }
 
-// StoryOf collects what the answers hold about a request.
-func StoryOf(correlation string, answers []Answer) *Story {
+// StoryOf collects what the answers hold.
+func StoryOf(answers []Answer) *Story {
 	s := &Story{}
 	var logs []*timeline.Log
 	for _, a := range answers {
-		if a.Node == nil {
-			continue
-		}
-		for _, r := range a.Node.Refusals {
-			if r.Correlation == correlation {
-				s.Refusals = append(s.Refusals, Refusal{Refusal: r, VM: a.Node.VM})
-			}
+		for _, r := range a.Refusals {
+			s.Refusals = append(s.Refusals, Refusal{Refusal: r, VM: a.Summary.VM})
 		}
 		if a.Events != nil {
 			logs = append(logs, a.Events)
 		}
 	}
 	slices.SortStableFunc(s.Refusals, func(a, b Refusal) int { return a.Time.Compare(b.Time) })
-	s.Events = timeline.Filter(timeline.Merge(logs...), correlation)
+	s.Events = timeline.Merge(logs...)
 	return s
 }
 
--- a/internal/status/node.go
+++ b/internal/status/node.go
@@ -35,6 +35,25 @@
 	Refusals []Refusal `json:"refusals"`
 }
 
+// Summary is the short state of one node, as served at /summary. It stays small
+// however large the fleet is.
+type Summary struct {
+	// VM is the unique name of the node's VM.
+	VM string `json:"vm"`
+	// AvailabilityZone is the VM's availability zone.
+	AvailabilityZone string `json:"availabilityZone"`
+	// Service is the service of the local endpoint.
+	Service string `json:"service"`
+	// Version is the version of the program.
+	Version string `json:"version"`
+	// Leaving says that the node is stopping.
+	Leaving bool `json:"leaving"`
+	// Catalogue is the catalogue in force and what holds back a newer one.
+	Catalogue Catalogue `json:"catalogue"`
+	// Refusals counts the refusals of the last minute that the node still keeps.
+	Refusals int `json:"refusals"`
+}
+
 // Catalogue says which revision a node acts on.
 type Catalogue struct {
 	// Revision is the platform's revision of the catalogue in force. 0 means
--- a/internal/status/refusals.go
+++ b/internal/status/refusals.go
@@ -65,6 +65,30 @@
 	return list
 }
 
+// Of returns the kept refusals of one request, the oldest first.
+func (r *Refusals) Of(correlation string) []Refusal {
+	kept := []Refusal{}
+	for _, one := range r.List() {
+		if one.Correlation == correlation {
+			kept = append(kept, one)
+		}
+	}
+	return kept
+}
+
+// Since counts the kept refusals that are not older than a wall time.
+func (r *Refusals) Since(start time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for i := range r.kept {
+		if !r.kept[i].time.Before(start) {
+			count++
+		}
+	}
+	return count
+}
+
 func cut(text string) string {
 	if len(text) <= maxTextBytes {
 		return text
--- a/internal/status/server.go
+++ b/internal/status/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
@@ -17,8 +18,13 @@
 const (
 	// PathStatus serves a Node as JSON.
 	PathStatus = "/status"
-	// PathEvents serves recent event lines, one JSON object a line. The query
-	// parameter "after" leaves out those up to that logical time.
+	// PathSummary serves a Summary as JSON.
+	PathSummary = "/summary"
+	// PathRefusals serves a list of Refusal as JSON: the recent ones, or those of
+	// the request in QueryCorrelation.
+	PathRefusals = "/refusals"
+	// PathEvents serves recent event lines, one JSON object a line: all, those
+	// later than QueryAfter, those of the request in QueryCorrelation.
 	PathEvents = "/events"
 	// PathMetrics serves the metrics in the text form that scrapers read.
 	PathMetrics = "/metrics"
@@ -26,8 +32,16 @@
 	PathMetricsJSON = "/metrics.json"
 )
 
-// QueryAfter is the query parameter of PathEvents.
-const QueryAfter = "after"
+// Query parameters.
+const (
+	// QueryAfter is a logical time.
+	QueryAfter = "after"
+	// QueryCorrelation is the ID of a request.
+	QueryCorrelation = "correlation"
+)
+
+// recent is the time over which a Summary counts refusals.
+const recent = time.Minute
 
 // Source returns one section of the status. Its value is encoded as JSON. It is
 // called on the goroutine of a request, so it must be safe for concurrent use.
@@ -64,6 +78,12 @@
 
 // New returns a server that shows what c gives.
 func New(c Config) *Server {
+	if c.View == nil {
+		c.View = &view.Holder{}
+	}
+	if c.Refusals == nil {
+		c.Refusals = NewRefusals()
+	}
 	return &Server{config: c}
 }
 
@@ -71,6 +91,8 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathStatus, s.serveStatus)
+	mux.HandleFunc("GET "+PathSummary, s.serveSummary)
+	mux.HandleFunc("GET "+PathRefusals, s.serveRefusals)
 	mux.HandleFunc("GET "+PathEvents, s.serveEvents)
 	mux.HandleFunc("GET "+PathMetrics, s.serveMetrics)
 	mux.HandleFunc("GET "+PathMetricsJSON, s.serveMetricsJSON)
@@ -80,18 +102,9 @@
 // Node returns the state that PathStatus serves.
 func (s *Server) Node() (*Node, error) {
 	n := s.config.Identity
-	if s.config.View != nil {
-		v := s.config.View.Load()
-		n.Leaving = v.Leaving
-		n.Catalogue.Revision = v.Revision
-	}
-	if s.config.Catalogue != nil {
-		n.Catalogue = s.config.Catalogue()
-	}
-	n.Refusals = []Refusal{}
-	if s.config.Refusals != nil {
-		n.Refusals = s.config.Refusals.List()
-	}
+	n.Leaving = s.leaving()
+	n.Catalogue = s.catalogue()
+	n.Refusals = s.config.Refusals.List()
 	sections := []struct {
 		into   *json.RawMessage
 		source Source
@@ -113,18 +126,51 @@
 	return &n, nil
 }
 
+// Summary returns the state that PathSummary serves.
+func (s *Server) Summary() Summary {
+	identity := s.config.Identity
+	return Summary{
+		VM:               identity.VM,
+		AvailabilityZone: identity.AvailabilityZone,
+		Service:          identity.Service,
+		Version:          identity.Version,
+		Leaving:          s.leaving(),
+		Catalogue:        s.catalogue(),
+		Refusals:         s.config.Refusals.Since(time.Now().Add(-recent)),
+	}
+}
+
+func (s *Server) leaving() bool {
+	return s.config.View.Load().Leaving
+}
+
+func (s *Server) catalogue() Catalogue {
+	if s.config.Catalogue != nil {
+		return s.config.Catalogue()
+	}
+	return Catalogue{Revision: s.config.View.Load().Revision}
+}
+
 func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	n, err := s.Node()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	encoded, err := json.MarshalIndent(n, "", "  ")
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+	sendJSON(w, n)
+}
+
+func (s *Server) serveSummary(w http.ResponseWriter, _ *http.Request) {
+	sendJSON(w, s.Summary())
+}
+
+func (s *Server) serveRefusals(w http.ResponseWriter, r *http.Request) {
+	correlation := r.URL.Query().Get(QueryCorrelation)
+	if correlation == "" {
+		sendJSON(w, s.config.Refusals.List())
 		return
 	}
-	send(w, "application/json", append(encoded, '\n'))
+	sendJSON(w, s.config.Refusals.Of(correlation))
 }
 
 func (s *Server) serveEvents(w http.ResponseWriter, r *http.Request) {
@@ -139,7 +185,7 @@
 	}
 	var lines []byte
 	if s.config.Events != nil {
-		lines = s.config.Events.After(after)
+		lines = s.config.Events.Select(after, r.URL.Query().Get(QueryCorrelation))
 	}
 	send(w, "application/x-ndjson", lines)
 }
@@ -160,6 +206,15 @@
 	send(w, "application/json", out.Bytes())
 }
 
+func sendJSON(w http.ResponseWriter, value any) {
+	encoded, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	send(w, "application/json", append(encoded, '\n'))
+}
+
 func send(w http.ResponseWriter, contentType string, body []byte) {
 	h := w.Header()
 	h.Set("Content-Type", contentType)
--- a/internal/status/server_test.go
+++ b/internal/status/server_test.go
@@ -17,7 +17,7 @@
 
 func testServer() (*Server, *Refusals) {
 	ring := event.NewRing(8)
-	_, _ = ring.Write([]byte(`{"clock":4,"event":1001}` + "\n"))
+	_, _ = ring.Write([]byte(`{"clock":4,"event":1001,"correlation":"c-1"}` + "\n"))
 	_, _ = ring.Write([]byte(`{"clock":9,"event":1002}` + "\n"))
 	holder := &view.Holder{}
 	holder.Store(&view.View{Revision: 7, Leaving: true})
@@ -64,6 +64,10 @@
 	}{
 		{"all events", http.MethodGet, "/events", http.StatusOK, `"event":1001`},
 		{"newer events", http.MethodGet, "/events?after=4", http.StatusOK, `{"clock":9,"event":1002}`},
+		{"events of a request", http.MethodGet, "/events?correlation=c-1", http.StatusOK, `"event":1001`},
+		{"no event of a request", http.MethodGet, "/events?correlation=c-9", http.StatusOK, ""},
+		{"summary", http.MethodGet, "/summary", http.StatusOK, `"vm": "vm-1"`},
+		{"refusals", http.MethodGet, "/refusals", http.StatusOK, "[]"},
 		{"bad clock", http.MethodGet, "/events?after=-1", http.StatusBadRequest, "want a logical time"},
 		{"text metrics", http.MethodGet, "/metrics", http.StatusOK, `galenacart_refusals_total{kind="overloaded"} 1`},
 		{"JSON metrics", http.MethodGet, "/metrics.json", http.StatusOK, `"galenacart_goroutines":{"value":`},
@@ -82,6 +86,17 @@
 	require.NotContains(t, get(s, http.MethodGet, "/events?after=4").Body.String(), "1001")
 }
 
+func TestRefusalsOfARequest(t *testing.T) {
+	s, refusals := testServer()
+	refusals.Add(time.Now(), "c-1", problem.KindTimeout, "late")
+	refusals.Add(time.Now().Add(-time.Hour), "c-2", problem.KindTimeout, "late")
+	var list []Refusal
+	require.NoError(t, json.Unmarshal(get(s, http.MethodGet, "/refusals?correlation=c-2").Body.Bytes(), &list))
+	require.Len(t, list, 1)
+	require.Equal(t, "c-2", list[0].Correlation)
+	require.Equal(t, 1, s.Summary().Refusals, "only those of the last minute count")
+}
+
 func TestRefusalsKeepTheNewest(t *testing.T) {
 	r := NewRefusals()
 	for i := range refusalsKept + 3 {
