--- a/internal/load/experiment/experiment_test.go
+++ b/internal/load/experiment/experiment_test.go
@@ -45,7 +45,7 @@
 		{"no bound on requests", `"maxRequests": 50000`, `"maxRequests": 0`, "MaxRequests"},
 		{"negative rate", `"perSecond": 15`, `"perSecond": -1`, "PerSecond"},
 		{"no sends", `"maxSends": 10`, `"maxSends": 0`, "MaxSends"},
-		{"empty", good, "", "EOF"},
+		{"empty", good, "", "the document is empty"},
 	}
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,223 @@
+// Package node puts a node together: its listeners, its traffic and its control
+// thread, and its planned stop.
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacart/galenacart/internal/control"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/status"
+	"github.com/galenacart/galenacart/internal/traffic"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+const (
+	// eventLines bounds the recent events that a node shows.
+	eventLines = 2000
+	// eventsPerSecond bounds the events of one number that a node logs.
+	eventsPerSecond = 50
+	// headTimeout bounds the time in which a request's head must arrive.
+	headTimeout = 10 * time.Second
+	// idleTimeout is longer than that of clients, so that clients close first.
+	idleTimeout = 2 * time.Minute
+	// drainGrace is the time between the first word of the planned stop and the
+	// closing of the listeners, in which other nodes stop sending.
+	drainGrace = 500 * time.Millisecond
+	// headBytesMax bounds the head of a request.
+	headBytesMax = 64 << 10
+)
+
+// Node is one node.
+type Node struct {
+	settings *settings.Node
+	log      *event.Log
+	traffic  *traffic.Traffic
+	control  *control.Control
+	status   *status.Server
+	servers  []*listening
+}
+
+// listening is one listener with its server.
+type listening struct {
+	field    string
+	listener net.Listener
+	server   *http.Server
+}
+
+// Start opens the listeners of a node and starts its work. Events go to out.
+func Start(ctx context.Context, s *settings.Node, version string, out io.Writer) (*Node, error) {
+	started := time.Now()
+	now := func() time.Duration { return time.Since(started) }
+	incarnation := uint64(started.UnixNano())
+	ring := event.NewRing(eventLines)
+	log := event.NewLog(io.MultiWriter(out, ring), "node", s.VM, s.Level()).LimitRate(eventsPerSecond)
+	instruments := metrics.NewSet()
+	refusals := status.NewRefusals()
+	holder := &view.Holder{}
+	reports := view.NewReports()
+	t := traffic.New(traffic.Config{
+		Settings:    s,
+		Incarnation: incarnation,
+		View:        holder,
+		Reports:     reports,
+		Log:         log,
+		Metrics:     instruments,
+		Refusals:    refusals,
+		Now:         now,
+	})
+	n := &Node{settings: s, log: log, traffic: t}
+	if err := n.listen(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	c, err := control.Start(ctx, control.Config{
+		Settings:    s,
+		Incarnation: incarnation,
+		Log:         log,
+		Holder:      holder,
+		Reports:     reports,
+		Registry:    instruments.Registry(),
+		Now:         now,
+	})
+	if err != nil {
+		n.closeListeners()
+		return nil, errors.Wrap(err, "start control")
+	}
+	n.control = c
+	n.status = status.New(status.Config{
+		Identity: status.Node{
+			VM:               s.VM,
+			AvailabilityZone: s.AvailabilityZone,
+			Region:           s.Region,
+			Service:          s.Service,
+			Incarnation:      incarnation,
+			Version:          version,
+		},
+		View:     holder,
+		Gate:     t.GateState,
+		Records:  t.RecordsState,
+		Control:  func() any { return c.Status() },
+		Refusals: refusals,
+		Events:   ring,
+		Metrics:  instruments.Registry(),
+	})
+	n.attach()
+	log.Emit(event.NodeStarted, "", event.F("incarnation", incarnation), event.F("caller_address", s.CallerAddress))
+	return n, nil
+}
+
+// listen opens every listener, so that an address in use is found at start.
+func (n *Node) listen() error {
+	addresses := []struct{ field, address string }{
+		{"callerAddress", n.settings.CallerAddress},
+		{"peerAddress", n.settings.PeerAddress},
+		{"outboundAddress", n.settings.OutboundAddress},
+		{"statusAddress", n.settings.StatusAddress},
+	}
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a.address)
+		if err != nil {
+			return errors.Wrapf(err, "%s %s: choose another address or end the process that uses it", a.field, a.address)
+		}
+		n.servers = append(n.servers, &listening{field: a.field, listener: l})
+	}
+	return nil
+}
+
+// attach gives every listener its handler.
+func (n *Node) attach() {
+	peers := http.NewServeMux()
+	peers.Handle("/galenacart/peer", n.control.PeerHandler())
+	peers.Handle("/", n.traffic.PeerHandler())
+	handlers := []http.Handler{
+		n.traffic.CallerHandler(),
+		peers,
+		n.traffic.OutboundHandler(),
+		n.status.Handler(),
+	}
+	for i, one := range n.servers {
+		one.server = &http.Server{
+			Handler:           handlers[i],
+			ReadHeaderTimeout: headTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    headBytesMax,
+		}
+	}
+}
+
+func (n *Node) closeListeners() {
+	for _, one := range n.servers {
+		_ = one.listener.Close() // the start failed; that error is told
+	}
+}
+
+// Run serves until ctx ends, then stops as planned: the fleet is told, work in
+// flight finishes, and everything is closed within the bound of the settings.
+// The error says what was cut off.
+func (n *Node) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error {
+		n.traffic.Run(background)
+		return nil
+	})
+	for _, one := range n.servers {
+		group.Go(func() error {
+			err := one.server.Serve(one.listener)
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			return errors.Wrapf(err, "serve %s", one.field)
+		})
+	}
+	<-ctx.Done()
+	err := n.stop(background)
+	cancel()
+	if waitErr := group.Wait(); err == nil {
+		err = waitErr
+	}
+	return err
+}
+
+// stop ends the node as planned.
+func (n *Node) stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout())
+	defer cancel()
+	n.log.Emit(event.NodeLeaving, "")
+	n.traffic.Leave()
+	n.control.Leave()
+	sleep(ctx, drainGrace)
+	var first error
+	// The endpoint's own calls end last: work in flight needs them.
+	for _, one := range n.servers {
+		if err := one.server.Shutdown(ctx); err != nil && first == nil {
+			first = errors.Wrapf(err, "stop %s", one.field)
+		}
+	}
+	n.traffic.Close()
+	if err := n.control.Stop(ctx); err != nil && first == nil {
+		first = errors.Wrap(err, "stop control")
+	}
+	n.log.Emit(event.NodeStopped, "", event.F("clean", first == nil))
+	return first
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
