Shed whole requests by what every endpoint below would shed

Cause: a node learned that calls below are shed only from refusals of its endpoint's own calls, after the endpoint had worked for nothing. Change: the thresholds that endpoints below report with every answer are put together (the most lenient of all usable endpoints, the tightest of all calls of a route) and refuse the whole request at its first hop.

--- a/decision/shedding/chain.go
+++ b/decision/shedding/chain.go
@@ -6,70 +6,70 @@
 	"github.com/galenacart/galenacart/decision/priority"
 )
 
-// Chain remembers, at the node of an endpoint, which calls of each route were
-// refused further down, so that a whole request is refused at its first hop
+// Chain remembers, at the node of an endpoint, which calls are shed below each
+// of the endpoint's routes, so that a whole request is refused at its first hop
 // instead of its last. It is not safe for concurrent use.
 type Chain struct {
-	routes map[string]*refusal
+	routes map[string]*route
 }
 
-// refusal is what the calls below one route met last.
-type refusal struct {
+// route is what is known below one route of the endpoint.
+type route struct {
+	below    map[string]*below // by the route of the endpoint's own call
+	probedAt time.Duration
+}
+
+// below is what is known of one kind of call that the endpoint makes.
+type below struct {
 	at        time.Duration
 	threshold priority.Priority
-	probedAt  time.Duration
 }
 
 // NewChain returns an empty Chain.
 func NewChain() *Chain {
-	return &Chain{routes: make(map[string]*refusal)}
+	return &Chain{routes: make(map[string]*route)}
 }
 
-// Refused takes in that a call below the route was shed.
-func (c *Chain) Refused(now time.Duration, route string, p priority.Priority) {
-	r, known := c.routes[route]
+// Report takes in the first priority that every endpoint below sheds, after a
+// call named child that the endpoint made while it ran a call named parent.
+func (c *Chain) Report(now time.Duration, parent, child string, threshold priority.Priority) {
+	r, known := c.routes[parent]
 	if !known {
-		r = &refusal{threshold: priority.Lowest}
-		c.routes[route] = r
-	}
-	if now-r.at >= Expiry {
-		r.threshold = priority.Lowest
-	}
-	if p.Before(r.threshold) {
-		r.threshold = p
-	}
-	r.at = now
-}
-
-// Answered takes in that a call below the route was run.
-func (c *Chain) Answered(route string, p priority.Priority) {
-	r, known := c.routes[route]
-	if !known || p.Before(r.threshold) {
-		return
+		r = &route{below: make(map[string]*below)}
+		c.routes[parent] = r
 	}
-	r.threshold = p
-	if p < priority.Lowest {
-		r.threshold++
+	b, known := r.below[child]
+	if !known {
+		b = &below{}
+		r.below[child] = b
 	}
+	b.at = now
+	b.threshold = threshold
 }
 
 // Threshold returns the first priority that is shed below the route.
-func (c *Chain) Threshold(now time.Duration, route string) priority.Priority {
-	r, known := c.routes[route]
-	if !known || now-r.at >= Expiry {
-		return priority.Lowest
+func (c *Chain) Threshold(now time.Duration, parent string) priority.Priority {
+	lowest := priority.Lowest
+	r, known := c.routes[parent]
+	if !known {
+		return lowest
+	}
+	for _, b := range r.below {
+		if now-b.at < Expiry && b.threshold.Before(lowest) {
+			lowest = b.threshold
+		}
 	}
-	return r.threshold
+	return lowest
 }
 
 // Refuse reports whether a call of priority p would be shed below the route.
 // Now and then it lets a call pass to ask whether the threshold still holds.
-func (c *Chain) Refuse(now time.Duration, route string, p priority.Priority) bool {
-	threshold := c.Threshold(now, route)
+func (c *Chain) Refuse(now time.Duration, parent string, p priority.Priority) bool {
+	threshold := c.Threshold(now, parent)
 	if threshold == priority.Lowest || p.Before(threshold) {
 		return false
 	}
-	r := c.routes[route]
+	r := c.routes[parent]
 	if now-r.probedAt < ProbeInterval {
 		return true
 	}
--- a/internal/traffic/chain.go
+++ b/internal/traffic/chain.go
@@ -20,16 +20,10 @@
 	return &chain{now: now, below: shedding.NewChain()}
 }
 
-func (c *chain) refused(route string, p priority.Priority) {
+func (c *chain) report(parent, child string, threshold priority.Priority) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.below.Refused(c.now(), route, p)
-}
-
-func (c *chain) answered(route string, p priority.Priority) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.below.Answered(route, p)
+	c.below.Report(c.now(), parent, child, threshold)
 }
 
 func (c *chain) refuse(route string, p priority.Priority) bool {
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -95,7 +95,7 @@
 		})
 	}
 	ok := a.problem == nil
-	t.learnBelow(p, v, a)
+	t.learnBelow(p, v, route)
 	return a.onClose(func() { p.childEnds(t.config.Now(), fingerprint, ok) })
 }
 
@@ -130,19 +130,15 @@
 	})
 }
 
-// learnBelow notes whether calls like this one are shed further down, so that
-// the next ones are refused before any work.
-func (t *Traffic) learnBelow(p *parent, v *view.View, a *answer) {
-	if v.Index == nil {
-		return
-	}
-	if a.problem == nil {
-		t.chain.answered(p.route, p.priority)
+// learnBelow notes which calls are shed further down, so that the next ones are
+// refused before any work.
+func (t *Traffic) learnBelow(p *parent, v *view.View, route *catalogue.Route) {
+	members := v.ByService[route.Service]
+	if len(members) == 0 {
 		return
 	}
-	if k := a.problem.Kind; k == problem.KindOverloaded || k == problem.KindOverloadedEverywhere {
-		t.chain.refused(p.route, p.priority)
-	}
+	threshold := t.targets.service(route.Service).threshold(members, route.Name)
+	t.chain.report(p.route, route.Name, threshold)
 }
 
 // childKey identifies a non-idempotent call of the endpoint within its parent:
