--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,19 +103,30 @@
 			Incarnation:      incarnation,
 			Version:          version,
 		},
-		View:     holder,
-		Gate:     t.GateState,
-		Records:  t.RecordsState,
-		Control:  func() any { return c.Status() },
-		Refusals: refusals,
-		Events:   ring,
-		Metrics:  instruments.Registry(),
+		View:      holder,
+		Catalogue: func() status.Catalogue { return catalogueState(c.Status()) },
+		Gate:      t.GateState,
+		Records:   t.RecordsState,
+		Control:   func() any { return c.Status() },
+		Refusals:  refusals,
+		Events:    ring,
+		Metrics:   instruments.Registry(),
 	})
 	n.attach()
 	log.Emit(event.NodeStarted, "", event.F("incarnation", incarnation), event.F("caller_address", s.CallerAddress))
 	return n, nil
 }
 
+// catalogueState says which catalogue is in force and what holds back a newer one.
+func catalogueState(s control.Status) status.Catalogue {
+	out := status.Catalogue{Revision: s.Catalogue.Revision}
+	if refused := s.Catalogue.Refused; refused != nil {
+		out.Refused = refused.Revision
+		out.Reason = refused.Reason
+	}
+	return out
+}
+
 // listen opens every listener, so that an address in use is found at start.
 func (n *Node) listen() error {
 	addresses := []struct{ field, address string }{
