--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -129,7 +129,7 @@
 	if !known {
 		return true
 	}
-	if t.ejected(now) {
+	if t.aside() {
 		return false
 	}
 	return !headroom || t.headroom(now) > 0
--- a/decision/routing/router_test.go
+++ b/decision/routing/router_test.go
@@ -137,15 +137,26 @@
 	require.Positive(t, count["slow"], "two equal draws keep the slow one measured")
 }
 
-func TestEjectionEnds(t *testing.T) {
+func TestEndpointComesBackOnceItAnswersAProbe(t *testing.T) {
 	r := NewRouter()
 	candidates := []Candidate{{VM: "a"}, {VM: "b", Distance: SameRegion}}
+	pick := func(now time.Duration) string {
+		at, _ := r.Pick(now, candidates, 0)
+		return candidates[at].VM
+	}
 	r.Start(0, "a")
-	r.Finish(0, "a", Finished{Outcome: OutcomeUnreachable})
-	at, _ := r.Pick(ejectBase-1, candidates, 0)
-	require.Equal(t, 1, at)
-	at, _ = r.Pick(ejectBase, candidates, 0)
-	require.Equal(t, 0, at)
+	r.Finish(0, "a", Finished{Outcome: OutcomeSilent})
+	require.Empty(t, r.Due(ejectBase-1, nil))
+	require.Equal(t, []string{"a"}, r.Due(ejectBase, nil))
+	require.Empty(t, r.Due(ejectBase, nil), "one probe at a time")
+	require.Equal(t, "b", pick(ejectBase))
+
+	r.Probed(ejectBase, "a", false)
+	require.Equal(t, "b", pick(ejectBase))
+	require.Empty(t, r.Due(ejectBase+2*ejectBase-1, nil), "the time aside doubles")
+	require.Equal(t, []string{"a"}, r.Due(ejectBase+2*ejectBase, nil))
+	r.Probed(3*ejectBase, "a", true)
+	require.Equal(t, "a", pick(3*ejectBase))
 }
 
 func BenchmarkPick(b *testing.B) {
--- a/decision/routing/target.go
+++ b/decision/routing/target.go
@@ -29,6 +29,8 @@
 	OutcomeAnswered Outcome = iota
 	// OutcomeUnreachable means that no connection could be made.
 	OutcomeUnreachable
+	// OutcomeSilent means that the other side showed no progress for too long.
+	OutcomeSilent
 	// OutcomeBroken means that the connection or the answer broke.
 	OutcomeBroken
 	// OutcomeAbandoned means that the caller stopped waiting.
@@ -53,6 +55,7 @@
 	tookMicros   float64
 	failures     int
 	ejectedUntil time.Duration
+	probing      bool
 	firstSeen    time.Duration
 	// The last report of the endpoint's node.
 	reported       int
@@ -61,8 +64,10 @@
 	hasReport      bool
 }
 
-func (t *target) ejected(now time.Duration) bool {
-	return now < t.ejectedUntil
+// aside reports whether the endpoint gets no calls. Once its time is over it
+// stays aside until a probe was answered, so that no call has to find out.
+func (t *target) aside() bool {
+	return t.failures >= ejectFailures
 }
 
 // headroom returns the further calls that the endpoint would run at once, as
@@ -103,7 +108,7 @@
 	switch f.Outcome {
 	case OutcomeAnswered:
 		t.answered(now, f)
-	case OutcomeUnreachable:
+	case OutcomeUnreachable, OutcomeSilent:
 		t.failures = max(t.failures, ejectFailures-1)
 		t.failed(now)
 	case OutcomeBroken:
@@ -114,7 +119,6 @@
 
 func (t *target) answered(now time.Duration, f Finished) {
 	t.failures = 0
-	t.ejectedUntil = 0
 	t.reported = f.Headroom
 	t.reportedAt = now
 	t.reportedFlight = t.outstanding
@@ -138,3 +142,30 @@
 	doublings := min(t.failures-ejectFailures, 10)
 	t.ejectedUntil = now + min(ejectBase<<doublings, ejectMax)
 }
+
+// Due appends to out the endpoints whose time aside is over, and counts them as
+// being probed until Probed.
+func (r *Router) Due(now time.Duration, out []string) []string {
+	for vm, t := range r.targets {
+		if t.aside() && !t.probing && now >= t.ejectedUntil {
+			t.probing = true
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// Probed takes in whether an endpoint answered a probe.
+func (r *Router) Probed(now time.Duration, vm string, answered bool) {
+	t, known := r.targets[vm]
+	if !known {
+		return
+	}
+	t.probing = false
+	if !answered {
+		t.failed(now)
+		return
+	}
+	t.failures = 0
+	t.hasReport = false
+}
