Tell a watch of the state it waited on, and keep VM lists in order

Cause: a watch that ended at the moment of a write could answer 304 with the new key revision, so that a reader that goes on from there missed the write; a test with the write at the very end of the wait failed at once. A VM list accepted under a long lag could show after one accepted later under a shorter one. Work that was done in the moment its caller left was logged as cancelled.

Change: a 304 carries the revisions of the state that was looked at; older VM lists are dropped; finished work is logged as finished. DELETE /admin/counters starts counting anew. truth.CutOff lists calls that started and have no end. The watch has a file of its own.

--- a/internal/standin/endpoint/serve.go
+++ b/internal/standin/endpoint/serve.go
@@ -78,13 +78,14 @@
 	switch {
 	case errors.Is(err, errCrashed):
 		panic(http.ErrAbortHandler) // only reached when a test replaced the crash
+	case err == nil:
+		// The work is done, even if its caller left in the last moment.
+		e.note(in, truth.Record{Kind: truth.Finished, Status: http.StatusOK, RunMs: toMs(ran)})
+		writeJSON(w, http.StatusOK, a)
 	case ctx.Err() != nil:
 		e.giveUp(w, in, ctx.Err(), ran)
-	case err != nil:
-		e.answerChildFailed(w, in, err, ran)
 	default:
-		e.note(in, truth.Record{Kind: truth.Finished, Status: http.StatusOK, RunMs: toMs(ran)})
-		writeJSON(w, http.StatusOK, a)
+		e.answerChildFailed(w, in, err, ran)
 	}
 }
 
--- a/internal/standin/endpoint/work.go
+++ b/internal/standin/endpoint/work.go
@@ -58,6 +58,9 @@
 func (e *Endpoint) callChildren(ctx context.Context, in *incoming) ([]answer.Answer, error) {
 	calls := childCalls(in)
 	answers := make([]answer.Answer, len(calls))
+	if len(calls) == 0 {
+		return answers, nil
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	if !in.route.Parallel {
 		group.SetLimit(1)
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -25,6 +25,7 @@
 	mux.HandleFunc("PUT /admin/mode", p.adminMode)
 	mux.HandleFunc("PUT /admin/lag", p.adminLag)
 	mux.HandleFunc("GET /admin/counters", p.adminCounters)
+	mux.HandleFunc("DELETE /admin/counters", p.adminResetCounters)
 	return mux
 }
 
@@ -72,6 +73,11 @@
 	_ = json.NewEncoder(w).Encode(p.Counters()) // the reader may be gone
 }
 
+func (p *Platform) adminResetCounters(w http.ResponseWriter, _ *http.Request) {
+	p.ResetCounters()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // readAdmin decodes a body, or answers 400 and returns false.
 func readAdmin(w http.ResponseWriter, r *http.Request, into any) bool {
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxAdminBytes))
--- a/internal/standin/platform/meter.go
+++ b/internal/standin/platform/meter.go
@@ -25,7 +25,7 @@
 	Refused uint64 `json:"refused"`
 }
 
-// Counters is what the platform counted since its start.
+// Counters is what the platform counted since its start or the last reset.
 type Counters struct {
 	// Total counts the calls that were let in.
 	Total uint64 `json:"total"`
@@ -124,6 +124,17 @@
 	m.watches += n
 }
 
+// reset forgets what was counted. The calls of the current second still use up
+// the limit.
+func (m *meter) reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peak = 0
+	m.total = 0
+	m.refused = 0
+	m.keys = map[string]*KeyCounters{}
+}
+
 func (m *meter) counters(now time.Time) Counters {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/standin/platform/meter_test.go
+++ b/internal/standin/platform/meter_test.go
@@ -35,6 +35,18 @@
 	})
 }
 
+func TestResetForgetsTheCountsButNotTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(s *Settings) { s.ReadsPerSecond = 1 })
+		b.read("none")
+		require.Equal(t, http.StatusNoContent, b.admin(http.MethodDelete, "/admin/counters", ""))
+		require.Equal(t, Counters{Limit: 1, Keys: []KeyCounters{}}, b.Counters())
+		require.Equal(t, 429, b.read("none").status)
+		time.Sleep(time.Second)
+		require.Equal(t, 404, b.read("none").status)
+	})
+}
+
 func TestCallsOfEveryOutcomeCount(t *testing.T) {
 	b := newBench(t, nil)
 	b.read("none")
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -19,8 +18,10 @@
 	meter *meter
 	log   *event.Log
 
-	mu  sync.Mutex
-	lag time.Duration
+	mu        sync.Mutex
+	lag       time.Duration
+	accepted  uint64 // number of the newest VM list
+	published uint64 // number of the VM list that shows
 }
 
 // New returns a platform without keys.
@@ -52,14 +53,37 @@
 	if len(value) > MaxValueBytes {
 		return ErrValueTooLarge
 	}
-	lag := p.lagOf(key)
-	if lag == 0 {
+	if key != VMListKey {
 		return p.put(key, value)
 	}
-	time.AfterFunc(lag, func() { _ = p.put(key, value) }) // its size was checked
+	number, lag := p.acceptVMList()
+	if lag == 0 {
+		return p.publishVMList(number, value)
+	}
+	time.AfterFunc(lag, func() { _ = p.publishVMList(number, value) }) // its size was checked
 	return nil
 }
 
+// acceptVMList numbers a new VM list and returns the time until it shows.
+func (p *Platform) acceptVMList() (number uint64, lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.accepted++
+	return p.accepted, p.lag
+}
+
+// publishVMList shows a VM list, unless a later one shows already, as happens
+// after the lag was made shorter.
+func (p *Platform) publishVMList(number uint64, value []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if number < p.published {
+		return nil
+	}
+	p.published = number
+	return p.put(VMListKey, value)
+}
+
 func (p *Platform) put(key string, value []byte) error {
 	revision, err := p.store.Put(key, value)
 	if err != nil {
@@ -70,15 +94,6 @@
 	return nil
 }
 
-func (p *Platform) lagOf(key string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if key == VMListKey {
-		return p.lag
-	}
-	return 0
-}
-
 // SetLag changes the lag of the VM list for later writes.
 func (p *Platform) SetLag(lag time.Duration) {
 	p.mu.Lock()
@@ -100,6 +115,11 @@
 	return p.meter.counters(time.Now())
 }
 
+// ResetCounters forgets what was counted, but for the current second.
+func (p *Platform) ResetCounters() {
+	p.meter.reset()
+}
+
 // Handler returns the key service.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -115,31 +135,3 @@
 	}
 	return v.allowed
 }
-
-// wait waits for a change of the view, until the next second of a watch must be
-// counted, or until its end, and reports which came.
-func wait(ctx context.Context, changed <-chan struct{}, left, countIn time.Duration) waitEnd {
-	timer := time.NewTimer(min(left, countIn))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return waitGone
-	case <-changed:
-		return waitChanged
-	case <-timer.C:
-		if left <= countIn {
-			return waitOver
-		}
-		return waitCount
-	}
-}
-
-// waitEnd says why a watch stopped waiting.
-type waitEnd int
-
-const (
-	waitGone waitEnd = iota
-	waitChanged
-	waitOver
-	waitCount
-)
--- a/internal/standin/platform/read.go
+++ b/internal/standin/platform/read.go
@@ -19,9 +19,6 @@
 // MaxWait is the longest that a watch may wait.
 const MaxWait = 5 * time.Minute
 
-// watchCountInterval is the time after which a waiting watch counts again.
-const watchCountInterval = time.Second
-
 // query is a parsed read.
 type query struct {
 	key   string
@@ -73,42 +70,6 @@
 	writeKey(w, view.State, q.key)
 }
 
-// watch answers when the key is newer than q.after, or when the wait is over.
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request, q query) {
-	p.meter.watching(1)
-	defer p.meter.watching(-1)
-	start := time.Now()
-	counted := 1 // seconds of the wait that were counted; the arrival was the first
-	for {
-		view := p.store.View()
-		if view.Mode == ModeDown {
-			refuseDown(w, view.Closes)
-			return
-		}
-		if e, ok := view.State.Get(q.key); ok && e.Revision > q.after {
-			writeKey(w, view.State, q.key)
-			return
-		}
-		waited := time.Since(start)
-		countIn := time.Duration(counted)*watchCountInterval - waited
-		switch wait(r.Context(), view.Changed, q.wait-waited, countIn) {
-		case waitGone:
-			// The reader is gone or the platform stops: there is no answer.
-			panic(http.ErrAbortHandler)
-		case waitOver:
-			writeUnchanged(w, p.store.View().State, q.key)
-			return
-		case waitCount:
-			counted++
-			if !p.count(q.key) {
-				http.Error(w, "over the limit of reads", http.StatusTooManyRequests)
-				return
-			}
-		case waitChanged:
-		}
-	}
-}
-
 // refuseDown answers 503, or closes the connection without an answer.
 func refuseDown(w http.ResponseWriter, closes bool) {
 	if closes {
--- a/internal/standin/platform/read_test.go
+++ b/internal/standin/platform/read_test.go
@@ -103,6 +103,25 @@
 	}
 }
 
+func TestWatchWhoseKeyChangesAtItsVeryEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(s *Settings) { s.History = 1 })
+		for revision := uint64(1); revision < 300; revision++ {
+			b.mustPut("catalogue", "x")
+			answer := b.watch(t.Context(), "catalogue", revision, time.Second)
+			time.Sleep(time.Second)
+			b.mustPut("catalogue", "x")
+			revision++
+			got := <-answer
+			want := reply{status: 200, value: "x", revision: revision, keyRevision: revision, after: time.Second}
+			if got.status == 304 {
+				want = reply{status: 304, revision: revision - 1, keyRevision: revision - 1, after: time.Second}
+			}
+			require.Equal(t, want, got)
+		}
+	})
+}
+
 func TestWatchOfAnAbsentKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, nil)
--- a/internal/standin/platform/store_test.go
+++ b/internal/standin/platform/store_test.go
@@ -78,6 +78,19 @@
 	})
 }
 
+func TestOlderVMListNeverOvertakesANewerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, func(s *Settings) { s.VMListLagMs = 60000 })
+		b.mustPut(VMListKey, "older")
+		b.SetLag(0)
+		b.mustPut(VMListKey, "newer")
+		require.Equal(t, "newer", b.read(VMListKey).value)
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		require.Equal(t, reply{status: 200, value: "newer", revision: 1, keyRevision: 1}, b.read(VMListKey))
+	})
+}
+
 // oracle is a store that remembers every write.
 type oracle struct {
 	writes []string // values of the one key, by revision from 1
--- a/internal/standin/truth/truth_test.go
+++ b/internal/standin/truth/truth_test.go
@@ -176,6 +176,34 @@
 	require.False(t, found)
 }
 
+func TestCutOff(t *testing.T) {
+	start := Record{Kind: Started, VM: "a", Request: "r1", Path: "/book"}
+	with := func(change func(*Record)) Record {
+		r := start
+		change(&r)
+		return r
+	}
+	end := with(func(r *Record) { r.Kind, r.RunMs = Finished, 1 })
+	tests := []struct {
+		desc    string
+		records []Record
+		want    []Record
+	}{
+		{"finished", []Record{start, end}, []Record{}},
+		{"cancelled in its slot", []Record{start, with(func(r *Record) { r.Kind, r.RunMs = Cancelled, 1 })}, []Record{}},
+		{"crashed", []Record{start, with(func(r *Record) { r.Kind, r.RunMs = Crashed, 1 })}, []Record{}},
+		{"killed", []Record{start}, []Record{start}},
+		{"two starts, one end", []Record{start, start, end}, []Record{start}},
+		{"end in another incarnation", []Record{start, with(func(r *Record) { r.Kind, r.RunMs, r.Incarnation = Finished, 1, 2 })}, []Record{start}},
+		{"another call cancelled in the queue", []Record{start, with(func(r *Record) { r.Kind = Cancelled })}, []Record{start}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			require.Equal(t, test.want, CutOff(test.records))
+		})
+	}
+}
+
 func TestRecordsHaveOneLine(t *testing.T) {
 	out := &bytes.Buffer{}
 	NewLog(out, "vm", "s").Add(Record{Kind: Refused, Reason: "two\nlines"})
