--- a/cmd/galenacart-load/main.go
+++ b/cmd/galenacart-load/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	"github.com/galenacart/galenacart/internal/version"
 )
 
 func main() {
@@ -21,7 +23,7 @@
 	commander := subcommands.NewCommander(flag.CommandLine, "galenacart-load")
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
-	commander.Register(versionCommand{}, "")
+	commander.Register(version.Command(), "")
 	commander.Register(&layoutCommand{}, "deployments")
 	commander.Register(&runCommand{}, "experiments")
 	commander.Register(&compareCommand{}, "experiments")
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -1,58 +1,23 @@
 #!/usr/bin/env bash
 # Shows one overload of the Dørvakt deployment twice: with galenacart, and with
-# endpoints that call each other. Every process that it starts ends with it.
+# endpoints that call each other.
 set -uo pipefail
 cd "$(dirname "$0")/.."
+# shellcheck source=demo/processes.sh
+. demo/processes.sh
 
 readonly DEPLOYMENT=${DEPLOYMENT:-dorvakt}
 readonly EXPERIMENT=${EXPERIMENT:-demo/overload.json}
 readonly OUT=${OUT:-out/demo}
 readonly NETWORK=${NETWORK:-127.20}
-readonly BIN=bin
 readonly CATALOGUE=examples/$DEPLOYMENT/catalogue.json
 readonly SETTINGS=examples/$DEPLOYMENT/deployment.json
-readonly STOP_SECONDS=10
 
-# stop_all ends the processes that this script started and that still run, by
-# their process IDs.
-stop_all() {
-	local running tenths=0
-	running=$(jobs -pr)
-	[[ -n $running ]] || return 0
-	# The list is split into its process IDs.
-	# shellcheck disable=SC2086
-	kill -TERM $running 2>/dev/null
-	while [[ -n $(jobs -pr) ]] && ((tenths < STOP_SECONDS * 10)); do
-		sleep 0.1
-		tenths=$((tenths + 1))
-	done
-	running=$(jobs -pr)
-	if [[ -n $running ]]; then
-		echo "demo: killed after $STOP_SECONDS s: $running" >&2
-		# shellcheck disable=SC2086
-		kill -KILL $running 2>/dev/null
-	fi
-	wait
-}
-
-# start_all starts every process of a mode. Its events go to a file of its own.
-start_all() {
-	local mode=$1 name command
-	mkdir -p "$OUT/$mode/events"
-	while read -r name command; do
-		# The words of a command hold no white space.
-		# shellcheck disable=SC2086
-		$BIN/$command 2>"$OUT/$mode/events/$name.jsonl" >/dev/null </dev/null &
-	done <"$OUT/settings/processes-$mode.txt"
-}
-
-# load plays the experiment. It runs in the background, so that a signal to
-# this script is handled at once.
+# load plays the experiment against the processes of a mode.
 load() {
 	local mode=$1
-	$BIN/galenacart-load run -experiment "$EXPERIMENT" -catalogue "$CATALOGUE" -deployment "$SETTINGS" \
-		-targets "$OUT/settings/targets-$mode.json" -out "$OUT/$mode" >"$OUT/$mode/report.txt" &
-	wait $!
+	wait_for $BIN/galenacart-load run -experiment "$EXPERIMENT" -catalogue "$CATALOGUE" -deployment "$SETTINGS" \
+		-targets "$OUT/settings/targets-$mode.json" -out "$OUT/$mode" >"$OUT/$mode/report.txt"
 }
 
 # check adds what the endpoints' own logs say to the report of a mode.
@@ -64,19 +29,24 @@
 
 play() {
 	local mode=$1
-	start_all "$mode"
+	start_all "$OUT" "$mode" || exit 1
 	load "$mode" || {
 		echo "demo: the run in mode $mode failed; see $OUT/$mode" >&2
 		exit 1
 	}
+	check_running "$OUT/$mode/events" || exit 1
 	stop_all
 	check "$mode" || echo "demo: mode $mode: $(tail -n 1 "$OUT/$mode/truth.txt")"
 }
 
-trap stop_all EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
-trap 'exit 129' HUP
+# timeline merges the events of all processes of a mode.
+timeline() {
+	local mode=$1
+	[[ -x $BIN/galenacart-ctl ]] || return 0
+	$BIN/galenacart-ctl timeline -out "$OUT/$mode/timeline.html" "$OUT/$mode"/events/*.jsonl \
+		"$OUT/$mode/load-events.jsonl" >"$OUT/$mode/timeline.log" 2>&1 ||
+		echo "demo: no time line of mode $mode; see $OUT/$mode/timeline.log" >&2
+}
 
 rm -rf "$OUT"
 mkdir -p "$OUT"
@@ -84,6 +54,8 @@
 	-out "$OUT/settings" >/dev/null || exit 1
 for mode in ${MODES:-galenacart direct}; do
 	play "$mode"
+	timeline "$mode"
 	reports+=("$OUT/$mode/report.json")
 done
 $BIN/galenacart-load compare -plot "$OUT/plot.svg" -plot "$OUT/plot.png" "${reports[@]}"
+echo "plot: $OUT/plot.svg; reports, events and endpoints' logs: $OUT"
