Merge the events of the demo into one time line

Cause: the demo wrote the events of 29 processes into as many files.

Change: demo/run.sh merges them with galenacart-ctl timeline.

Conclusion: out/demo/galenacart/timeline.html shows the run.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -39,11 +39,10 @@
 	check "$mode" || echo "demo: mode $mode: $(tail -n 1 "$OUT/$mode/truth.txt")"
 }
 
-# timeline merges the events of all processes of a mode.
+# timeline merges the events of all processes of a mode into one page.
 timeline() {
 	local mode=$1
-	[[ -x $BIN/galenacart-ctl ]] || return 0
-	$BIN/galenacart-ctl timeline -out "$OUT/$mode/timeline.html" "$OUT/$mode"/events/*.jsonl \
+	wait_for $BIN/galenacart-ctl timeline -html "$OUT/$mode/timeline.html" "$OUT/$mode"/events/*.jsonl \
 		"$OUT/$mode/load-events.jsonl" >"$OUT/$mode/timeline.log" 2>&1 ||
 		echo "demo: no time line of mode $mode; see $OUT/$mode/timeline.log" >&2
 }
