Bound the reads of the whole fleet, and prove adoption and links under faults

Cause: the platform counts a waiting watch once a second, so a bound on the number of reads alone let a fleet of readers go over the limit; after an outage all nodes would have begun to check at the same moment.

Change: a watch spends one read of the node's share for each second of its wait; nodes that begin to check together spread over the time that the fleet needs. Tests drive real control sides over in-memory connections in fake time: outages, older and conflicting states, replaced nodes, parted zones, pauses, lying peers. Fuzz targets cover the decoders of peer messages.

--- /dev/null
+++ b/decision/membership/membership_test.go
@@ -0,0 +1,97 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func drawEvidence(t *rapid.T) Evidence {
+	ages := []time.Duration{0, time.Second, AnswerWorth, LeavingWorth, ListLag, Never}
+	age := func(label string) time.Duration { return rapid.SampledFrom(ages).Draw(t, label) }
+	return Evidence{
+		Listing:        Listing(rapid.IntRange(0, 2).Draw(t, "listing")),
+		Linked:         rapid.Bool().Draw(t, "linked"),
+		Said:           Said(rapid.IntRange(0, 3).Draw(t, "said")),
+		SaidAge:        age("said age"),
+		AnsweredAge:    age("answered"),
+		UnreachableAge: age("unreachable"),
+		LeavingAge:     age("leaving"),
+	}
+}
+
+func TestWhatAnswersIsNeverGone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := drawEvidence(t)
+		if e.Linked || e.AnsweredAge < AnswerWorth && e.AnsweredAge < e.UnreachableAge {
+			require.NotEqual(t, Gone, Find(e).State)
+		}
+	})
+}
+
+func TestUnreachableAloneDoesNotRemoveAListedVM(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := drawEvidence(t)
+		if e.Listing == Unlisted || e.Said == SaidStopped {
+			return
+		}
+		e.AnsweredAge = Never
+		seen, unseen := e, e
+		seen.UnreachableAge, unseen.UnreachableAge = 0, Never
+		require.Equal(t, Find(unseen), Find(seen))
+	})
+}
+
+func TestFind(t *testing.T) {
+	none := Evidence{SaidAge: Never, AnsweredAge: Never, UnreachableAge: Never, LeavingAge: Never}
+	cases := []struct {
+		desc   string
+		change func(*Evidence)
+		want   State
+	}{
+		{"nothing known", func(*Evidence) {}, Gone},
+		{"listed", func(e *Evidence) { e.Listing = ListedLive }, Live},
+		{"listed as leaving", func(e *Evidence) { e.Listing = ListedLeaving }, Leaving},
+		{"says it leaves, list lags", func(e *Evidence) { e.Listing, e.Said, e.SaidAge = ListedLive, SaidLeaving, 0 }, Leaving},
+		{"said it stops, list lags", func(e *Evidence) { e.Listing, e.Said, e.SaidAge = ListedLive, SaidStopped, time.Second }, Gone},
+		{"said it stops long ago, listed again", func(e *Evidence) { e.Listing, e.Said, e.SaidAge = ListedLive, SaidStopped, ListLag }, Live},
+		{"new, not listed yet", func(e *Evidence) { e.Said, e.SaidAge = SaidLive, time.Second }, Live},
+		{"new, not listed for long", func(e *Evidence) { e.Said, e.SaidAge = SaidLive, ListLag }, Gone},
+		{"not listed and unreachable", func(e *Evidence) { e.Said, e.SaidAge, e.UnreachableAge = SaidLive, 0, 0 }, Gone},
+		{"answers with leaving", func(e *Evidence) { e.Listing, e.LeavingAge, e.AnsweredAge = ListedLive, 0, 0 }, Leaving},
+		{"listed, leaving on an answer long ago", func(e *Evidence) { e.Listing, e.LeavingAge = ListedLive, LeavingWorth }, Live},
+		{"dropped from the list but linked", func(e *Evidence) { e.Linked = true }, Live},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			e := none
+			c.change(&e)
+			require.Equal(t, c.want, Find(e).State)
+		})
+	}
+}
+
+// Nodes end with the same claim in whatever order claims reach them.
+func TestClaimsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		claims := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Claim {
+			return Claim{
+				Stamp:       rapid.Uint64Range(0, 3).Draw(t, "stamp"),
+				Said:        Said(rapid.IntRange(1, 3).Draw(t, "said")),
+				Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+			}
+		}), 1, 8).Draw(t, "claims")
+		merge := func(order []Claim) Claim {
+			best := order[0]
+			for _, c := range order[1:] {
+				if c.Newer(best) {
+					best = c
+				}
+			}
+			return best
+		}
+		require.Equal(t, merge(claims), merge(rapid.Permutation(claims).Draw(t, "other order")))
+	})
+}
--- a/decision/readers/share.go
+++ b/decision/readers/share.go
@@ -9,16 +9,18 @@
 	PlatformLimit = 2000
 	// FleetLimit is the number of reads a second that the whole fleet may make
 	// when every node believes that it is a reader.
-	FleetLimit = 800
+	FleetLimit = 1200
 	// UnknownFleet is the number of VMs assumed by a node without a VM list.
 	UnknownFleet = 6000
 
 	maxNodeRate = 5.0 // reads per second of one node
-	burst       = 2.0 // reads that a node may save up
+	minBurst    = 2.0 // reads that a node may save up
+	maxBurst    = 10.0
 )
 
 // Share is one node's part of the reads that the fleet may make: a token bucket
-// filled at a rate that falls with the size of the fleet.
+// filled at a rate that falls with the size of the fleet. A watch costs one read
+// for each second of its wait, as the platform counts it.
 type Share struct {
 	tokens float64
 	filled time.Duration
@@ -26,10 +28,11 @@
 
 // NewShare returns a share that allows two reads at once.
 func NewShare(now time.Duration) Share {
-	return Share{tokens: burst, filled: now}
+	return Share{tokens: minBurst, filled: now}
 }
 
-// Rate returns the reads a second that one of vms nodes may make.
+// Rate returns the reads a second that one of vms nodes may make. vms is 0 when
+// the size of the fleet is not known.
 func Rate(vms int) float64 {
 	if vms <= 0 {
 		vms = UnknownFleet
@@ -37,21 +40,29 @@
 	return min(maxNodeRate, FleetLimit/float64(vms))
 }
 
-// Take spends one read if there is one. vms is the size of the fleet, 0 when it
-// is not known.
-func (s *Share) Take(now time.Duration, vms int) bool {
+// Take spends up to want reads and returns how many, 0 when there is not one.
+func (s *Share) Take(now time.Duration, vms, want int) int {
+	rate := Rate(vms)
 	if now > s.filled {
-		s.tokens = min(burst, s.tokens+(now-s.filled).Seconds()*Rate(vms))
+		burst := min(maxBurst, max(minBurst, maxBurst*rate))
+		s.tokens = min(burst, s.tokens+(now-s.filled).Seconds()*rate)
 		s.filled = now
 	}
-	if s.tokens < 1 {
-		return false
-	}
-	s.tokens--
-	return true
+	granted := min(want, int(s.tokens))
+	s.tokens -= float64(granted)
+	return granted
+}
+
+// Refund gives back reads that never reached the platform.
+func (s *Share) Refund(reads int) {
+	s.tokens = min(maxBurst, s.tokens+float64(reads))
 }
 
-// Refund gives back a read that never reached the platform.
-func (s *Share) Refund() {
-	s.tokens = min(burst, s.tokens+1)
+// Spread returns the time over which vms nodes that all want to read a number of
+// documents at once have to spread, so that together they keep FleetLimit.
+func Spread(vms, documents int) time.Duration {
+	if vms <= 0 {
+		vms = UnknownFleet
+	}
+	return time.Duration(float64(vms*documents) / FleetLimit * float64(time.Second))
 }
--- /dev/null
+++ b/internal/control/liar_test.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/decision/adoption"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/peer"
+	"github.com/galenacart/galenacart/internal/peer/delta"
+	"github.com/galenacart/galenacart/internal/vmlist"
+)
+
+// stranger is a peer that knows the fleet key and does what it likes.
+type stranger struct {
+	link  *peer.Link
+	cause chan error
+}
+
+// connect links a stranger with the node of a VM.
+func (f *fleet) connect(t *testing.T, identity peer.Identity, vm vmlist.VM) *stranger {
+	node := peer.NewNode(identity, []byte(fleetKey), &event.Clock{}, f.nodes[vm.Name].client)
+	l, err := node.Dial(context.Background(), vm.Name, vm.PeerAddress)
+	require.NoError(t, err)
+	s := &stranger{link: l, cause: make(chan error, 1)}
+	go func() { s.cause <- l.Run(context.Background(), func(*peer.Message) { l.Done() }) }()
+	return s
+}
+
+func identityOf(vm vmlist.VM, incarnation uint64) peer.Identity {
+	return peer.Identity{
+		VM: vm.Name, AvailabilityZone: vm.AvailabilityZone, Region: vm.Region,
+		Service: vm.Service, PeerAddress: vm.PeerAddress, Incarnation: incarnation,
+	}
+}
+
+func TestLyingPeersAreClosedAndOthersUntouched(t *testing.T) {
+	part := func(p peer.Part) *peer.Message { return &peer.Message{Part: &p} }
+	cases := []struct {
+		desc  string
+		claim func(*fleet) peer.Identity
+		send  []*peer.Message
+		event string
+	}{
+		{
+			"claims a VM whose node is linked",
+			func(f *fleet) peer.Identity { return identityOf(f.vms[1], 99) }, nil, `"fault":"incarnation"`,
+		},
+		{
+			"claims the node's own VM",
+			func(f *fleet) peer.Identity { return identityOf(f.vms[0], 99) }, nil, `"fault":"identity"`,
+		},
+		{
+			"claims another zone than listed",
+			func(f *fleet) peer.Identity {
+				i := identityOf(f.vms[1], 99)
+				i.AvailabilityZone = "zone-9"
+				return i
+			}, nil, `"fault":"identity"`,
+		},
+		{
+			"names another incarnation of itself",
+			newcomer,
+			[]*peer.Message{{Records: &peer.Records{List: []peer.Record{{VM: "new", Incarnation: 100, Stamp: 1 << 40}}}}},
+			`"fault":"incarnation"`,
+		},
+		{
+			"goes back to an older state",
+			newcomer,
+			[]*peer.Message{
+				{Beat: &peer.Beat{Seq: 1, Documents: [peer.Documents]peer.DocumentState{{Revision: 2}}}},
+				{Beat: &peer.Beat{Seq: 2, Documents: [peer.Documents]peer.DocumentState{{Revision: 1}}}},
+			},
+			`"fault":"garbage"`,
+		},
+		{
+			"acknowledges a beat that was not sent",
+			newcomer,
+			[]*peer.Message{{Beat: &peer.Beat{Seq: 1, Ack: 1 << 40}}},
+			`"fault":"garbage"`,
+		},
+		{
+			"names a newer catalogue and sends other content",
+			newcomer,
+			[]*peer.Message{
+				{Beat: &peer.Beat{Seq: 1, Documents: [peer.Documents]peer.DocumentState{{Revision: 50, Hash: adoption.Hash{1}}}}},
+				part(peer.Part{Revision: 50, Hash: adoption.Hash{1}, Last: true, Steps: []delta.Step{{}}, Entries: [][]byte{[]byte("x\n1")}}),
+			},
+			`"fault":"garbage"`,
+		},
+		{
+			"sends nothing more",
+			newcomer, nil, `"fault":"stall"`,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
+				time.Sleep(5 * time.Second)
+				n := f.nodes["vm-0-0"]
+				before := n.Status().Peers
+				require.Len(t, before, 2)
+				s := f.connect(t, c.claim(f), f.vms[0])
+				for _, m := range c.send {
+					s.link.Send(m)
+					time.Sleep(100 * time.Millisecond)
+				}
+				require.Error(t, <-s.cause)
+				synctest.Wait()
+				require.Contains(t, n.events.String(), c.event)
+				require.True(t, f.inForce(2, ""))
+				time.Sleep(3 * time.Second)
+				require.Equal(t, before, n.Status().Peers)
+			})
+		})
+	}
+}
+
+// newcomer is a VM that the list does not hold yet.
+func newcomer(*fleet) peer.Identity {
+	return peer.Identity{VM: "new", AvailabilityZone: "zone-0", Region: "vestland", Service: "stock", PeerAddress: "new:1", Incarnation: 99}
+}
--- a/internal/control/platform_controller.go
+++ b/internal/control/platform_controller.go
@@ -31,6 +31,8 @@
 	busy     bool
 	cancel   context.CancelFunc
 	after    uint64 // newest revision that the platform told
+	started  time.Duration
+	granted  int // reads that the one in flight may cost
 	next     time.Duration
 	failures int
 }
@@ -77,6 +79,11 @@
 	before := state.duty
 	for k := range keyCount {
 		state.duty[k] = readers.Choose(p.situation(k))
+		if before[k] == readers.DutyNone && state.duty[k] == readers.DutyCheck && p.reading[k].started > 0 {
+			p.delay(k) // the others begin to check at the same time
+		}
+	}
+	for _, k := range p.order() {
 		if state.duty[k] != readers.DutyNone {
 			p.read(k, state.duty[k])
 		}
@@ -90,6 +97,20 @@
 	}
 }
 
+// order returns the documents, the one that was not read for longest first.
+func (p *platformController) order() [keyCount]key {
+	if p.reading[keyVMs].started < p.reading[keyCatalogue].started {
+		return [keyCount]key{keyVMs, keyCatalogue}
+	}
+	return [keyCount]key{keyCatalogue, keyVMs}
+}
+
+// delay puts the next read off by a part of the time that a whole fleet needs.
+func (p *platformController) delay(k key) {
+	spread := readers.Spread(p.fleet(), int(keyCount))
+	p.reading[k].next = p.now + time.Duration(p.random.Float64()*float64(spread))
+}
+
 // wake voids what was begun before a pause of the process.
 func (p *platformController) wake(epoch uint64) {
 	p.epoch = epoch
@@ -98,7 +119,8 @@
 		if r.busy {
 			r.cancel()
 		}
-		*r = reading{after: r.after, next: p.now + time.Duration(p.random.Float64()*float64(time.Second))}
+		*r = reading{after: r.after, started: r.started}
+		p.delay(key(k))
 	}
 	p.contact.Set(contact{})
 }
@@ -150,15 +172,23 @@
 // read starts a read if it is due and within the share.
 func (p *platformController) read(k key, duty readers.Duty) {
 	r := &p.reading[k]
-	if r.busy || p.now < r.next || !p.share.Take(p.now, p.fleet()) {
+	if r.busy || p.now < r.next {
+		return
+	}
+	want := 1
+	if duty == readers.DutyWatch && r.after > 0 {
+		want = int(readers.WatchWait / time.Second)
+	}
+	r.granted = p.share.Take(p.now, p.fleet(), want)
+	if r.granted == 0 {
 		return
 	}
 	wait := checkWait
 	if duty == readers.DutyWatch {
-		wait = readers.WatchWait
+		wait = time.Duration(r.granted) * time.Second
 	}
 	ctx, cancel := context.WithCancel(p.ctx)
-	r.busy, r.cancel = true, cancel
+	r.busy, r.cancel, r.started = true, cancel, p.now
 	p.reads.Inc(1)
 	epoch, after := p.epoch, r.after
 	p.goDo(func() {
@@ -206,7 +236,7 @@
 		p.succeed(done.key, r.after)
 		p.noteOlder(done)
 	case platform.ReasonNoConnection:
-		p.share.Refund()
+		p.share.Refund(r.granted)
 		p.fail(done)
 	default:
 		p.fail(done)
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -4,53 +4,53 @@
 
 // Events of the control thread.
 const (
-	// CatalogueInForce: a newer catalogue was taken into force.
+	// CatalogueInForce means that a newer catalogue was taken into force.
 	CatalogueInForce Number = 2001
-	// DocumentRefused: an offered catalogue or VM list was refused.
+	// DocumentRefused means that an offered catalogue or VM list was refused.
 	DocumentRefused Number = 2002
-	// PlatformRead: a read of the platform failed.
+	// PlatformRead means that a read of the platform failed.
 	PlatformRead Number = 2003
-	// PlatformBack: the platform answers again.
+	// PlatformBack means that the platform answers again.
 	PlatformBack Number = 2004
-	// WokeLate: the control thread did not run for a while.
+	// WokeLate means that the control thread did not run for a while.
 	WokeLate Number = 2005
-	// ReaderDuty: the node begins or ends to read the platform for its zone.
+	// ReaderDuty means that the node begins or ends to read the platform for its zone.
 	ReaderDuty Number = 2006
-	// LinkUp: a link to a peer was authenticated.
+	// LinkUp means that a link to a peer was authenticated.
 	LinkUp Number = 2007
-	// LinkClosed: a link to a peer ended.
+	// LinkClosed means that a link to a peer ended.
 	LinkClosed Number = 2008
-	// LinkRefused: a link was refused or closed for what the other side did.
+	// LinkRefused means that a link was refused or closed for what the other side did.
 	LinkRefused Number = 2009
-	// MemberChanged: a VM's state changed.
+	// MemberChanged means that a VM's state changed.
 	MemberChanged Number = 2010
-	// SuspectKnown: a request is known to have crashed an endpoint.
+	// SuspectKnown means that a request is known to have crashed an endpoint.
 	SuspectKnown Number = 2011
-	// IncarnationConflict: two processes claim one VM.
+	// IncarnationConflict means that two processes claim one VM.
 	IncarnationConflict Number = 2012
-	// FirstCatalogue: a node that started took its first catalogue into force.
+	// FirstCatalogue means that a node that started took its first catalogue into force.
 	FirstCatalogue Number = 2013
-	// NothingKnown: a node that started has found no catalogue.
+	// NothingKnown means that a node that started has found no catalogue.
 	NothingKnown Number = 2014
-	// LeaveAnnounced: the node told its peers that it leaves.
+	// LeaveAnnounced means that the node told its peers that it leaves.
 	LeaveAnnounced Number = 2015
 )
 
 // controlEvents holds the definitions numbered from 2000.
 var controlEvents = []Definition{
-	{CatalogueInForce, "catalogue_in_force", zerolog.InfoLevel, "A newer catalogue was taken into force. Compare the revision over the nodes to see how far a change has come."},
-	{DocumentRefused, "document_refused", zerolog.WarnLevel, "A catalogue or VM list was refused: invalid, older than the one in force, or of the same revision with other content. The last good one stays. Publish a corrected one under a newer revision."},
-	{PlatformRead, "platform_read_failed", zerolog.WarnLevel, "Reads of the platform began to fail. Nodes go on with what they know."},
-	{PlatformBack, "platform_back", zerolog.InfoLevel, "The platform answers reads again."},
-	{WokeLate, "woke_late", zerolog.WarnLevel, "The control thread did not run for a while, as after a pause of the process. Duties and freshness count as expired until they are renewed. Look for a paused VM or a lack of processor time."},
-	{ReaderDuty, "reader_duty", zerolog.InfoLevel, "The node begins or ends to read the platform on behalf of its availability zone."},
-	{LinkUp, "link_up", zerolog.DebugLevel, "A link to another node was authenticated."},
-	{LinkClosed, "link_closed", zerolog.DebugLevel, "A link to another node ended, as when a node stops or a network is cut."},
-	{LinkRefused, "link_refused", zerolog.WarnLevel, "A link was refused or closed because of what the other side sent. Check that all nodes have the same fleet key and program version."},
-	{MemberChanged, "member_changed", zerolog.InfoLevel, "A VM came, is leaving, or is gone."},
-	{SuspectKnown, "suspect_known", zerolog.WarnLevel, "A request crashed an endpoint. The fingerprint tells the nodes to keep it from others."},
-	{IncarnationConflict, "incarnation_conflict", zerolog.WarnLevel, "Two processes claim to be the node of one VM. Stop the one that should not run."},
-	{FirstCatalogue, "first_catalogue", zerolog.InfoLevel, "A node that started, or woke up late, took a catalogue as current. The opening says whom it had heard by then."},
-	{NothingKnown, "nothing_known", zerolog.WarnLevel, "A node that started has found no catalogue: neither the platform nor a peer gave one. It refuses calls until one does."},
-	{LeaveAnnounced, "leave_announced", zerolog.InfoLevel, "The node told its peers that it takes no new work."},
+	{Number: CatalogueInForce, Name: "catalogue_in_force", Level: zerolog.InfoLevel, Meaning: "A newer catalogue was taken into force. Compare the revision over the nodes to see how far a change has come."},
+	{Number: DocumentRefused, Name: "document_refused", Level: zerolog.WarnLevel, Meaning: "A catalogue or VM list was refused: invalid, older than the one in force, or of the same revision with other content. The last good one stays. Publish a corrected one under a newer revision."},
+	{Number: PlatformRead, Name: "platform_read_failed", Level: zerolog.WarnLevel, Meaning: "Reads of the platform began to fail. Nodes go on with what they know."},
+	{Number: PlatformBack, Name: "platform_back", Level: zerolog.InfoLevel, Meaning: "The platform answers reads again."},
+	{Number: WokeLate, Name: "woke_late", Level: zerolog.WarnLevel, Meaning: "The control thread did not run for a while, as after a pause of the process. Duties and freshness count as expired until they are renewed. Look for a paused VM or a lack of processor time."},
+	{Number: ReaderDuty, Name: "reader_duty", Level: zerolog.InfoLevel, Meaning: "The node begins or ends to read the platform on behalf of its availability zone."},
+	{Number: LinkUp, Name: "link_up", Level: zerolog.DebugLevel, Meaning: "A link to another node was authenticated."},
+	{Number: LinkClosed, Name: "link_closed", Level: zerolog.DebugLevel, Meaning: "A link to another node ended, as when a node stops or a network is cut."},
+	{Number: LinkRefused, Name: "link_refused", Level: zerolog.WarnLevel, Meaning: "A link was refused or closed because of what the other side sent. Check that all nodes have the same fleet key and program version."},
+	{Number: MemberChanged, Name: "member_changed", Level: zerolog.InfoLevel, Meaning: "A VM came, is leaving, or is gone."},
+	{Number: SuspectKnown, Name: "suspect_known", Level: zerolog.WarnLevel, Meaning: "A request crashed an endpoint. The fingerprint tells the nodes to keep it from others."},
+	{Number: IncarnationConflict, Name: "incarnation_conflict", Level: zerolog.WarnLevel, Meaning: "Two processes claim to be the node of one VM. Stop the one that should not run."},
+	{Number: FirstCatalogue, Name: "first_catalogue", Level: zerolog.InfoLevel, Meaning: "A node that started, or woke up late, took a catalogue as current. The opening says whom it had heard by then."},
+	{Number: NothingKnown, Name: "nothing_known", Level: zerolog.WarnLevel, Meaning: "A node that started has found no catalogue: neither the platform nor a peer gave one. It refuses calls until one does."},
+	{Number: LeaveAnnounced, Name: "leave_announced", Level: zerolog.InfoLevel, Meaning: "The node told its peers that it takes no new work."},
 }
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/peer/delta"
+)
+
+func samples() []*Message {
+	return []*Message{
+		{Clock: 1, Beat: &Beat{Seq: 1, Documents: [Documents]DocumentState{{Revision: 3, ReadAgeMs: 7}}}},
+		{Clock: 2, Pull: &Pull{Document: 1}},
+		{Clock: 3, Part: &Part{Revision: 3, Last: true, Steps: []delta.Step{{From: 1, Count: 2}, {}}, Entries: [][]byte{[]byte("a\n1")}}},
+		{Clock: 4, Records: &Records{List: []Record{{VM: "a", Incarnation: 1, State: Leaving}}}},
+		{Clock: 5, Compare: &Compare{Answer: true}},
+		{Clock: 6, Suspects: &Suspects{List: []Suspect{{Fingerprint: 7, VM: "a", Count: 1}}}},
+	}
+}
+
+func TestMessagesPassUnchanged(t *testing.T) {
+	for _, m := range samples() {
+		data, err := Encode(m)
+		require.NoError(t, err)
+		back, err := Decode(data)
+		require.NoError(t, err)
+		require.Equal(t, m, back)
+	}
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	long := string(make([]byte, maxNameBytes+1))
+	cases := []struct {
+		desc string
+		in   any
+	}{
+		{"no body", &Message{Clock: 1}},
+		{"two bodies", &Message{Pull: &Pull{}, Compare: &Compare{}}},
+		{"a clock that uses time up", &Message{Clock: MaxClock + 1, Pull: &Pull{}}},
+		{"no such document", &Message{Pull: &Pull{Document: Documents}}},
+		{"record without a VM", &Message{Records: &Records{List: []Record{{Incarnation: 1}}}}},
+		{"record of no known state", &Message{Records: &Records{List: []Record{{VM: "a", Incarnation: 1, State: 9}}}}},
+		{"record with a long name", &Message{Records: &Records{List: []Record{{VM: long, Incarnation: 1}}}}},
+		{"too many records", &Message{Records: &Records{List: make([]Record, MaxRecords+1)}}},
+		{"too many suspects", &Message{Suspects: &Suspects{List: make([]Suspect, MaxSuspects+1)}}},
+		{"an entry that is too large", &Message{Part: &Part{Entries: [][]byte{make([]byte, delta.MaxEntryBytes+1)}}}},
+		{"unknown field", map[int]any{1: 1, 99: 1}},
+		{"text", "hello"},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			data, err := cbor.Marshal(c.in)
+			require.NoError(t, err)
+			_, err = Decode(data)
+			require.Error(t, err)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		data, err := Encode(m)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte{0xbf, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(m)
+		require.NoError(t, err)
+		back, err := Decode(again)
+		require.NoError(t, err)
+		require.Equal(t, m.Clock, back.Clock)
+	})
+}
+
+func FuzzDecodeHello(f *testing.F) {
+	good, err := cbor.Marshal(hello{Version: protocolVersion, Identity: Identity{VM: "a", Incarnation: 1}, Nonce: make([]byte, nonceBytes)})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Add(good[:len(good)/2])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h, err := decodeHello(data)
+		if err != nil {
+			return
+		}
+		require.NotEmpty(t, h.Identity.VM)
+		require.NotZero(t, h.Identity.Incarnation)
+		require.Len(t, h.Nonce, nonceBytes)
+	})
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
@@ -23,6 +24,7 @@
 	key        []byte
 	clock      *event.Clock
 	client     *http.Client
+	timeout    time.Duration // of a handshake
 	handshakes chan struct{}
 	counters   Counters
 }
@@ -30,7 +32,7 @@
 // NewNode returns a node. key is the secret that the fleet shares; client makes
 // the connections and has no timeout of its own.
 func NewNode(self Identity, key []byte, clock *event.Clock, client *http.Client) *Node {
-	return &Node{self: self, key: key, clock: clock, client: client, handshakes: make(chan struct{}, maxHandshakes)}
+	return &Node{self: self, key: key, clock: clock, client: client, timeout: handshakeTimeout, handshakes: make(chan struct{}, maxHandshakes)}
 }
 
 // Self returns the identity that the node tells its peers.
@@ -46,7 +48,7 @@
 // Dial makes a link to the node of a VM. The error is a *Violation when the
 // other side is at fault.
 func (n *Node) Dial(ctx context.Context, vm, address string) (*Link, error) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.timeout)
 	defer cancel()
 	options := &websocket.DialOptions{HTTPClient: n.client}
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, options) //nolint:bodyclose // the library owns the body
@@ -77,7 +79,7 @@
 		return nil, violation(FaultGarbage, "%v", err)
 	}
 	conn.SetReadLimit(handshakeBytes)
-	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.timeout)
 	defer cancel()
 	remote, err := n.receive(ctx, conn)
 	if err != nil {
