Admission: learn the endpoint's slots and refuse what can't be answered in time

Cause: the catalogue's slots are a ceiling, not the truth, and a queue without estimates keeps calls that can't be answered in time. Change: decision/capacity compares the time to answer at two levels of calls in flight and follows refusals; decision/admission bounds the queue by the learned limit, refuses by the current time to answer and reports a threshold that opens step by step.

--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -7,28 +7,45 @@
 	"github.com/galenacart/galenacart/decision/priority"
 )
 
-// running is one call in flight.
-type running struct {
-	mark     capacity.Mark
-	priority priority.Priority
-}
+const (
+	// queueMin is the least number of calls that may wait, if the catalogue
+	// allows it. It takes bursts at endpoints of few slots.
+	queueMin = 32
+	// queueMost bounds the cost of keeping the queue sorted.
+	queueMost = 1024
+	// waitAnswers is the time that a call may wait, in times to answer.
+	waitAnswers = 4
+	// waitMin and waitMax bound the time that a call may wait.
+	waitMin = 100 * time.Millisecond
+	waitMax = 500 * time.Millisecond
+	// probeShare is the part of the slots, one in probeShare, that is filled
+	// whatever the estimates say. It shows when they are out of date.
+	probeShare = 16
+)
 
 // Gate decides about the calls for one endpoint. It is not safe for concurrent
 // use.
+//
+// It never leaves a slot free while a call waits. A call is shed only when no
+// less important call waits; while a call waits, no less important call that
+// came later is run.
 type Gate struct {
-	config  Config
-	limiter *capacity.Limiter
-	queue   queue
-	running map[ID]running
-	now     time.Duration
+	config    Config
+	limiter   *capacity.Limiter
+	queue     queue
+	flights   flights
+	answers   estimate
+	threshold threshold
+	now       time.Duration
 }
 
 // NewGate returns a Gate with no calls.
 func NewGate(c Config) *Gate {
-	g := &Gate{limiter: capacity.NewLimiter(c.SlotsMax)}
-	g.SetConfig(c)
-	g.running = make(map[ID]running, c.SlotsMax)
-	return g
+	return &Gate{
+		config:  c,
+		limiter: capacity.NewLimiter(c.SlotsMax),
+		flights: newFlights(),
+	}
 }
 
 // SetConfig takes the ceilings of a new catalogue into force. Calls in flight
@@ -42,30 +59,28 @@
 func (g *Gate) Offer(now time.Duration, o Offer, out []Release) (Verdict, []Release) {
 	now = g.advance(now)
 	out = g.settle(now, out)
-	if o.Deadline <= now {
+	e := entry{id: o.ID, deadline: o.Deadline, arrived: now, priority: o.Priority}
+	if g.tooLate(now, &e, 0) {
 		return VerdictTooLate, out
 	}
-	e := entry{id: o.ID, deadline: o.Deadline, arrived: now, priority: o.Priority}
 	if g.Headroom() > 0 {
 		g.start(now, &e)
 		return VerdictRun, out
 	}
-	if g.queue.len() < g.config.QueueMax {
-		g.queue.insert(e)
-		return VerdictQueued, out
-	}
-	if g.queue.len() == 0 || !e.before(g.queue.worst()) {
-		return VerdictShed, out
+	if g.tooLate(now, &e, g.wait(&e)) {
+		return g.refuseWait(now, &e, out)
 	}
-	evicted := g.queue.popWorst()
-	g.queue.insert(e)
-	return VerdictQueued, append(out, Release{ID: evicted.id, Verdict: VerdictShed})
+	return g.enqueue(now, &e, out)
 }
 
-// Done takes in the end of a running call.
-func (g *Gate) Done(now time.Duration, id ID, _ Result, out []Release) []Release {
+// Done takes in the end of a running call. It ignores a call that isn't running.
+func (g *Gate) Done(now time.Duration, id ID, r Result, out []Release) []Release {
 	now = g.advance(now)
-	delete(g.running, id)
+	call, known := g.flights.take(id)
+	if !known {
+		return out
+	}
+	g.learn(now, &call, &r)
 	return g.settle(now, out)
 }
 
@@ -73,38 +88,44 @@
 // After Cancel the call needs no Done.
 func (g *Gate) Cancel(now time.Duration, id ID, out []Release) []Release {
 	now = g.advance(now)
-	if !g.queue.remove(id) {
-		delete(g.running, id)
+	call, known := g.flights.take(id)
+	if !known {
+		g.queue.remove(id)
+		return g.settle(now, out)
 	}
+	r := Result{Outcome: OutcomeCancelled, Took: now - call.started}
+	g.learn(now, &call, &r)
 	return g.settle(now, out)
 }
 
 // Tick decides about calls whose time runs out while they wait.
 func (g *Gate) Tick(now time.Duration, out []Release) []Release {
-	return g.settle(g.advance(now), out)
+	now = g.advance(now)
+	out = g.dropLate(now, out)
+	out = g.shedWorst(now, g.queue.overstayed(now-g.longestWait()), out)
+	return g.settle(now, out)
 }
 
-// Threshold returns the first priority that would be shed now.
-func (g *Gate) Threshold(time.Duration) priority.Priority {
-	if g.queue.len() == 0 || g.queue.len() < g.config.QueueMax {
-		return priority.Lowest
-	}
-	return g.queue.worst().priority
+// Threshold returns the first priority that would be shed now, or
+// priority.Lowest if none would.
+func (g *Gate) Threshold(now time.Duration) priority.Priority {
+	return g.threshold.current(max(g.now, now))
 }
 
 // Headroom returns the number of further calls that would run at once.
 func (g *Gate) Headroom() int {
-	return max(0, g.limiter.Limit()-len(g.running)-g.queue.len())
+	return max(0, g.limiter.Limit()-g.flights.len()-g.queue.len())
 }
 
 // State returns a snapshot for status pages.
 func (g *Gate) State() State {
 	return State{
-		Limit:      g.limiter.Limit(),
-		Running:    len(g.running),
-		Queued:     g.queue.len(),
-		QueueLimit: g.config.QueueMax,
-		Threshold:  g.Threshold(g.now),
+		Limit:        g.limiter.Learned(),
+		Running:      g.flights.len(),
+		Queued:       g.queue.len(),
+		QueueLimit:   g.queueLimit(),
+		TimeToAnswer: g.answers.mean(),
+		Threshold:    g.Threshold(g.now),
 	}
 }
 
@@ -115,25 +136,148 @@
 	return g.now
 }
 
+// learn takes in what the end of a call tells about the endpoint.
+func (g *Gate) learn(now time.Duration, call *flight, r *Result) {
+	switch r.Outcome {
+	case OutcomeAnswered:
+		g.answers.add(r.Took)
+		g.limiter.End(now, call.mark, ownTime(r))
+	case OutcomeRefused:
+		g.limiter.Refused(now, call.mark)
+	default:
+		if !call.cancelling {
+			g.answers.addUnanswered(r.Took)
+		}
+		g.limiter.End(now, call.mark, 0)
+	}
+}
+
+// ownTime returns the time that the endpoint itself needed. The time that it
+// waited for others tells nothing about its slots.
+func ownTime(r *Result) time.Duration {
+	return max(r.Took-r.DownstreamWait, r.Took/16, 1)
+}
+
 // settle sheds what no longer fits into the queue and starts what has a slot.
 func (g *Gate) settle(now time.Duration, out []Release) []Release {
-	for g.queue.len() > 0 && g.queue.best().deadline <= now {
-		late := g.queue.popBest()
-		out = append(out, Release{ID: late.id, Verdict: VerdictTooLate})
-	}
-	for g.queue.len() > g.config.QueueMax {
-		evicted := g.queue.popWorst()
-		out = append(out, Release{ID: evicted.id, Verdict: VerdictShed})
-	}
-	for g.queue.len() > 0 && len(g.running) < g.limiter.Limit() {
+	out = g.shedWorst(now, g.queue.len()-g.queueLimit(), out)
+	for g.queue.len() > 0 && g.flights.len() < g.limiter.Limit() {
 		next := g.queue.popBest()
-		g.start(now, &next)
-		out = append(out, Release{ID: next.id, Verdict: VerdictRun})
+		verdict := VerdictRun
+		if g.tooLate(now, &next, 0) {
+			verdict = VerdictTooLate
+		} else {
+			g.start(now, &next)
+		}
+		out = append(out, Release{ID: next.id, Verdict: verdict})
 	}
 	return out
 }
 
 func (g *Gate) start(now time.Duration, e *entry) {
-	mark := capacity.Mark{At: now, InFlight: int32(len(g.running) + 1)}
-	g.running[e.id] = running{mark: mark, priority: e.priority}
+	g.flights.add(flight{
+		id:       e.id,
+		started:  now,
+		mark:     g.limiter.Start(now, g.flights.len()+1),
+		priority: e.priority,
+	})
+}
+
+// refuseWait refuses a call that would wait too long, unless a running call can
+// be cancelled for it.
+func (g *Gate) refuseWait(now time.Duration, e *entry, out []Release) (Verdict, []Release) {
+	ahead := g.queue.ahead(e)
+	if g.config.CancelRunning && ahead == 0 {
+		cancelled, out := g.cancelFor(now, e, out)
+		if cancelled {
+			return g.enqueue(now, e, out)
+		}
+	}
+	if ahead == g.queue.len() {
+		g.threshold.shed(now, e.priority)
+	}
+	return VerdictTooLate, out
+}
+
+// enqueue lets a call wait, in the place of a less important one if need be.
+func (g *Gate) enqueue(now time.Duration, e *entry, out []Release) (Verdict, []Release) {
+	if g.queue.len() < g.queueLimit() {
+		g.queue.insert(*e)
+		return VerdictQueued, out
+	}
+	if g.queue.len() == 0 || !e.before(g.queue.worst()) {
+		g.noteShed(now, e.priority)
+		return VerdictShed, out
+	}
+	evicted := g.queue.replaceWorst(*e)
+	g.noteShed(now, evicted.priority)
+	return VerdictQueued, append(out, Release{ID: evicted.id, Verdict: VerdictShed})
+}
+
+// shedWorst sheds the n least important calls that wait.
+func (g *Gate) shedWorst(now time.Duration, n int, out []Release) []Release {
+	if n <= 0 {
+		return out
+	}
+	first := g.queue.entries[n-1].priority
+	for _, e := range g.queue.entries[:n] {
+		out = append(out, Release{ID: e.id, Verdict: VerdictShed})
+	}
+	g.queue.popWorst(n)
+	g.noteShed(now, first)
+	return out
+}
+
+// noteShed moves the threshold after calls from p on were shed: the least
+// important call that still waits would be the next.
+func (g *Gate) noteShed(now time.Duration, p priority.Priority) {
+	if g.queue.len() > 0 {
+		p = g.queue.worst().priority
+	}
+	g.threshold.shed(now, p)
+}
+
+// dropLate releases the calls whose remaining time can't cover an answer.
+func (g *Gate) dropLate(now time.Duration, out []Release) []Release {
+	kept := g.queue.entries[:0]
+	for i := range g.queue.entries {
+		e := &g.queue.entries[i]
+		if g.tooLate(now, e, 0) {
+			out = append(out, Release{ID: e.id, Verdict: VerdictTooLate})
+			continue
+		}
+		kept = append(kept, *e)
+	}
+	g.queue.entries = kept
+	return out
+}
+
+// tooLate reports whether the remaining time of e can't cover the wait and the
+// current time to answer.
+func (g *Gate) tooLate(now time.Duration, e *entry, wait time.Duration) bool {
+	remaining := e.deadline - now
+	if remaining <= 0 {
+		return true
+	}
+	if g.flights.len() < max(1, g.limiter.Limit()/probeShare) {
+		return false
+	}
+	return remaining < wait+g.answers.quick()
+}
+
+// wait returns the time until a slot is free for e.
+func (g *Gate) wait(e *entry) time.Duration {
+	turns := time.Duration(g.queue.ahead(e) + 1)
+	return turns * g.answers.mean() / time.Duration(g.limiter.Limit())
+}
+
+// queueLimit returns how many calls may wait: about as many as are answered in
+// one time to answer.
+func (g *Gate) queueLimit() int {
+	return min(g.config.QueueMax, queueMost, max(queueMin, g.limiter.Learned()))
+}
+
+// longestWait returns how long a call may wait.
+func (g *Gate) longestWait() time.Duration {
+	return max(waitMin, min(waitMax, waitAnswers*g.answers.mean()))
 }
--- a/decision/admission/queue.go
+++ b/decision/admission/queue.go
@@ -53,10 +53,9 @@
 	return e
 }
 
-func (q *queue) popWorst() entry {
-	e := q.entries[0]
-	q.removeAt(0)
-	return e
+// popWorst takes out the n least important calls.
+func (q *queue) popWorst(n int) {
+	q.entries = slices.Delete(q.entries, 0, n)
 }
 
 // position returns the index at which e belongs.
@@ -73,21 +72,43 @@
 	return low
 }
 
+// ahead returns the number of calls that run before e.
+func (q *queue) ahead(e *entry) int {
+	return len(q.entries) - q.position(e)
+}
+
 func (q *queue) insert(e entry) {
 	q.entries = slices.Insert(q.entries, q.position(&e), e)
 }
 
+// replaceWorst puts e in the place of the least important call, which it
+// returns. The queue must not be empty and e must come before that call.
+func (q *queue) replaceWorst(e entry) entry {
+	worst := q.entries[0]
+	at := q.position(&e) - 1
+	copy(q.entries, q.entries[1:at+1])
+	q.entries[at] = e
+	return worst
+}
+
 // remove takes out the call with the given ID, if it waits.
 func (q *queue) remove(id ID) bool {
 	for i := range q.entries {
 		if q.entries[i].id == id {
-			q.removeAt(i)
+			q.entries = slices.Delete(q.entries, i, i+1)
 			return true
 		}
 	}
 	return false
 }
 
-func (q *queue) removeAt(i int) {
-	q.entries = append(q.entries[:i], q.entries[i+1:]...)
+// overstayed returns how many of the least important calls are to go: the most
+// important one that arrived before the given time and all below it.
+func (q *queue) overstayed(before time.Duration) int {
+	for i := len(q.entries) - 1; i >= 0; i-- {
+		if q.entries[i].arrived < before {
+			return i + 1
+		}
+	}
+	return 0
 }
--- /dev/null
+++ b/decision/capacity/batch.go
@@ -0,0 +1,57 @@
+package capacity
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// lateShare is the part of a batch whose answers need not be waited for: one
+	// in lateShare calls. The longest are left out at both levels alike.
+	lateShare = 16
+	// tookMin is the least time to answer that counts. It bounds the weight of a
+	// very short one.
+	tookMin = 50 * time.Microsecond
+)
+
+// batch collects the times to answer of the calls handed over at one level.
+//
+// It is filled by hand-over and not by answer: the first answers to come back
+// are the short ones.
+type batch struct {
+	level   int
+	size    int
+	started int
+	ended   int
+	counted int
+	sum     float64
+}
+
+// start counts a call and reports whether the batch needs no further one.
+func (b *batch) start() bool {
+	b.started++
+	return b.started >= b.size
+}
+
+// end takes in the end of a call. A call without an answer has took 0.
+func (b *batch) end(took time.Duration) {
+	if b.full() {
+		return
+	}
+	b.ended++
+	if took > 0 {
+		b.counted++
+		b.sum += math.Log(float64(max(took, tookMin)))
+	}
+}
+
+// full reports whether enough calls have ended.
+func (b *batch) full() bool {
+	return b.ended >= b.size-b.size/lateShare
+}
+
+// mean returns the mean logarithm of the time to answer. A few long calls among
+// many short ones don't hide the others in it.
+func (b *batch) mean() float64 {
+	return b.sum / float64(max(1, b.counted))
+}
--- /dev/null
+++ b/decision/capacity/knee.go
@@ -0,0 +1,121 @@
+package capacity
+
+import "math"
+
+const (
+	// initialLimit is the limit for an endpoint of which nothing is known.
+	initialLimit = 16
+	// stepInitial is the first change of the logarithm of the limit that one
+	// comparison can cause. It is the largest one too.
+	stepInitial = 0.6
+	// stepMin is the least step.
+	stepMin = 0.03
+	// stepGrowth and stepShrink adapt the step: errors of one sign make it
+	// larger, a change of sign makes it smaller.
+	stepGrowth = 1.2
+	stepShrink = 0.5
+	// stepSettled is the step up to which the limit counts as settled.
+	stepSettled = 0.1
+	// errorGain scales an error to the part of the step that is taken.
+	errorGain = 2
+
+	// gapMin and gapMax bound the distance between the two levels of a
+	// comparison, as a logarithm. A wide gap tells more and costs more.
+	gapMin = 0.18
+	gapMax = 0.7
+	// gapPerStep sets the gap from the step.
+	gapPerStep = 2
+	// gapWide is the gap from which on a small batch tells enough.
+	gapWide = 0.5
+	// batchWide and batchNarrow are the least numbers of calls at each level.
+	batchWide   = 32
+	batchNarrow = 64
+	// turnsNarrow is the least number of calls per slot in a narrow comparison.
+	// Calls of equal length run in waves, and a part of a wave misleads.
+	turnsNarrow = 2
+
+	// elasticityTarget is the aim for the change of the time to answer relative
+	// to the change of the level: 0 below the endpoint's slots, 1 above.
+	elasticityTarget = 0.7
+	// elasticityLow is the mean elasticity that shows spare slots.
+	elasticityLow = 0.3
+	// elasticityWeight is the weight of one comparison in the mean elasticity.
+	elasticityWeight = 0.25
+	// elasticityLift is added to the mean elasticity after a jump.
+	elasticityLift = 0.1
+	// jump is the growth of the logarithm of the limit on spare slots.
+	jump = 0.1
+)
+
+// knee searches the number of calls in flight above which an endpoint answers
+// later but not more often.
+type knee struct {
+	// logLimit is the logarithm of the limit before rounding.
+	logLimit float64
+	logMost  float64
+	step     float64
+	mean     float64 // mean elasticity
+	upwards  bool    // sign of the last error
+	compared bool
+}
+
+func newKnee() knee {
+	return knee{
+		logLimit: math.Log(initialLimit),
+		step:     stepInitial,
+		mean:     elasticityTarget,
+	}
+}
+
+// setCeiling changes the ceiling. What was learned above a low one stays, for
+// the time when it is raised again.
+func (k *knee) setCeiling(ceiling int) {
+	k.logMost = math.Log(float64(ceiling))
+}
+
+// level returns the limit with some room above, as a logarithm.
+func (k *knee) level(room float64) int {
+	return int(math.Round(math.Exp(min(k.logMost, k.logLimit+room))))
+}
+
+// levels returns the two levels of the next comparison and the number of calls
+// to measure at each. An endpoint of one slot is compared at 2 and 1.
+func (k *knee) levels() (high, low, size int) {
+	gap := max(gapMin, min(gapMax, gapPerStep*k.step))
+	high = max(2, k.level(0))
+	low = max(1, min(high-1, k.level(-gap)))
+	if gap > gapWide {
+		return high, low, max(batchWide, high)
+	}
+	return high, low, max(batchNarrow, turnsNarrow*high)
+}
+
+// adapt takes in the elasticity of one comparison and reports whether the limit
+// is settled.
+func (k *knee) adapt(elasticity float64) bool {
+	err := elasticityTarget - elasticity
+	k.adaptStep(err > 0)
+	k.move(k.step * max(-1, min(1, errorGain*err)))
+	k.mean += (elasticity - k.mean) * elasticityWeight
+	if k.mean < elasticityLow {
+		k.mean += elasticityLift
+		k.move(jump)
+		return false
+	}
+	return k.step <= stepSettled
+}
+
+func (k *knee) adaptStep(upwards bool) {
+	if k.compared && upwards == k.upwards {
+		k.step = min(stepInitial, k.step*stepGrowth)
+	} else if k.compared {
+		k.step = max(stepMin, k.step*stepShrink)
+	}
+	k.upwards = upwards
+	k.compared = true
+}
+
+func (k *knee) move(by float64) {
+	most := max(k.logMost, k.logLimit)
+	k.logLimit = max(0, min(most, k.logLimit+by))
+}
--- a/decision/capacity/limiter.go
+++ b/decision/capacity/limiter.go
@@ -1,32 +1,187 @@
 // Package capacity learns how many calls an endpoint really runs at once.
+//
+// An endpoint with S slots answers in the same time at any number of calls in
+// flight up to S, and in proportionally more time above. The Limiter compares
+// the time to answer at two levels of calls in flight, one shortly after the
+// other. No answer time is remembered for longer, so the limit stays right when
+// the endpoint becomes slower or faster as a whole.
 package capacity
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+const (
+	// patience is the number of expected durations after which a phase is given
+	// up because too few calls came or ended.
+	patience = 4
+	// restShare is the time between two comparisons relative to the time of one.
+	restShare = 4
+	// restRoom is the room above the learned limit between comparisons, as a
+	// logarithm. It keeps all slots busy when the learned limit is a little low.
+	restRoom = 0.05
+	// tookWeight is the weight of one call in the mean time to answer.
+	tookWeight = 1.0 / 16
+)
+
+// phase is a part of one comparison.
+type phase uint8
+
+const (
+	phaseHigh phase = iota // measure at the limit
+	phaseLow               // measure below the limit
+	phaseWait              // wait for the last answers
+	phaseRest              // run at the limit
+)
 
 // Mark is noted when a call is handed over and given back with its end.
 type Mark struct {
-	// At is the time of hand-over.
-	At time.Duration
-	// InFlight counts the calls in flight at hand-over, this one included.
-	InFlight int32
+	// round names the comparison for which the call is measured, 0 for none.
+	round uint32
+	// inFlight counts the calls in flight at hand-over, this one included.
+	inFlight int32
+	// low says that the call was handed over at the lower level.
+	low bool
 }
 
-// Limiter learns the limit on calls in flight at one endpoint.
+// Limiter learns the limit on calls in flight at one endpoint. It is not safe
+// for concurrent use.
 type Limiter struct {
 	ceiling int
+	knee    knee
+	refusal refusal
+
+	phase   phase
+	started time.Duration // start of the phase
+	opened  time.Duration // start of the comparison
+	round   uint32
+	high    batch
+	low     batch
+	took    float64 // mean time to answer, in seconds
 }
 
 // NewLimiter returns a Limiter that never exceeds ceiling.
 func NewLimiter(ceiling int) *Limiter {
-	return &Limiter{ceiling: max(1, ceiling)}
+	l := &Limiter{knee: newKnee()}
+	l.SetCeiling(ceiling)
+	l.open(0)
+	return l
 }
 
 // SetCeiling changes the ceiling.
 func (l *Limiter) SetCeiling(ceiling int) {
 	l.ceiling = max(1, ceiling)
+	l.knee.setCeiling(l.ceiling)
 }
 
 // Limit returns the number of calls that may be in flight now.
 func (l *Limiter) Limit() int {
-	return l.ceiling
+	return min(l.ceiling, l.refusal.limit(), l.phaseLimit())
+}
+
+// Learned returns the limit apart from the short changes that comparisons need.
+func (l *Limiter) Learned() int {
+	return min(l.ceiling, l.refusal.limit(), l.knee.level(restRoom))
+}
+
+func (l *Limiter) phaseLimit() int {
+	switch l.phase {
+	case phaseLow:
+		return l.low.level
+	case phaseRest:
+		return l.knee.level(restRoom)
+	default:
+		return l.high.level
+	}
+}
+
+// Start notes that a call is handed over, with inFlight calls in flight, itself
+// included.
+func (l *Limiter) Start(now time.Duration, inFlight int) Mark {
+	l.refusal.grow(now, l.knee.level(restRoom))
+	if now-l.started > l.longest() {
+		l.open(now)
+	}
+	b := l.filling()
+	m := Mark{inFlight: int32(inFlight)}
+	if b == nil || inFlight != b.level {
+		return m
+	}
+	m.round = l.round
+	m.low = b == &l.low
+	if b.start() {
+		l.phase++
+		l.started = now
+	}
+	return m
+}
+
+// End notes that a call ended. took is the time that the endpoint itself spent
+// on its answer, 0 if the call got none.
+func (l *Limiter) End(now time.Duration, m Mark, took time.Duration) {
+	if took > 0 {
+		l.took += (took.Seconds() - l.took) * tookWeight
+	}
+	if m.round != l.round {
+		return
+	}
+	if m.low {
+		l.low.end(took)
+	} else {
+		l.high.end(took)
+	}
+	if l.phase == phaseWait && l.low.full() && l.high.full() {
+		l.compare(now)
+	}
+}
+
+// Refused notes that the endpoint proved that it did not start a call.
+func (l *Limiter) Refused(now time.Duration, m Mark) {
+	l.refusal.refused(now, int(m.inFlight))
+	l.End(now, m, 0)
+}
+
+// filling returns the batch that takes further calls.
+func (l *Limiter) filling() *batch {
+	switch l.phase {
+	case phaseHigh:
+		return &l.high
+	case phaseLow:
+		return &l.low
+	default:
+		return nil
+	}
+}
+
+// open starts a comparison.
+func (l *Limiter) open(now time.Duration) {
+	high, low, size := l.knee.levels()
+	l.round++
+	l.high = batch{level: high, size: size}
+	l.low = batch{level: low, size: size}
+	l.phase = phaseHigh
+	l.started = now
+	l.opened = now
+}
+
+// compare moves the limit by what the two batches tell.
+func (l *Limiter) compare(now time.Duration) {
+	gap := math.Log(float64(l.high.level) / float64(l.low.level))
+	settled := l.knee.adapt((l.high.mean() - l.low.mean()) / gap)
+	if !settled {
+		l.open(now)
+		return
+	}
+	l.phase = phaseRest
+	l.started = now
+}
+
+// longest returns the time after which the phase ends in any case.
+func (l *Limiter) longest() time.Duration {
+	if l.phase == phaseRest {
+		return restShare * (l.started - l.opened)
+	}
+	batches := float64(l.low.size) / float64(l.low.level)
+	return time.Duration(patience * (1 + batches) * l.took * float64(time.Second))
 }
