--- /dev/null
+++ b/internal/traffic/suspects.go
@@ -0,0 +1,130 @@
+package traffic
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/galenacart/galenacart/decision/suspect"
+)
+
+// suspects guards the local endpoint against requests that break endpoints.
+type suspects struct {
+	now func() time.Duration
+
+	mu      sync.Mutex
+	book    *suspect.Book
+	learned map[uint64]int
+	running map[*run]struct{}
+	epoch   int           // counts the breakdowns of the endpoint
+	alone   chan struct{} // holds a value while a suspect runs
+}
+
+// run is one call at the endpoint, from the suspects' point of view.
+type run struct {
+	fingerprint uint64
+	suspect     bool
+	epoch       int
+}
+
+func newSuspects(now func() time.Duration) *suspects {
+	return &suspects{
+		now:     now,
+		book:    suspect.NewBook(),
+		running: make(map[*run]struct{}),
+		alone:   make(chan struct{}, 1),
+	}
+}
+
+// learn takes over what other nodes reported.
+func (s *suspects) learn(losses map[uint64]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learned = losses
+}
+
+// enter lets a call to the endpoint. A suspect waits until no other one runs.
+// It returns nil when the call must not run. losses is the number of endpoints
+// lost to the request, as far as the sender knows.
+func (s *suspects) enter(ctx context.Context, fingerprint uint64, losses int) *run {
+	switch s.judge(fingerprint, losses) {
+	case suspect.VerdictRefuse:
+		return nil
+	case suspect.VerdictClean:
+		return s.start(&run{fingerprint: fingerprint})
+	}
+	select {
+	case s.alone <- struct{}{}:
+	case <-ctx.Done():
+		return nil
+	}
+	// Another run of the same request may have broken the endpoint meanwhile.
+	if s.judge(fingerprint, losses) == suspect.VerdictRefuse {
+		<-s.alone
+		return nil
+	}
+	return s.start(&run{fingerprint: fingerprint, suspect: true})
+}
+
+// judge learns what the sender knows and returns the verdict on a request.
+func (s *suspects) judge(fingerprint uint64, losses int) suspect.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Learn(s.now(), fingerprint, losses)
+	return s.book.Judge(s.now(), fingerprint, s.learned[fingerprint])
+}
+
+func (s *suspects) start(r *run) *run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.epoch = s.epoch
+	s.running[r] = struct{}{}
+	return r
+}
+
+// leave takes a call back. answered clears a suspect.
+func (s *suspects) leave(r *run, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, r)
+	if !r.suspect {
+		return
+	}
+	<-s.alone
+	if answered {
+		s.book.Cleared(r.fingerprint)
+	}
+}
+
+// losses returns the endpoints lost to a request, as far as this node knows.
+func (s *suspects) losses(fingerprint uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.book.Losses(s.now(), fingerprint), s.learned[fingerprint])
+}
+
+// lost counts an endpoint of another node that broke down on a request.
+func (s *suspects) lost(fingerprint uint64, losses int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Learn(s.now(), fingerprint, losses)
+}
+
+// crashed blames the calls that ran when the endpoint broke down. It returns
+// the blamed fingerprints, and none when the breakdown was dealt with already.
+func (s *suspects) crashed(r *run) []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.epoch != s.epoch {
+		return nil
+	}
+	s.epoch++
+	var all, known []uint64
+	for one := range s.running {
+		all = append(all, one.fingerprint)
+		if one.suspect {
+			known = append(known, one.fingerprint)
+		}
+	}
+	return s.book.Crashed(s.now(), all, known)
+}
