Let traffic open connections through a given function

Change: traffic.Config.Dial, with TCP as the default. Conclusion: a test can now lose, delay and cut connections without a network.

--- a/internal/traffic/conn.go
+++ b/internal/traffic/conn.go
@@ -32,12 +32,20 @@
 	return c.Conn.Write(p)
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialTCP opens a TCP connection.
+func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
+
 // newTransport returns a client of one address that never resends on its own.
-func newTransport(address string, idle int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(address string, idle int, dial DialFunc) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/traffic/endpoint.go
+++ b/internal/traffic/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -24,12 +23,14 @@
 type endpoint struct {
 	address string
 	link    *link
+	dial    DialFunc
 }
 
-func newEndpoint(s *settings.Node) *endpoint {
+func newEndpoint(s *settings.Node, dial DialFunc) *endpoint {
 	return &endpoint{
 		address: s.EndpointAddress,
-		link:    &link{transport: newTransport(s.EndpointAddress, endpointIdleMax)},
+		dial:    dial,
+		link:    &link{transport: newTransport(s.EndpointAddress, endpointIdleMax, dial)},
 	}
 }
 
@@ -76,7 +77,9 @@
 
 // down reports whether nothing listens at the endpoint's address any more.
 func (e *endpoint) down() bool {
-	conn, err := net.DialTimeout("tcp", e.address, crashProbeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	conn, err := e.dial(ctx, "tcp", e.address)
 	if err != nil {
 		return true
 	}
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -31,15 +31,17 @@
 type peers struct {
 	silence time.Duration
 	proof   string
+	dial    DialFunc
 
 	mu    sync.Mutex
 	links map[string]*link // by address
 }
 
-func newPeers(s *settings.Node) *peers {
+func newPeers(s *settings.Node, dial DialFunc) *peers {
 	return &peers{
 		silence: s.ConnectionSilence(),
 		proof:   fleetProof(s.FleetKey),
+		dial:    dial,
 		links:   make(map[string]*link),
 	}
 }
@@ -61,7 +63,7 @@
 	defer p.mu.Unlock()
 	l, ok := p.links[address]
 	if !ok {
-		l = &link{transport: newTransport(address, peerIdleMax), silence: p.silence}
+		l = &link{transport: newTransport(address, peerIdleMax, p.dial), silence: p.silence}
 		p.links[address] = l
 	}
 	return l
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -45,6 +45,9 @@
 	Refusals *status.Refusals
 	// Now returns the time since the process started. It never goes back.
 	Now func() time.Duration
+	// Dial opens connections to other nodes and to the local endpoint. Optional;
+	// the default opens TCP connections.
+	Dial DialFunc
 }
 
 // Traffic carries the calls of one node.
@@ -65,11 +68,14 @@
 
 // New returns the traffic side of a node.
 func New(c Config) *Traffic {
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
 	t := &Traffic{
 		config:   c,
 		gate:     newGatekeeper(c.Now),
-		local:    newEndpoint(c.Settings),
-		peers:    newPeers(c.Settings),
+		local:    newEndpoint(c.Settings, c.Dial),
+		peers:    newPeers(c.Settings, c.Dial),
 		targets:  newTargets(c.Now),
 		parents:  newParents(),
 		requests: newRecords(c.Now),
