Find frozen endpoints and nodes, and send them nothing until they answer a probe

Change: decision/stall with probes of the local endpoint; a stalled endpoint takes no calls and its idempotent calls in flight move; a silent connection sets its node aside; nodes that were set aside come back by an answered ping, not by a call.

--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -20,6 +20,10 @@
 	OutcomeAsked Number = 1007
 	// StrangerRefused means that a call came from outside the fleet.
 	StrangerRefused Number = 1008
+	// EndpointStalled means that the local endpoint gives no sign of life.
+	EndpointStalled Number = 1009
+	// EndpointBack means that the local endpoint answers again.
+	EndpointBack Number = 1010
 )
 
 // trafficEvents holds the definitions numbered from 1000.
@@ -31,5 +35,7 @@
 	{Number: SuspectRefused, Name: "suspect_refused", Level: zerolog.WarnLevel, Meaning: "A request that broke endpoints was held back."},
 	{Number: AnswerBroken, Name: "answer_broken", Level: zerolog.WarnLevel, Meaning: "An answer was truncated or not the answer to its call; it was not passed on as whole."},
 	{Number: OutcomeAsked, Name: "outcome_asked", Level: zerolog.InfoLevel, Meaning: "After a lost answer a node asked what became of its non-idempotent call."},
+	{Number: EndpointStalled, Name: "endpoint_stalled", Level: zerolog.WarnLevel, Exact: true, Meaning: "The local endpoint accepts connections and answers nothing. The node takes no calls for it until it answers a probe."},
+	{Number: EndpointBack, Name: "endpoint_back", Level: zerolog.InfoLevel, Exact: true, Meaning: "The local endpoint answers again."},
 	{Number: StrangerRefused, Name: "stranger_refused", Level: zerolog.WarnLevel, Meaning: "The peer address got a call without the proof of the fleet key. Check fleetKey in the settings of all nodes."},
 }
--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -198,9 +198,7 @@
 	if a.problem == nil {
 		return try{answer: a}, end
 	}
-	if endpointFailed(a.problem.Kind) {
-		end.Outcome = routing.OutcomeBroken
-	}
+	end.Outcome = outcomeFor(a.problem.Kind)
 	return try{answer: a, fate: fateOf(a.problem), final: isFinal(a.problem.Kind)}, end
 }
 
@@ -218,10 +216,10 @@
 	case errors.Is(err, errSilent):
 		t.config.Log.Emit(event.ConnectionSilent, "", event.F("vm", m.VM))
 		a := failed(problem.New(problem.KindConnectionLost, problem.RanUnknown, "the connection to VM %s went silent", m.VM))
-		return try{answer: a, fate: retry.FateUnknown, silent: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
+		return try{answer: a, fate: retry.FateUnknown, silent: true}, routing.Finished{Outcome: routing.OutcomeSilent}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		a := failed(problem.New(problem.KindTimeout, problem.RanUnknown, "VM %s didn't answer in time", m.VM))
-		return try{answer: a, fate: retry.FateUnknown, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
+		return try{answer: a, fate: retry.FateUnknown, final: true}, routing.Finished{Outcome: routing.OutcomeBroken}
 	case ctx.Err() != nil:
 		a := failed(problem.New(problem.KindCancelled, problem.RanUnknown, "the caller went away"))
 		return try{answer: a, fate: retry.FateUnknown, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
@@ -265,9 +263,16 @@
 	}
 }
 
-// endpointFailed reports whether a problem speaks against the endpoint itself.
-func endpointFailed(k problem.Kind) bool {
-	return k == problem.KindUnreachable || k == problem.KindConnectionLost || k == problem.KindAnswerBroken
+// outcomeFor returns what a problem says about the endpoint that it came from.
+func outcomeFor(k problem.Kind) routing.Outcome {
+	switch k {
+	case problem.KindUnreachable:
+		return routing.OutcomeUnreachable
+	case problem.KindConnectionLost, problem.KindAnswerBroken, problem.KindTimeout:
+		return routing.OutcomeBroken
+	default:
+		return routing.OutcomeAnswered
+	}
 }
 
 // isFinal reports whether no other endpoint would do better.
--- a/internal/traffic/endpoint.go
+++ b/internal/traffic/endpoint.go
@@ -24,12 +24,14 @@
 	address string
 	link    *link
 	dial    DialFunc
+	probe   *http.Transport // for probes alone, so that calls don't hold them up
 }
 
 func newEndpoint(s *settings.Node, dial DialFunc) *endpoint {
 	return &endpoint{
 		address: s.EndpointAddress,
 		dial:    dial,
+		probe:   newTransport(s.EndpointAddress, 1, dial),
 		link:    &link{transport: newTransport(s.EndpointAddress, endpointIdleMax, dial)},
 	}
 }
@@ -89,4 +91,5 @@
 
 func (e *endpoint) close() {
 	e.link.transport.CloseIdleConnections()
+	e.probe.CloseIdleConnections()
 }
--- a/internal/traffic/errors.go
+++ b/internal/traffic/errors.go
@@ -13,5 +13,6 @@
 var (
 	errMakeRoom  = errors.New("the slot is needed for more important work")
 	errSilent    = errors.New("the connection went silent")
+	errStalled   = errors.New("the endpoint doesn't answer")
 	errParentEnd = errors.New("the parent call ended")
 )
--- a/internal/traffic/failure_test.go
+++ b/internal/traffic/failure_test.go
@@ -245,3 +245,34 @@
 	group.Wait()
 	require.EqualValues(t, neighbours+1, second.runs.Load())
 }
+
+// A frozen endpoint keeps its connections. Lookups in flight on it are run
+// elsewhere, and no booking is handed to it once it is known.
+func TestFrozenEndpointGetsNoMoreCalls(t *testing.T) {
+	f := newFleet(t)
+	var frozen *testNode
+	frozen = f.add("deep-1", "deep", "a", func(w http.ResponseWriter, r *http.Request) {
+		if frozen.frozen.Load() {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = w.Write([]byte("one"))
+	})
+	f.add("deep-2", "deep", "b", answerWith("two"))
+	entry := f.add("front-1", "front", "a", answerWith(""))
+	f.start()
+	require.Equal(t, "one", entry.call(t, "GET", "/deep", "", "").body)
+	frozen.frozen.Store(true)
+	require.Equal(t, "two", entry.call(t, "GET", "/deep", "", "").body)
+	require.True(t, frozen.traffic.watch.isStalled())
+	runs := frozen.runs.Load()
+	for range 5 {
+		require.Equal(t, "two", entry.call(t, "POST", "/deep", takeToken(t, entry), "").body)
+	}
+	require.Equal(t, runs, frozen.runs.Load())
+
+	frozen.frozen.Store(false)
+	require.Eventually(t, func() bool {
+		return entry.call(t, "GET", "/deep", "", "").body == "one"
+	}, 10*time.Second, 10*time.Millisecond, "it gets calls again")
+}
--- a/internal/traffic/fleet_test.go
+++ b/internal/traffic/fleet_test.go
@@ -43,6 +43,7 @@
 	endpoint *httptest.Server
 	address  string // the peer address in the view
 	runs     atomic.Int64
+	frozen   atomic.Bool // the endpoint answers no probe
 }
 
 // testCatalogue has a chain of three services; only the last may be booked.
@@ -84,6 +85,12 @@
 	f.t.Helper()
 	n := &testNode{name: name, service: service, zone: zone, holder: &view.Holder{}, reports: view.NewReports()}
 	n.endpoint = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pathHealth {
+			if n.frozen.Load() {
+				<-r.Context().Done()
+			}
+			return
+		}
 		n.runs.Add(1)
 		handler(w, r)
 	}))
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -42,6 +42,8 @@
 		return nil, problem.New(problem.KindLeaving, problem.RanNo, "VM %s is leaving", t.config.Settings.VM)
 	case v.Index == nil:
 		return nil, problem.New(problem.KindNotReady, problem.RanNo, "VM %s has no catalogue yet", t.config.Settings.VM)
+	case t.watch.isStalled():
+		return nil, problem.New(problem.KindUnreachable, problem.RanNo, "the endpoint of VM %s doesn't answer", t.config.Settings.VM)
 	case m.Service != t.config.Settings.Service:
 		return nil, problem.New(problem.KindUnreachable, problem.RanNo, "VM %s serves %s", t.config.Settings.VM, t.config.Settings.Service)
 	}
@@ -97,6 +99,8 @@
 		depth:       e.meta.Depth,
 		correlation: e.meta.Correlation,
 		route:       e.route.Name,
+		idempotent:  e.route.Idempotent,
+		abandon:     e.cancel,
 		pool:        newBudget(int(e.meta.Retries)),
 		children:    newRecords(t.config.Now),
 		seen:        make(map[uint64]*childState),
@@ -117,6 +121,7 @@
 		a.retries = e.parent.pool.left()
 		return a
 	}
+	t.watch.answered()
 	a.retries = e.parent.pool.left()
 	return a.onClose(func() { e.end(admission.OutcomeAnswered) })
 }
@@ -160,6 +165,8 @@
 		return problem.New(problem.KindUnreachable, problem.RanNo, "the endpoint can't be reached: %v", err)
 	case errors.Is(context.Cause(ctx), errMakeRoom):
 		return problem.New(problem.KindOverloaded, problem.RanUnknown, "the call was cancelled for more important work")
+	case errors.Is(context.Cause(ctx), errStalled):
+		return problem.New(problem.KindConnectionLost, problem.RanUnknown, "the endpoint doesn't answer")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) || e.traffic.config.Now() >= e.deadline:
 		return problem.New(problem.KindTimeout, problem.RanUnknown, "the endpoint didn't answer in time")
 	case ctx.Err() != nil:
--- a/internal/traffic/parents.go
+++ b/internal/traffic/parents.go
@@ -20,6 +20,8 @@
 	depth       uint8
 	correlation string
 	route       string
+	idempotent  bool
+	abandon     context.CancelCauseFunc
 	pool        *budget
 	children    *records
 
@@ -58,6 +60,18 @@
 	delete(p.byID, id)
 }
 
+// abandonIdempotent cancels the calls that may be run elsewhere, because the
+// endpoint has stalled. The others may still run and must wait for their fate.
+func (p *parents) abandonIdempotent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, one := range p.byID {
+		if one.idempotent {
+			one.abandon(errStalled)
+		}
+	}
+}
+
 func (p *parents) get(id call.ID) *parent {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,8 @@
 	suspects *suspects
 	chain    *chain
 	tokens   *token.Codec
+	watch    *watch
+	probes   sync.WaitGroup
 	leaving  atomic.Bool
 }
 
@@ -82,16 +85,18 @@
 		attempts: newRecords(c.Now),
 		suspects: newSuspects(c.Now),
 		chain:    newChain(c.Now),
+		watch:    newWatch(c.Now),
 		tokens:   token.NewCodec(c.Settings.FleetKey),
 	}
 	t.registerGauges()
 	return t
 }
 
-// Run looks after queued calls until ctx ends.
+// Run looks after queued calls and sends probes until ctx ends.
 func (t *Traffic) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer t.probes.Wait()
 	var applied *view.View
 	for {
 		if v := t.config.View.Load(); v != applied {
@@ -99,6 +104,7 @@
 			applied = v
 		}
 		t.gate.tick()
+		t.look(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -195,7 +201,10 @@
 
 // PeerHandler serves calls from other nodes.
 func (t *Traffic) PeerHandler() http.Handler {
-	return http.HandlerFunc(t.servePeer)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathPing, t.servePing)
+	mux.HandleFunc("/", t.servePeer)
+	return mux
 }
 
 // OutboundHandler serves the local endpoint's own calls.
--- /dev/null
+++ b/internal/traffic/watch.go
@@ -0,0 +1,167 @@
+package traffic
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/galenacart/galenacart/decision/stall"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/problem"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// pathPing is asked by other nodes before they send calls again.
+const pathPing = "/galenacart/ping"
+
+// pathHealth is the endpoint's health page. Any answer, of whatever status and
+// content, proves that the endpoint works.
+const pathHealth = "/-/health"
+
+// watch follows the local endpoint's signs of life.
+type watch struct {
+	now func() time.Duration
+
+	mu      sync.Mutex
+	stall   stall.Watch
+	stalled bool
+}
+
+func newWatch(now func() time.Duration) *watch {
+	return &watch{now: now}
+}
+
+func (w *watch) due() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stall.Due(w.now())
+}
+
+func (w *watch) answered() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stall.Answered(w.now())
+}
+
+// probed takes in a probe's end. changed is true when the endpoint stalled or
+// came back.
+func (w *watch) probed(alive bool) (stalled, changed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stall.Probed(alive)
+	stalled = w.stall.Stalled()
+	changed = stalled != w.stalled
+	w.stalled = stalled
+	return stalled, changed
+}
+
+func (w *watch) isStalled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stall.Stalled()
+}
+
+// look sends the probes that are due: to the local endpoint, and to nodes that
+// were set aside. Probes run beside the caller and end by themselves.
+func (t *Traffic) look(ctx context.Context) {
+	if t.watch.due() {
+		t.probes.Go(func() { t.probeEndpoint(ctx) })
+	}
+	v := t.config.View.Load()
+	for name, vms := range t.targets.due() {
+		s := t.targets.service(name)
+		for _, vm := range vms {
+			m := v.ByVM[vm]
+			if m == nil {
+				s.probed(vm, false)
+				continue
+			}
+			t.probes.Go(func() { s.probed(vm, t.ping(ctx, m)) })
+		}
+	}
+}
+
+// probeEndpoint asks the local endpoint for a sign of life.
+func (t *Traffic) probeEndpoint(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stall.ProbeTimeout)
+	defer cancel()
+	stalled, changed := t.watch.probed(t.local.alive(ctx))
+	if !changed {
+		return
+	}
+	if !stalled {
+		t.config.Log.Emit(event.EndpointBack, "")
+		return
+	}
+	t.config.Log.Emit(event.EndpointStalled, "")
+	t.parents.abandonIdempotent()
+}
+
+// alive reports whether the endpoint gives any sign of life. A refused
+// connection is one: nothing hangs then.
+func (e *endpoint) alive(ctx context.Context) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address+pathHealth, nil)
+	if err != nil {
+		return true
+	}
+	response, err := e.probe.RoundTrip(r)
+	if err != nil {
+		return ctx.Err() == nil
+	}
+	return response.Body.Close() == nil
+}
+
+// ping asks another node whether it would take calls.
+func (t *Traffic) ping(ctx context.Context, m *view.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, t.peers.silence)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.PeerAddress+pathPing, nil)
+	if err != nil {
+		return false
+	}
+	response, err := t.peers.link(m.PeerAddress).transport.RoundTrip(r)
+	if err != nil {
+		return false
+	}
+	return response.Body.Close() == nil && response.StatusCode == http.StatusNoContent
+}
+
+// servePing answers other nodes.
+func (t *Traffic) servePing(w http.ResponseWriter, _ *http.Request) {
+	if t.watch.isStalled() {
+		problem.Write(w, problem.New(problem.KindUnreachable, problem.RanNo, "the endpoint doesn't answer"), "")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// due returns the VMs to probe, by service.
+func (t *targets) due() map[string][]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out map[string][]string
+	for name, s := range t.services {
+		vms := s.due()
+		if len(vms) == 0 {
+			continue
+		}
+		if out == nil {
+			out = make(map[string][]string)
+		}
+		out[name] = vms
+	}
+	return out
+}
+
+func (s *service) due() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.router.Due(s.now(), nil)
+}
+
+func (s *service) probed(vm string, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.router.Probed(s.now(), vm, answered)
+}
