Log refusals of an endpoint's own calls; let the chaos run follow a plan

Cause: a booking that failed below left no event at the node that refused it, so the reason for the long failure in the chaos run could not be read. Change: outbound refusals are logged and listed like the others, under the request's correlation; PLAN names what the chaos run does.

--- a/demo/chaos.sh
+++ b/demo/chaos.sh
@@ -10,6 +10,8 @@
 readonly SEED=${SEED:-1}
 readonly ACTIONS=${ACTIONS:-kill freeze stop}
 readonly ROUNDS=${ROUNDS:-30}
+# PLAN names what to do instead of random choices: "action:process" words.
+read -ra plan <<<"${PLAN:-}"
 readonly PAUSE_SECONDS=2
 readonly FREEZE_SECONDS=${FREEZE_SECONDS:-30}
 readonly BEFORE_SECONDS=8
@@ -63,11 +65,17 @@
 	done
 }
 
-# harm does one random thing to one random process.
+# harm does the next thing of the plan, or one random thing to one random process.
 harm() {
 	local choices=($ACTIONS) name action
-	name=${names[RANDOM % ${#names[@]}]}
-	action=${choices[RANDOM % ${#choices[@]}]}
+	if [[ -n ${PLAN:-} ]]; then
+		((round < ${#plan[@]})) || return
+		action=${plan[round]%%:*}
+		name=${plan[round]#*:}
+	else
+		name=${names[RANDOM % ${#names[@]}]}
+		action=${choices[RANDOM % ${#choices[@]}]}
+	fi
 	[[ -n ${frozen_until[$name]:-} ]] && return
 	echo "$SECONDS $action $name" >>"$OUT/actions.txt"
 	case $action in
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -19,16 +19,29 @@
 // serveOutbound serves a call that the local endpoint makes.
 func (t *Traffic) serveOutbound(w http.ResponseWriter, r *http.Request) {
 	started := t.config.Now()
+	correlation := t.correlationOfParent(r)
 	a := t.answerOutbound(r)
 	t.config.Metrics.Call(metrics.RoleOutbound, t.config.Now()-started)
 	if a.problem != nil {
-		t.config.Metrics.Refusal(a.problem.Kind)
-		problem.Write(w, a.problem, "")
+		t.refuse(w, a.problem, correlation)
 		return
 	}
 	a.writeToCaller(w, r.Method)
 }
 
+// correlationOfParent returns the ID under which events of the request are
+// logged, or nothing when the call names no running one.
+func (t *Traffic) correlationOfParent(r *http.Request) string {
+	id, err := call.ParseID(r.Header.Get(call.HeaderParent))
+	if err != nil {
+		return ""
+	}
+	if p := t.parents.get(id); p != nil {
+		return p.correlation
+	}
+	return ""
+}
+
 func (t *Traffic) answerOutbound(r *http.Request) *answer {
 	v := t.config.View.Load()
 	route, refused := t.outboundRoute(v, r)
