--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -37,6 +37,9 @@
 	w := newWalker(data)
 	whole := w.document(t)
 	faults := w.faults
+	if json.Valid(data) {
+		return faults
+	}
 	var syntax *json.SyntaxError
 	err := json.Unmarshal(data, &json.RawMessage{})
 	if errors.As(err, &syntax) {
--- a/internal/strictjson/walk.go
+++ b/internal/strictjson/walk.go
@@ -24,6 +24,40 @@
 	tokens *json.Decoder
 	faults []Fault
 	fields map[reflect.Type]fieldSet
+	path   []segment // from the document to the value at hand
+}
+
+// segment is one step of a path. It becomes text only when a fault needs it.
+type segment struct {
+	name  string
+	index int // the position in a list, or isMember
+}
+
+// isMember marks the segment of an object's member.
+const isMember = -1
+
+func (s segment) text() string {
+	if s.index == isMember {
+		return shorten(s.name)
+	}
+	return strconv.Itoa(s.index)
+}
+
+// pointer returns the JSON pointer to the value at hand.
+func (w *walker) pointer() string {
+	pointer := ""
+	for _, s := range w.path {
+		pointer = Join(pointer, s.text())
+	}
+	return pointer
+}
+
+func (w *walker) push(s segment) {
+	w.path = append(w.path, s)
+}
+
+func (w *walker) pop() {
+	w.path = w.path[:len(w.path)-1]
 }
 
 func newWalker(data []byte) *walker {
@@ -32,49 +66,49 @@
 	return &walker{tokens: d, fields: make(map[reflect.Type]fieldSet)}
 }
 
-func (w *walker) fault(pointer, format string, args ...any) {
+func (w *walker) fault(format string, args ...any) {
 	if len(w.faults) == maxFaults {
 		w.faults = append(w.faults, Fault{Reason: "more faults follow"})
 	}
 	if len(w.faults) > maxFaults {
 		return
 	}
-	w.faults = append(w.faults, Fault{Pointer: pointer, Reason: fmt.Sprintf(format, args...)})
+	w.faults = append(w.faults, Fault{Pointer: w.pointer(), Reason: fmt.Sprintf(format, args...)})
 }
 
 // document walks one document and reports whether it is complete.
 func (w *walker) document(t reflect.Type) bool {
-	return w.value("", t, 0)
+	return w.value(t)
 }
 
 // value walks one value of type t. A nil type takes any value. It reports
 // whether the value is complete; when it is not, the syntax is at fault.
-func (w *walker) value(pointer string, t reflect.Type, depth int) bool {
+func (w *walker) value(t reflect.Type) bool {
 	token, err := w.tokens.Token()
 	if err != nil {
 		return false
 	}
-	if depth > maxDepth {
-		w.fault(pointer, "nested too deeply; want at most %d levels", maxDepth)
+	if len(w.path) > maxDepth {
+		w.fault("nested too deeply; want at most %d levels", maxDepth)
 		return w.skip(token)
 	}
 	t = target(t)
 	switch v := token.(type) {
 	case json.Delim:
 		if v == '{' {
-			return w.object(pointer, t, depth)
+			return w.object(t)
 		}
-		return w.array(pointer, t, depth)
+		return w.array(t)
 	case nil:
 		if t != nil {
-			w.fault(pointer, "null is no value; want %s, or leave it out", kindName(t))
+			w.fault("null is no value; want %s, or leave it out", kindName(t))
 		}
 	case json.Number:
-		w.number(pointer, t, v)
+		w.number(t, v)
 	case string:
-		w.scalar(pointer, t, reflect.String, "text")
+		w.scalar(t, reflect.String, "text")
 	case bool:
-		w.scalar(pointer, t, reflect.Bool, "true or false")
+		w.scalar(t, reflect.Bool, "true or false")
 	}
 	return true
 }
@@ -128,9 +162,9 @@
 	return -1
 }
 
-func (w *walker) object(pointer string, t reflect.Type, depth int) bool {
+func (w *walker) object(t reflect.Type) bool {
 	if t != nil && t.Kind() != reflect.Struct && t.Kind() != reflect.Map {
-		w.fault(pointer, "have an object; want %s", kindName(t))
+		w.fault("have an object; want %s", kindName(t))
 		return w.skip(json.Delim('{'))
 	}
 	seen := map[string]bool{}
@@ -143,21 +177,22 @@
 		if !ok {
 			return false
 		}
-		at := Join(pointer, shorten(name))
+		w.push(segment{name, isMember})
 		if seen[name] {
-			w.fault(at, "the key stands twice in one object; want it once")
+			w.fault("the key stands twice in one object; want it once")
 		}
 		seen[name] = true
-		if !w.value(at, w.memberType(at, t, name), depth+1) {
+		if !w.value(w.memberType(t, name)) {
 			return false
 		}
+		w.pop()
 	}
 	_, err := w.tokens.Token()
 	return err == nil
 }
 
 // memberType returns the type of a member, or nil when any value may stand.
-func (w *walker) memberType(at string, t reflect.Type, name string) reflect.Type {
+func (w *walker) memberType(t reflect.Type, name string) reflect.Type {
 	if t == nil {
 		return nil
 	}
@@ -168,13 +203,13 @@
 	if member, ok := fields.types[name]; ok {
 		return member
 	}
-	w.fault(at, "unknown field; %s", fields.suggest(name))
+	w.fault("unknown field; %s", fields.suggest(name))
 	return nil
 }
 
-func (w *walker) array(pointer string, t reflect.Type, depth int) bool {
+func (w *walker) array(t reflect.Type) bool {
 	if t != nil && t.Kind() != reflect.Slice && t.Kind() != reflect.Array {
-		w.fault(pointer, "have a list; want %s", kindName(t))
+		w.fault("have a list; want %s", kindName(t))
 		return w.skip(json.Delim('['))
 	}
 	var element reflect.Type
@@ -182,21 +217,23 @@
 		element = t.Elem()
 	}
 	for i := 0; w.tokens.More(); i++ {
-		if !w.value(Join(pointer, strconv.Itoa(i)), element, depth+1) {
+		w.push(segment{index: i})
+		if !w.value(element) {
 			return false
 		}
+		w.pop()
 	}
 	_, err := w.tokens.Token()
 	return err == nil
 }
 
-func (w *walker) scalar(pointer string, t reflect.Type, kind reflect.Kind, name string) {
+func (w *walker) scalar(t reflect.Type, kind reflect.Kind, name string) {
 	if t != nil && t.Kind() != kind {
-		w.fault(pointer, "have %s; want %s", name, kindName(t))
+		w.fault("have %s; want %s", name, kindName(t))
 	}
 }
 
-func (w *walker) number(pointer string, t reflect.Type, n json.Number) {
+func (w *walker) number(t reflect.Type, n json.Number) {
 	if t == nil {
 		return
 	}
@@ -209,10 +246,10 @@
 	case t.Kind() == reflect.Float32 || t.Kind() == reflect.Float64:
 		_, err = strconv.ParseFloat(n.String(), t.Bits())
 	default:
-		w.fault(pointer, "have a number; want %s", kindName(t))
+		w.fault("have a number; want %s", kindName(t))
 	}
 	if err != nil {
-		w.fault(pointer, "have %s; want %s", shorten(n.String()), kindName(t))
+		w.fault("have %s; want %s", shorten(n.String()), kindName(t))
 	}
 }
 
