Say what to mind with a change of the catalogue

Cause: a comparison listed a moved class or another list of key homes like any other edit, though these can hurt. A summary of no values gave quantiles of 0.

Change: a change tells its risk, and diff prints it. Quantiles of nothing are NaN in the text form.

--- a/cmd/galenacart-ctl/check.go
+++ b/cmd/galenacart-ctl/check.go
@@ -102,6 +102,9 @@
 	changes := catalogue.Diff(before, after)
 	for _, change := range changes {
 		c.print("%s", change)
+		if risk := change.Risk(); risk != "" {
+			c.print("  mind: %s", risk)
+		}
 	}
 	if len(changes) == 0 {
 		c.print("no difference")
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -241,14 +241,21 @@
 	after.Routes = append(after.Routes, Route{Name: "cancel"})
 	after.Retry.BudgetPerRequest = 2
 	after.KeyHomes = []string{"vm-1"}
+	after.Routes[1].Idempotent = false
 	var lines []string
+	risks := 0
 	for _, change := range Diff(before, after) {
 		lines = append(lines, change.String())
+		if change.Risk() != "" {
+			risks++
+		}
 	}
+	require.Equal(t, 5, risks, "two ranks, a removed route, one no longer idempotent, the homes")
 	require.Equal(t, []string{
 		"changed class lookup: rank: 1 → 0",
 		"changed class booking: rank: 0 → 1",
 		"changed service stock: limits.slots: 10 → 12",
+		"changed route plan: idempotent: true → false",
 		"added route cancel",
 		"removed route book",
 		"changed retry: budgetPerRequest: 3 → 2",
--- a/internal/catalogue/diff.go
+++ b/internal/catalogue/diff.go
@@ -50,6 +50,36 @@
 	return fmt.Sprintf("changed %s: %s: %s → %s", place, c.Field, c.Old, c.New)
 }
 
+// Risk says what to think of before the change is published, or is empty.
+func (c Change) Risk() string {
+	if c.Operation == Removed && c.Section == "route" {
+		return "callers that still use it are refused"
+	}
+	if c.Operation != Changed {
+		return ""
+	}
+	switch c.Section + " " + c.Field {
+	case "keyHomes list":
+		return "while both lists are in force a caller's own key may have two homes"
+	case "class rank":
+		return "this changes what is refused first under overload"
+	case "route idempotent":
+		return idempotentRisk(c.New)
+	case "route method", "route path":
+		return "callers that use the old one are refused"
+	case "idempotency tokenLifetimeMs":
+		return "tokens that are in use keep the lifetime with which they were issued"
+	}
+	return ""
+}
+
+func idempotentRisk(now string) string {
+	if now == "true" {
+		return "nodes may run such a call more than once from now on"
+	}
+	return "callers need an idempotency key to send such a call again"
+}
+
 // Diff lists the differences between two catalogues: classes, services and
 // routes by name, then the other sections.
 func Diff(before, after *Catalogue) []Change {
--- a/internal/metrics/exposition.go
+++ b/internal/metrics/exposition.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"sort"
 	"strconv"
 	"strings"
@@ -129,6 +130,9 @@
 		unit = float64(time.Second) // the values are in nanoseconds
 	}
 	for i, value := range h.Percentiles(quantiles) {
+		if h.Count() == 0 {
+			value = math.NaN() // there is no quantile of nothing
+		}
 		quantile := fmt.Sprintf("quantile=%q", strconv.FormatFloat(quantiles[i], 'g', -1, 64))
 		writeSample(out, family, join(labels, quantile), value/unit)
 	}
