Bound the text of faults, events and table rows

Cause: a catalogue with thousands of faults made an event line of a megabyte, which no ring keeps, and a reason with line breaks tore the table of status.

Change: an error lists 200 faults and counts the rest; texts in events are cut at 1024 bytes; reasons in tables stand on one line.

Conclusion: a bad document costs a node a bounded line.

--- a/cmd/galenacart-ctl/ctl_test.go
+++ b/cmd/galenacart-ctl/ctl_test.go
@@ -119,7 +119,7 @@
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	t.Run("nodes", func(t *testing.T) {
 		a := node(t, status.Node{VM: "a-1", AvailabilityZone: "a", Service: "stock", Catalogue: status.Catalogue{Revision: 7}})
-		b := node(t, status.Node{VM: "b-1", AvailabilityZone: "b", Service: "stock", Catalogue: status.Catalogue{Revision: 6, Refused: 7, Reason: "no such class"}})
+		b := node(t, status.Node{VM: "b-1", AvailabilityZone: "b", Service: "stock", Catalogue: status.Catalogue{Revision: 6, Refused: 7, Reason: "no such\n\tclass"}})
 		list := file(t, "nodes", "# nodes\n"+a+"\n\n"+b+"\n")
 
 		all := ctl("status", "-nodes", list)
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -108,6 +108,17 @@
 	}, got[0])
 }
 
+func TestLongTextsAreCut(t *testing.T) {
+	var out bytes.Buffer
+	l := testLog(&out)
+	long := strings.Repeat("é", 3000)
+	l.Emit(9001, "", F("cause", errors.New(long)), F("detail", long))
+	got := lines(t, &out)[0]
+	require.Equal(t, strings.Repeat("é", maxFieldBytes/2)+"…", got["cause"])
+	require.Equal(t, got["cause"], got["detail"])
+	require.Less(t, out.Len(), maxLineBytes)
+}
+
 func TestDisabledLevelCostsNothing(t *testing.T) {
 	var out bytes.Buffer
 	l := testLog(&out)
--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -115,11 +116,23 @@
 	e.Send()
 }
 
-// appendField adds a field. Durations are written as text with their unit.
+// maxFieldBytes bounds a text, so that a line stays short enough for a Ring.
+const maxFieldBytes = 1024
+
+// cut shortens a long text.
+func cut(text string) string {
+	if len(text) <= maxFieldBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxFieldBytes], "") + "…"
+}
+
+// appendField adds a field. Durations are written as text with their unit, long
+// texts are cut.
 func appendField(e *zerolog.Event, f Field) {
 	switch v := f.Value.(type) {
 	case string:
-		e.Str(f.Key, v)
+		e.Str(f.Key, cut(v))
 	case int:
 		e.Int(f.Key, v)
 	case uint32:
@@ -135,7 +148,7 @@
 	case time.Duration:
 		e.Str(f.Key, v.String())
 	case error:
-		e.Str(f.Key, v.Error())
+		e.Str(f.Key, cut(v.Error()))
 	case []string:
 		e.Strs(f.Key, v)
 	default:
--- a/internal/inspect/fleet.go
+++ b/internal/inspect/fleet.go
@@ -23,7 +23,7 @@
 	out := newTable(w, "AVAILABILITY ZONE", "VM", "SERVICE", "REVISION", "STATE", "REFUSALS/MIN", "VERSION")
 	for _, a := range sorted(answers) {
 		if a.Err != nil {
-			out.row(unreachableZone, a.Address, "-", "-", a.Err.Error(), "-", "-")
+			out.row(unreachableZone, a.Address, "-", "-", oneLine(a.Err.Error()), "-", "-")
 			continue
 		}
 		n := &a.Summary
@@ -80,7 +80,19 @@
 	if reason == "" {
 		return state
 	}
-	return state + ": " + reason
+	return state + ": " + oneLine(reason)
+}
+
+// maxReasonRunes bounds a reason in a table.
+const maxReasonRunes = 300
+
+// oneLine makes a text fit into one row of a table.
+func oneLine(text string) string {
+	runes := []rune(strings.Join(strings.Fields(text), " "))
+	if len(runes) <= maxReasonRunes {
+		return string(runes)
+	}
+	return string(runes[:maxReasonRunes]) + "…"
 }
 
 func revision(n uint64) string {
--- a/internal/inspect/revision.go
+++ b/internal/inspect/revision.go
@@ -45,7 +45,7 @@
 	s := &Spread{Revision: revision}
 	for _, a := range sorted(answers) {
 		if a.Err != nil {
-			s.Missing = append(s.Missing, Missing{Name: a.Address, Reason: a.Err.Error()})
+			s.Missing = append(s.Missing, Missing{Name: a.Address, Reason: oneLine(a.Err.Error())})
 			continue
 		}
 		s.add(&a.Summary)
--- a/internal/strictjson/fault.go
+++ b/internal/strictjson/fault.go
@@ -22,12 +22,20 @@
 	List []Fault
 }
 
-// Error returns one line for each fault: file, pointer, reason.
+// maxLines bounds the text of an error.
+const maxLines = 200
+
+// Error returns one line for each fault: file, pointer, reason. Of very many it
+// returns the first.
 func (f *Faults) Error() string {
-	lines := make([]string, 0, len(f.List))
-	for _, one := range f.List {
+	listed := f.List[:min(len(f.List), maxLines)]
+	lines := make([]string, 0, len(listed)+1)
+	for _, one := range listed {
 		lines = append(lines, f.line(one))
 	}
+	if left := len(f.List) - len(listed); left > 0 {
+		lines = append(lines, fmt.Sprintf("%s: and %d more", f.File, left))
+	}
 	return strings.Join(lines, "\n")
 }
 
--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -93,7 +93,10 @@
 
 func TestFaultsAreBounded(t *testing.T) {
 	data := "{" + strings.TrimSuffix(strings.Repeat(`"name":1,`, 10000), ",") + "}"
-	require.Len(t, faultsOf(t, Decode("f", []byte(data), &shelf{})), maxFaults+1)
+	err := Decode("f", []byte(data), &shelf{})
+	require.Len(t, faultsOf(t, err), maxFaults+1)
+	require.Equal(t, maxLines, strings.Count(err.Error(), "\n"))
+	require.Contains(t, err.Error(), "f: and 1 more")
 	long := `{"` + strings.Repeat("é", 5000) + `":1}`
 	require.Less(t, len(faultsOf(t, Decode("f", []byte(long), &shelf{}))[0].Pointer), 2*maxNameBytes)
 }
