Compare goodput with the best that the endpoints could give

Cause: a share of offered says little when the offer is beyond capacity.

Change: reports have the ideal goodput of each phase and class, from the slots and service times of the deployment and the requests that did arrive, with the most important class first. The demo also plays Zampa's deployment.

Conclusion: the column "of ideal" is 1 for a system that wastes nothing.

--- a/cmd/galenacart-load/run.go
+++ b/cmd/galenacart-load/run.go
@@ -16,6 +16,7 @@
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/load/chart"
 	"github.com/galenacart/galenacart/internal/load/experiment"
+	"github.com/galenacart/galenacart/internal/load/ideal"
 	"github.com/galenacart/galenacart/internal/load/outcome"
 	"github.com/galenacart/galenacart/internal/load/report"
 	"github.com/galenacart/galenacart/internal/load/runner"
@@ -131,13 +132,20 @@
 
 // write writes the answers, the report and the plot, and prints the report.
 func (c *runCommand) write(config runner.Config, outcomes []outcome.Outcome, stopped bool) error {
-	r := report.New(report.Input{
+	in := report.Input{
 		Label:      c.label,
 		Experiment: config.Experiment,
 		Classes:    classNames(config.Catalogue),
 		Outcomes:   outcomes,
-	})
+	}
+	r := report.New(in)
 	r.Stopped = stopped
+	err := r.AddIdeal(in, func(p *experiment.Phase) ([]ideal.Rate, error) {
+		return ideal.PhaseRates(config.Catalogue, config.Deployment, p)
+	})
+	if err != nil {
+		return err
+	}
 	answers, err := os.Create(filepath.Join(c.out, fileAnswers))
 	if err != nil {
 		return errors.Wrap(err, "write answers")
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -7,7 +7,7 @@
 . demo/processes.sh
 
 readonly DEPLOYMENT=${DEPLOYMENT:-dorvakt}
-readonly EXPERIMENT=${EXPERIMENT:-demo/overload.json}
+readonly EXPERIMENT=${EXPERIMENT:-demo/overload-$DEPLOYMENT.json}
 readonly OUT=${OUT:-out/demo}
 readonly NETWORK=${NETWORK:-127.20}
 readonly CATALOGUE=examples/$DEPLOYMENT/catalogue.json
--- a/internal/load/experiment/experiment_test.go
+++ b/internal/load/experiment/experiment_test.go
@@ -11,26 +11,28 @@
 	"github.com/galenacart/galenacart/internal/catalogue"
 )
 
-func dorvakt(t *testing.T) *catalogue.Catalogue {
+func readCatalogue(t *testing.T, name string) *catalogue.Catalogue {
 	t.Helper()
-	c, err := catalogue.ReadFile("../../../examples/dorvakt/catalogue.json")
+	c, err := catalogue.ReadFile("../../../examples/" + name + "/catalogue.json")
 	require.NoError(t, err)
 	return c
 }
 
-func TestDemoExperimentIsValid(t *testing.T) {
-	e, err := ReadFile("../../../demo/overload.json", dorvakt(t))
-	require.NoError(t, err)
-	kinds := map[Kind]bool{}
-	for _, p := range e.Phases {
-		kinds[p.Kind] = true
+func TestDemoExperimentsAreValid(t *testing.T) {
+	for _, name := range []string{"dorvakt", "zampa"} {
+		e, err := ReadFile("../../../demo/overload-"+name+".json", readCatalogue(t, name))
+		require.NoError(t, err)
+		kinds := map[Kind]bool{}
+		for _, p := range e.Phases {
+			kinds[p.Kind] = true
+		}
+		require.True(t, kinds[Steady] && kinds[Overload] && kinds[Recovery])
+		require.Less(t, 2*e.Duration(), 60*time.Second, "the demo plays it twice in 90 s, with the build")
 	}
-	require.True(t, kinds[Steady] && kinds[Overload] && kinds[Recovery])
-	require.Less(t, 2*e.Duration(), 80*time.Second, "the demo plays it twice in 90 s")
 }
 
 func TestDecodeRefuses(t *testing.T) {
-	data, err := os.ReadFile("../../../demo/overload.json")
+	data, err := os.ReadFile("../../../demo/overload-dorvakt.json")
 	require.NoError(t, err)
 	good := string(data)
 	cases := []struct {
@@ -50,7 +52,7 @@
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
 			require.Contains(t, good, c.old)
-			_, err := Decode("x.json", []byte(strings.Replace(good, c.old, c.changed, 1)), dorvakt(t))
+			_, err := Decode("x.json", []byte(strings.Replace(good, c.old, c.changed, 1)), readCatalogue(t, "dorvakt"))
 			require.ErrorContains(t, err, "x.json: ")
 			require.ErrorContains(t, err, c.want)
 		})
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -65,6 +65,10 @@
 	GoodPerSecond float64 `json:"goodPerSecond"`
 	// GoodShare is Good/Offered, or 1 when there was no request.
 	GoodShare float64 `json:"goodShare"`
+	// IdealPerSecond is the best goodput possible; 0 when it wasn't worked out.
+	IdealPerSecond float64 `json:"idealPerSecond,omitempty"`
+	// OfIdeal is GoodPerSecond/IdealPerSecond, or 0.
+	OfIdeal float64 `json:"ofIdeal,omitempty"`
 	// P50Ms is the median latency of good requests, in milliseconds.
 	P50Ms float64 `json:"p50Ms"`
 	// P90Ms is the 0.9 quantile, in milliseconds.
--- a/internal/load/report/report_test.go
+++ b/internal/load/report/report_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/galenacart/galenacart/internal/load/experiment"
+	"github.com/galenacart/galenacart/internal/load/ideal"
 	"github.com/galenacart/galenacart/internal/load/outcome"
 )
 
@@ -136,6 +138,7 @@
 
 func TestReportFileAndTable(t *testing.T) {
 	r := New(input(func(at time.Duration) bool { return at < 2*time.Second || at >= 4500*time.Millisecond }))
+	r.Phases[0].Classes[0].compareWith([]ideal.Rate{{Class: "booking", PerSecond: 200}})
 	r.Truth = &Truth{Requests: 4, ExtraAttempts: 2, MaxExtraAttempts: 2, WastedShare: 0.125}
 	file := filepath.Join(t.TempDir(), "report.json")
 	require.NoError(t, r.WriteFile(file))
@@ -149,8 +152,8 @@
 	require.NoError(t, Compare(&out, []*Report{r, other}))
 	text := strings.Join(strings.Fields(out.String()), " ")
 	for _, want := range []string{
-		"before booking x 100.0 100.0 1.000 20.0 20.0 1.00 -",
-		"during booking y 100.0 0.0 0.000 0.0 0.0 3.00 overloaded/no 200",
+		"before booking x 100.0 100.0 1.000 0.500 20.0 20.0 1.00 -",
+		"during booking y 100.0 0.0 0.000 - 0.0 0.0 3.00 overloaded/no 200",
 		"x 0.5 s 0 of 35 0.500 2 0.125",
 		"y (stopped early) - 0 of 0 -",
 	} {
@@ -158,6 +161,28 @@
 	}
 }
 
+// TestIdealOfWhatArrived offers 100 requests a second where 10 were planned.
+func TestIdealOfWhatArrived(t *testing.T) {
+	in := input(func(at time.Duration) bool { return at%(20*time.Millisecond) == 0 })
+	for p := range in.Experiment.Phases {
+		in.Experiment.Phases[p].Rates = []experiment.Rate{{Route: "r", PerSecond: 10}}
+	}
+	for i := range in.Outcomes {
+		in.Outcomes[i].Route = "r"
+	}
+	r := New(in)
+	require.NoError(t, r.AddIdeal(in, func(p *experiment.Phase) ([]ideal.Rate, error) {
+		return []ideal.Rate{{Class: "booking", PerSecond: p.Rates[0].PerSecond * 0.8}, {Class: "lookup"}}, nil
+	}))
+	for _, p := range r.Phases {
+		require.InDelta(t, 80, p.Classes[0].IdealPerSecond, 1e-9)
+		require.InDelta(t, 50.0/80, p.Classes[0].OfIdeal, 1e-9)
+		require.Zero(t, p.Classes[1].OfIdeal)
+	}
+	require.InDelta(t, 10, in.Experiment.Phases[0].Rates[0].PerSecond, 0, "the experiment stays as it is")
+	require.Error(t, r.AddIdeal(in, func(*experiment.Phase) ([]ideal.Rate, error) { return nil, errors.New("no") }))
+}
+
 func TestComparable(t *testing.T) {
 	always := func(time.Duration) bool { return true }
 	a, b := New(input(always)), New(input(always))
--- a/internal/load/report/text.go
+++ b/internal/load/report/text.go
@@ -42,7 +42,7 @@
 // Compare writes one table of several reports, side by side by phase and class.
 func Compare(w io.Writer, reports []*Report) error {
 	t := newTable(w)
-	t.row("phase", "class", "run", "offered/s", "good/s", "good", "p50 ms", "p99 ms", "sends/request", "other endings")
+	t.row("phase", "class", "run", "offered/s", "good/s", "good", "of ideal", "p50 ms", "p99 ms", "sends/request", "other endings")
 	for p := range reports[0].Phases {
 		for c := range reports[0].Phases[p].Classes {
 			for _, r := range reports {
@@ -91,12 +91,20 @@
 		fmt.Sprintf("%.1f", c.OfferedPerSecond),
 		fmt.Sprintf("%.1f", c.GoodPerSecond),
 		fmt.Sprintf("%.3f", c.GoodShare),
+		c.ofIdeal(),
 		fmt.Sprintf("%.1f", c.P50Ms),
 		fmt.Sprintf("%.1f", c.P99Ms),
 		fmt.Sprintf("%.2f", c.SendsPerRequest),
 		endings(c.Endings))
 }
 
+func (c *ClassResult) ofIdeal() string {
+	if c.IdealPerSecond == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.3f", c.OfIdeal)
+}
+
 func endings(all []Ending) string {
 	var words []string
 	for _, e := range all {
