Count the crashes of a request by VM and by run of its node

Change: counts are kept by VM and incarnation; a node counts its own crashes apart from what others say of them, and the greater count holds.

--- a/internal/control/suspect_controller.go
+++ b/internal/control/suspect_controller.go
@@ -12,48 +12,61 @@
 const (
 	// suspectLifetime is the time for which a crash is remembered.
 	suspectLifetime = 10 * time.Minute
-	// maxSuspects bounds the fingerprints, maxSuspectVMs the VMs of each.
-	maxSuspects   = peer.MaxSuspects
-	maxSuspectVMs = 8
+	// maxSuspects bounds the fingerprints, maxVictims the victims of each.
+	maxSuspects = peer.MaxSuspects
+	maxVictims  = 8
 	// expireInterval is the time between two looks for what expired.
 	expireInterval = 5 * time.Second
 )
 
-// crashes counts the crashes of one VM's endpoint by one request.
+// victim is a VM during one run of its node.
+type victim struct {
+	vm          string
+	incarnation uint64
+}
+
+// crashes counts the crashes of one victim's endpoint by one request.
 type crashes struct {
 	count uint16
 	at    time.Duration // the last one
 }
 
 // suspectController knows the requests that crashed endpoints. Counts are kept
-// by VM, so that the same crash told on several ways counts once.
+// by victim, and of two counts the greater one holds, so that the same crash
+// told on several ways counts once.
 type suspectController struct {
 	*thread
-	out     *blackboard.Writer[suspects]
-	byPrint map[uint64]map[string]crashes
-	swept   time.Duration
+	out           *blackboard.Writer[suspects]
+	byFingerprint map[uint64]map[victim]crashes
+	own           map[uint64]uint16 // crashes of the local endpoint
+	swept         time.Duration
 }
 
 func newSuspectController(t *thread) *suspectController {
 	return &suspectController{
-		thread:  t,
-		out:     t.board.suspects.Claim("suspect controller"),
-		byPrint: make(map[uint64]map[string]crashes),
+		thread:        t,
+		out:           t.board.suspects.Claim("suspect controller"),
+		byFingerprint: make(map[uint64]map[victim]crashes),
+		own:           make(map[uint64]uint16),
 	}
 }
 
 // observe takes a report of traffic. Each crash of the local endpoint counts; a
-// crash elsewhere counts in the words of that VM's own node.
+// crash elsewhere counts once for each run of that VM's node, which counts on.
 func (s *suspectController) observe(r view.Report) {
 	if r.Kind != view.ReportEndpointCrashed {
 		return
 	}
-	vm, count := r.VM, uint16(1)
-	if vm == "" || vm == s.Settings.VM {
-		vm = s.Settings.VM
-		count = s.byPrint[r.Fingerprint][vm].count + 1
+	one := peer.Suspect{Fingerprint: r.Fingerprint, VM: r.VM, Count: 1}
+	if r.VM == "" || r.VM == s.Settings.VM {
+		s.own[r.Fingerprint]++
+		one.VM, one.Incarnation, one.Count = s.Settings.VM, s.Incarnation, s.own[r.Fingerprint]
+	} else if m := s.board.members.Get().byVM[r.VM]; m != nil && m.identity.Incarnation != 0 {
+		one.Incarnation = m.identity.Incarnation
+	} else {
+		return // the VM's own node tells
 	}
-	s.learn([]peer.Suspect{{Fingerprint: r.Fingerprint, VM: vm, Count: count}}, s.Settings.VM)
+	s.learn([]peer.Suspect{one}, s.Settings.VM)
 }
 
 // learn takes suspects that a peer told.
@@ -77,20 +90,21 @@
 // merge keeps the greatest count of each VM, and reports whether one was new.
 func (s *suspectController) merge(one peer.Suspect) bool {
 	age, known := peer.Age(one.AgeMs)
-	byVM := s.byPrint[one.Fingerprint]
-	old, seen := byVM[one.VM]
+	by := victim{vm: one.VM, incarnation: one.Incarnation}
+	byVictim := s.byFingerprint[one.Fingerprint]
+	old, seen := byVictim[by]
 	switch {
 	case !known || age >= suspectLifetime || one.Count <= old.count:
 		return false
-	case !seen && len(byVM) >= maxSuspectVMs:
+	case !seen && len(byVictim) >= maxVictims:
 		return false
 	}
-	if byVM == nil {
+	if byVictim == nil {
 		s.makeRoom()
-		byVM = make(map[string]crashes)
-		s.byPrint[one.Fingerprint] = byVM
+		byVictim = make(map[victim]crashes)
+		s.byFingerprint[one.Fingerprint] = byVictim
 	}
-	byVM[one.VM] = crashes{count: one.Count, at: s.now - age}
+	byVictim[by] = crashes{count: one.Count, at: s.now - age}
 	return true
 }
 
@@ -104,22 +118,27 @@
 
 // makeRoom forgets the fingerprint whose last crash is the oldest.
 func (s *suspectController) makeRoom() {
-	if len(s.byPrint) < maxSuspects {
+	if len(s.byFingerprint) < maxSuspects {
 		return
 	}
 	var oldest uint64
 	oldestAt := time.Duration(1<<63 - 1)
-	for print, byVM := range s.byPrint {
-		if at := lastCrash(byVM); at < oldestAt {
-			oldest, oldestAt = print, at
+	for fingerprint, byVictim := range s.byFingerprint {
+		if at := lastCrash(byVictim); at < oldestAt {
+			oldest, oldestAt = fingerprint, at
 		}
 	}
-	delete(s.byPrint, oldest)
+	s.forget(oldest)
+}
+
+func (s *suspectController) forget(fingerprint uint64) {
+	delete(s.byFingerprint, fingerprint)
+	delete(s.own, fingerprint)
 }
 
-func lastCrash(byVM map[string]crashes) time.Duration {
+func lastCrash(byVictim map[victim]crashes) time.Duration {
 	last := time.Duration(-1 << 62)
-	for _, c := range byVM {
+	for _, c := range byVictim {
 		last = max(last, c.at)
 	}
 	return last
@@ -131,13 +150,13 @@
 		return
 	}
 	s.swept = s.now
-	before := len(s.byPrint)
-	for print, byVM := range s.byPrint {
-		if s.now-lastCrash(byVM) >= suspectLifetime {
-			delete(s.byPrint, print)
+	before := len(s.byFingerprint)
+	for fingerprint, byVictim := range s.byFingerprint {
+		if s.now-lastCrash(byVictim) >= suspectLifetime {
+			s.forget(fingerprint)
 		}
 	}
-	if len(s.byPrint) != before {
+	if len(s.byFingerprint) != before {
 		s.publish()
 	}
 }
@@ -146,10 +165,10 @@
 func (s *suspectController) publish(more ...suspectNews) {
 	state := s.board.suspects.Get()
 	state.news = append(state.news, more...)
-	state.lost = make(map[uint64]int, len(s.byPrint))
-	for print, byVM := range s.byPrint {
-		for _, c := range byVM {
-			state.lost[print] += int(c.count)
+	state.lost = make(map[uint64]int, len(s.byFingerprint))
+	for fingerprint, byVictim := range s.byFingerprint {
+		for _, c := range byVictim {
+			state.lost[fingerprint] += int(c.count)
 		}
 	}
 	s.out.Set(state)
@@ -158,12 +177,14 @@
 // all returns the suspects for a peer that has just been linked.
 func (s *suspectController) all() []peer.Suspect {
 	var list []peer.Suspect
-	for print, byVM := range s.byPrint {
-		for vm, c := range byVM {
+	for fingerprint, byVictim := range s.byFingerprint {
+		for v, c := range byVictim {
 			if len(list) == peer.MaxSuspects {
 				return list
 			}
-			list = append(list, peer.Suspect{Fingerprint: print, VM: vm, Count: c.count, AgeMs: peer.AgeMs(s.now - c.at)})
+			list = append(list, peer.Suspect{
+				Fingerprint: fingerprint, VM: v.vm, Incarnation: v.incarnation, Count: c.count, AgeMs: peer.AgeMs(s.now - c.at),
+			})
 		}
 	}
 	return list
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -153,7 +153,8 @@
 	Answer bool `cbor:"2,keyasint"`
 }
 
-// Suspect is the number of times that a request crashed the endpoint of a VM.
+// Suspect is the number of times that a request crashed the endpoint of a VM
+// during one run of the VM's node.
 type Suspect struct {
 	// Fingerprint identifies the request.
 	Fingerprint uint64 `cbor:"1,keyasint"`
@@ -163,6 +164,8 @@
 	Count uint16 `cbor:"3,keyasint"`
 	// AgeMs is the time since the last crash, in milliseconds.
 	AgeMs uint32 `cbor:"4,keyasint"`
+	// Incarnation identifies the run of the VM's node.
+	Incarnation uint64 `cbor:"5,keyasint"`
 }
 
 // Suspects is a list of suspects.
