Measure what control costs a node, with fleets of real processes

Change: galenacart-capacity runs fleets of node processes on 127.31.0.0/16 with the platform stand-in, samples processor time, memory and messages of readers and others, times changes, a start of all and of one zone, and fits the growth. Status tells what the links carried.

--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,47 @@
+package capacity
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/platform"
+)
+
+func TestFitFindsTheLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := Line{
+			Constant: rapid.Float64Range(-100, 100).Draw(t, "constant"),
+			Slope:    rapid.Float64Range(-10, 10).Draw(t, "slope"),
+		}
+		sizes := []float64{25, 50, 100, 200}
+		var costs []float64
+		for _, size := range sizes {
+			costs = append(costs, want.At(size))
+		}
+		got := Fit(sizes, costs)
+		require.InDelta(t, want.Constant, got.Constant, 1e-6)
+		require.InDelta(t, want.Slope, got.Slope, 1e-8)
+	})
+}
+
+func TestSizesGiveValidDocuments(t *testing.T) {
+	size := Size{Nodes: 50, Zones: 3, Listed: 5000, Services: 190}
+	data, err := size.catalogue(1)
+	require.NoError(t, err)
+	require.Less(t, len(data), platform.MaxValueBytes)
+	c, err := catalogue.Decode("catalogue", data)
+	require.NoError(t, err)
+	require.Len(t, c.Routes, 570)
+	names, addresses := map[string]bool{}, map[string]bool{}
+	for _, vm := range size.vms() {
+		names[vm.Name] = true
+		addresses[vm.PeerAddress] = true
+		require.True(t, strings.HasPrefix(vm.PeerAddress, "127."))
+	}
+	require.Len(t, names, 5050)
+	require.Len(t, addresses, 50+7*200, "VMs that do not run share addresses")
+}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -66,6 +66,7 @@
 				f.crash("vm-0-0")
 				n := f.start(f.vms[0])
 				require.True(t, waitUntil(5*time.Second, func() bool { return n.holder.Load().Revision != 0 }))
+				require.Equal(t, uint64(3), n.holder.Load().Revision, "the first that it takes")
 				time.Sleep(time.Minute)
 				require.True(t, f.inForce(3, ""))
 				require.Equal(t, 1001, n.holder.Load().Index.Route("POST", "/book").Limits.TimeoutMs)
@@ -182,6 +183,10 @@
 		n.jump(time.Minute)
 		require.True(t, waitUntil(time.Second, func() bool { return n.Status().Epoch == 2 }))
 		require.Contains(t, n.events.String(), "woke_late")
+		// The result of a read that was begun before the pause is void.
+		n.thread.post(readDone{key: keyCatalogue, epoch: 1, offer: decodeOffer(keyCatalogue, 99, catalogueWith(9), sourcePlatform)})
+		time.Sleep(time.Second)
+		require.Equal(t, uint64(2), n.holder.Load().Revision)
 		require.True(t, waitUntil(5*time.Second, func() bool { return n.Status().Opening == "confirmed" }))
 		revision := f.platform.put(platform.KeyCatalogue, catalogueWith(1))
 		require.True(t, waitUntil(2*time.Second, func() bool { return f.inForce(revision, "") }))
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -17,7 +17,7 @@
 	// VM is the VM of the node.
 	VM string `json:"vm"`
 	// Incarnation identifies the run of the process.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation,string"`
 	// Busy says that the control thread did not answer in time.
 	Busy bool `json:"busy,omitempty"`
 	// Leaving says that the planned stop has begun.
@@ -35,6 +35,8 @@
 	PlatformFailing string `json:"platformFailing,omitempty"`
 	// PlatformReads counts the reads of the platform.
 	PlatformReads int64 `json:"platformReads"`
+	// Links counts what the links carried since the start.
+	Links LinkCounters `json:"links"`
 	// Peers lists the links.
 	Peers []PeerStatus `json:"peers"`
 	// Members lists the VMs.
@@ -45,6 +47,18 @@
 	LastRefused string `json:"lastRefused,omitempty"`
 }
 
+// LinkCounters counts what all links of the process carried.
+type LinkCounters struct {
+	// MessagesSent counts messages to peers.
+	MessagesSent uint64 `json:"messagesSent"`
+	// BytesSent counts the payload bytes to peers.
+	BytesSent uint64 `json:"bytesSent"`
+	// MessagesReceived counts messages from peers.
+	MessagesReceived uint64 `json:"messagesReceived"`
+	// BytesReceived counts the payload bytes from peers.
+	BytesReceived uint64 `json:"bytesReceived"`
+}
+
 // DocumentStatus is the state of one document.
 type DocumentStatus struct {
 	// Revision is the revision in force, 0 when there is none.
@@ -79,7 +93,7 @@
 	// AvailabilityZone is the peer's availability zone.
 	AvailabilityZone string `json:"availabilityZone"`
 	// Incarnation is the peer's incarnation.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation,string"`
 	// Dialled says that this node made the link.
 	Dialled bool `json:"dialled"`
 	// Confirmed says that the peer answers.
@@ -97,7 +111,7 @@
 	// Service is the service of its endpoint.
 	Service string `json:"service"`
 	// Incarnation is its incarnation, 0 when it is not known.
-	Incarnation uint64 `json:"incarnation"`
+	Incarnation uint64 `json:"incarnation,string"`
 	// State is live, leaving or gone.
 	State string `json:"state"`
 	// Evidence says why.
@@ -134,6 +148,11 @@
 		PlatformReads: t.reads.Count(),
 		LastRefused:   t.peers.lastRefused,
 	}
+	counters := t.peers.node.Counters()
+	s.Links = LinkCounters{
+		MessagesSent: counters.MessagesSent.Load(), BytesSent: counters.BytesSent.Load(),
+		MessagesReceived: counters.MessagesReceived.Load(), BytesReceived: counters.BytesReceived.Load(),
+	}
 	if c := t.board.contact.Get(); c.failing {
 		s.PlatformFailing = c.reason.String()
 	}
