Admission: refuse by the median time to answer, thresholds that follow, proofs

The reported threshold was the least important call in the queue, at 0.6 of a class where 0.26 of it was run. Change: calls that were given up count as long ones, and a comparison that is mostly cut off teaches nothing; the threshold is the boundary between what is run and what is shed; callers' memory probes by the age of reports, one target at a time.

--- a/decision/admission/estimate.go
+++ b/decision/admission/estimate.go
@@ -5,9 +5,8 @@
 const (
 	// samplesMax is the number of recent answers that an estimate rests on.
 	samplesMax = 16
-	// quickRank is the place, in order of length, of the answer that counts as a
-	// quick one: one in four takes less time.
-	quickRank = samplesMax / 4
+	// medianRank is the place of the median in order of length.
+	medianRank = samplesMax / 2
 )
 
 // estimate is the endpoint's current time to answer. It rests on the last few
@@ -17,24 +16,17 @@
 	count   int
 	at      int
 	sum     time.Duration
-	low     time.Duration
+	middle  time.Duration
 }
 
-// add takes in the time that one answer took.
+// add takes in the time that one answer took. The time of a call that was given
+// up counts as well: its answer would have taken longer.
 func (e *estimate) add(took time.Duration) {
 	e.sum += took - e.samples[e.at]
 	e.samples[e.at] = took
 	e.at = (e.at + 1) % samplesMax
 	e.count = min(samplesMax, e.count+1)
-	e.low = e.rank(quickRank)
-}
-
-// addUnanswered takes in a call that was given up. Its answer would have taken
-// at least so long.
-func (e *estimate) addUnanswered(took time.Duration) {
-	if took > e.low {
-		e.add(took)
-	}
+	e.middle = e.rank(medianRank)
 }
 
 // mean returns the mean time to answer, 0 if nothing is known.
@@ -45,10 +37,10 @@
 	return e.sum / time.Duration(e.count)
 }
 
-// quick returns the time that one in four answers stays under. A call with less
-// time than this is not worth a slot.
-func (e *estimate) quick() time.Duration {
-	return e.low
+// median returns the time that half of the answers stay under, 0 as long as too
+// little is known. A call with less time than this is not worth a slot.
+func (e *estimate) median() time.Duration {
+	return e.middle
 }
 
 // rank returns the sample of the given place in order of length, 0 as long as
@@ -57,7 +49,7 @@
 	if e.count < samplesMax {
 		return 0
 	}
-	var least [quickRank + 1]time.Duration
+	var least [medianRank + 1]time.Duration
 	held := 0
 	for _, s := range e.samples {
 		i := held
--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -145,10 +145,12 @@
 	case OutcomeRefused:
 		g.limiter.Refused(now, call.mark)
 	default:
-		if !call.cancelling {
-			g.answers.addUnanswered(r.Took)
+		if call.cancelling || r.Took < g.answers.median()/2 {
+			g.limiter.End(now, call.mark, 0)
+			return
 		}
-		g.limiter.End(now, call.mark, 0)
+		g.answers.add(r.Took)
+		g.limiter.CutOff(now, call.mark, ownTime(r))
 	}
 }
 
@@ -175,6 +177,7 @@
 }
 
 func (g *Gate) start(now time.Duration, e *entry) {
+	g.threshold.ran(e.priority)
 	g.flights.add(flight{
 		id:       e.id,
 		started:  now,
@@ -187,7 +190,7 @@
 // be cancelled for it.
 func (g *Gate) refuseWait(now time.Duration, e *entry, out []Release) (Verdict, []Release) {
 	ahead := g.queue.ahead(e)
-	if g.config.CancelRunning && ahead == 0 {
+	if g.config.CancelRunning && ahead == 0 && g.queueLimit() > 0 {
 		cancelled, out := g.cancelFor(now, e, out)
 		if cancelled {
 			return g.enqueue(now, e, out)
@@ -206,11 +209,11 @@
 		return VerdictQueued, out
 	}
 	if g.queue.len() == 0 || !e.before(g.queue.worst()) {
-		g.noteShed(now, e.priority)
+		g.threshold.shed(now, e.priority)
 		return VerdictShed, out
 	}
 	evicted := g.queue.replaceWorst(*e)
-	g.noteShed(now, evicted.priority)
+	g.threshold.shed(now, evicted.priority)
 	return VerdictQueued, append(out, Release{ID: evicted.id, Verdict: VerdictShed})
 }
 
@@ -224,19 +227,10 @@
 		out = append(out, Release{ID: e.id, Verdict: VerdictShed})
 	}
 	g.queue.popWorst(n)
-	g.noteShed(now, first)
+	g.threshold.shed(now, first)
 	return out
 }
 
-// noteShed moves the threshold after calls from p on were shed: the least
-// important call that still waits would be the next.
-func (g *Gate) noteShed(now time.Duration, p priority.Priority) {
-	if g.queue.len() > 0 {
-		p = g.queue.worst().priority
-	}
-	g.threshold.shed(now, p)
-}
-
 // dropLate releases the calls whose remaining time can't cover an answer.
 func (g *Gate) dropLate(now time.Duration, out []Release) []Release {
 	kept := g.queue.entries[:0]
@@ -262,7 +256,7 @@
 	if g.flights.len() < max(1, g.limiter.Limit()/probeShare) {
 		return false
 	}
-	return remaining < wait+g.answers.quick()
+	return remaining <= wait+g.answers.median()
 }
 
 // wait returns the time until a slot is free for e.
--- a/decision/admission/queue.go
+++ b/decision/admission/queue.go
@@ -36,11 +36,6 @@
 	return len(q.entries)
 }
 
-// best returns the call to run next. The queue must not be empty.
-func (q *queue) best() *entry {
-	return &q.entries[len(q.entries)-1]
-}
-
 // worst returns the call to shed next. The queue must not be empty.
 func (q *queue) worst() *entry {
 	return &q.entries[0]
--- a/decision/admission/threshold.go
+++ b/decision/admission/threshold.go
@@ -16,30 +16,40 @@
 	openStart = classSpan / 16
 	// openTime is the time after which nothing is shed any more.
 	openTime = 400 * time.Millisecond
-	// thresholdWeight is the weight of one shed call in the threshold.
+	// thresholdWeight is the weight of one call on the wrong side of the
+	// threshold.
 	thresholdWeight = 1.0 / 8
 )
 
-// threshold follows the first priority that is shed. Without further shedding
-// it opens, slowly at first so that callers don't come back all at once.
+// threshold follows the boundary between the priorities that are run and those
+// that are shed. Without further shedding it opens, slowly at first so that
+// callers don't come back all at once.
 type threshold struct {
 	value float64
-	at    time.Duration
+	at    time.Duration // last time that a call was shed
 	set   bool
 }
 
-// shed takes in that calls from priority p on are shed.
+// shed takes in that a call of priority p was shed.
 func (t *threshold) shed(now time.Duration, p priority.Priority) {
-	before := t.current(now)
-	if before == priority.Lowest {
-		t.value = float64(p)
-	} else {
-		t.value += (float64(p) - t.value) * thresholdWeight
+	at := float64(p)
+	if t.current(now) == priority.Lowest {
+		t.value = at
+	} else if at < t.value {
+		t.value += (at - t.value) * thresholdWeight
 	}
 	t.at = now
 	t.set = true
 }
 
+// ran takes in that a call of priority p was run.
+func (t *threshold) ran(p priority.Priority) {
+	at := float64(p)
+	if at > t.value {
+		t.value += (at - t.value) * thresholdWeight
+	}
+}
+
 // current returns the first priority that is shed.
 func (t *threshold) current(now time.Duration) priority.Priority {
 	since := now - t.at
--- a/decision/capacity/batch.go
+++ b/decision/capacity/batch.go
@@ -12,8 +12,19 @@
 	// tookMin is the least time to answer that counts. It bounds the weight of a
 	// very short one.
 	tookMin = 50 * time.Microsecond
+	// cutOffFactor estimates the whole time of a call that was given up.
+	cutOffFactor = 2
+	// blindShare is the part of a batch, one in blindShare calls, that may be cut
+	// off. With more the times tell nothing.
+	blindShare = 2
 )
 
+// sample is the end of one call.
+type sample struct {
+	took   time.Duration // 0: tells nothing
+	cutOff bool          // took is less than the answer would have taken
+}
+
 // batch collects the times to answer of the calls handed over at one level.
 //
 // It is filled by hand-over and not by answer: the first answers to come back
@@ -24,6 +35,7 @@
 	started int
 	ended   int
 	counted int
+	cutOff  int
 	sum     float64
 }
 
@@ -33,16 +45,26 @@
 	return b.started >= b.size
 }
 
-// end takes in the end of a call. A call without an answer has took 0.
-func (b *batch) end(took time.Duration) {
+// end takes in the end of a call.
+func (b *batch) end(s sample) {
 	if b.full() {
 		return
 	}
 	b.ended++
-	if took > 0 {
-		b.counted++
-		b.sum += math.Log(float64(max(took, tookMin)))
+	if s.took == 0 {
+		return
 	}
+	if s.cutOff {
+		b.cutOff++
+		s.took *= cutOffFactor
+	}
+	b.counted++
+	b.sum += math.Log(float64(max(s.took, tookMin)))
+}
+
+// blind reports whether too many calls were cut off to learn from the batch.
+func (b *batch) blind() bool {
+	return b.cutOff*blindShare > b.counted
 }
 
 // full reports whether enough calls have ended.
--- a/decision/capacity/limiter.go
+++ b/decision/capacity/limiter.go
@@ -120,28 +120,37 @@
 // End notes that a call ended. took is the time that the endpoint itself spent
 // on its answer, 0 if the call got none.
 func (l *Limiter) End(now time.Duration, m Mark, took time.Duration) {
-	if took > 0 {
-		l.took += (took.Seconds() - l.took) * tookWeight
+	l.end(now, m, sample{took: took})
+}
+
+// CutOff notes that a call was given up after the time took, without an answer.
+func (l *Limiter) CutOff(now time.Duration, m Mark, took time.Duration) {
+	l.end(now, m, sample{took: took, cutOff: true})
+}
+
+// Refused notes that the endpoint proved that it did not start a call.
+func (l *Limiter) Refused(now time.Duration, m Mark) {
+	l.refusal.refused(now, int(m.inFlight))
+	l.End(now, m, 0)
+}
+
+func (l *Limiter) end(now time.Duration, m Mark, s sample) {
+	if s.took > 0 {
+		l.took += (s.took.Seconds() - l.took) * tookWeight
 	}
 	if m.round != l.round {
 		return
 	}
 	if m.low {
-		l.low.end(took)
+		l.low.end(s)
 	} else {
-		l.high.end(took)
+		l.high.end(s)
 	}
 	if l.phase == phaseWait && l.low.full() && l.high.full() {
 		l.compare(now)
 	}
 }
 
-// Refused notes that the endpoint proved that it did not start a call.
-func (l *Limiter) Refused(now time.Duration, m Mark) {
-	l.refusal.refused(now, int(m.inFlight))
-	l.End(now, m, 0)
-}
-
 // filling returns the batch that takes further calls.
 func (l *Limiter) filling() *batch {
 	switch l.phase {
@@ -167,6 +176,11 @@
 
 // compare moves the limit by what the two batches tell.
 func (l *Limiter) compare(now time.Duration) {
+	if l.low.blind() {
+		l.phase = phaseRest
+		l.started = now
+		return
+	}
 	gap := math.Log(float64(l.high.level) / float64(l.low.level))
 	settled := l.knee.adapt((l.high.mean() - l.low.mean()) / gap)
 	if !settled {
--- a/decision/capacity/limiter_test.go
+++ b/decision/capacity/limiter_test.go
@@ -47,7 +47,7 @@
 		e.run(l, settleTime)
 		o := e.run(l, measureTime)
 		require.GreaterOrEqual(t, o.throughput(e), throughputMin)
-		require.LessOrEqual(t, o.meanTook(e), tookMax)
+		require.LessOrEqual(t, o.meanTook(), tookMax)
 	})
 }
 
@@ -66,7 +66,7 @@
 					e.run(l, settleTime)
 					o = e.run(l, 2*measureTime)
 					require.GreaterOrEqual(t, o.throughput(e), throughputMin, "while slow")
-					require.LessOrEqual(t, o.meanTook(e), tookMax, "while slow")
+					require.LessOrEqual(t, o.meanTook(), tookMax, "while slow")
 					e.mean /= 5
 					e.run(l, time.Second)
 					o = e.run(l, measureTime)
@@ -85,7 +85,7 @@
 		e.slots = all / 2
 		e.run(l, 2*measureTime)
 		o := e.run(l, measureTime)
-		require.LessOrEqual(t, o.meanTook(e), tookMax, "half the slots")
+		require.LessOrEqual(t, o.meanTook(), tookMax, "half the slots")
 		e.slots = all
 		e.run(l, measureTime)
 		o = e.run(l, measureTime)
--- a/decision/capacity/model_test.go
+++ b/decision/capacity/model_test.go
@@ -100,7 +100,7 @@
 }
 
 // meanTook is the mean time to answer relative to the mean service time.
-func (o *outcome) meanTook(e *endpoint) float64 {
+func (o *outcome) meanTook() float64 {
 	return o.took.Seconds() / o.work.Seconds()
 }
 
--- a/decision/shedding/chain.go
+++ b/decision/shedding/chain.go
@@ -6,6 +6,14 @@
 	"github.com/galenacart/galenacart/decision/priority"
 )
 
+const (
+	// chainExpiry is the time after which a report counts no more.
+	chainExpiry = 250 * time.Millisecond
+	// chainProbeInterval is the time between two calls of a route that pass its
+	// threshold to ask whether it still holds.
+	chainProbeInterval = 25 * time.Millisecond
+)
+
 // Chain remembers, at the node of an endpoint, which calls are shed below each
 // of the endpoint's routes, so that a whole request is refused at its first hop
 // instead of its last. It is not safe for concurrent use.
@@ -55,7 +63,7 @@
 		return lowest
 	}
 	for _, b := range r.below {
-		if now-b.at < Expiry && b.threshold.Before(lowest) {
+		if now-b.at < chainExpiry && b.threshold.Before(lowest) {
 			lowest = b.threshold
 		}
 	}
@@ -70,7 +78,7 @@
 		return false
 	}
 	r := c.routes[parent]
-	if now-r.probedAt < ProbeInterval {
+	if now-r.probedAt < chainProbeInterval {
 		return true
 	}
 	r.probedAt = now
--- a/decision/shedding/memory.go
+++ b/decision/shedding/memory.go
@@ -11,69 +11,93 @@
 // Target names one target node.
 type Target uint32
 
+const (
+	// TargetsMax is the number of targets that a Memory holds.
+	TargetsMax = 1024
+	// Expiry is the time after which a report counts no more.
+	Expiry = time.Second
+	// ProbeInterval is the age of a report from which on a call passes the
+	// threshold to ask whether it still holds. Calls below the threshold bring
+	// newer reports, so a target that gets any needs no probes.
+	ProbeInterval = 100 * time.Millisecond
+	// ProbeGap is the least time between probes of different targets. Without it
+	// one call would use up the probes of all.
+	ProbeGap = 2 * time.Millisecond
+)
+
 // report is the last that a target said of itself.
 type report struct {
 	at        time.Duration
-	threshold priority.Priority
-	headroom  uint16
 	probedAt  time.Duration
+	threshold priority.Priority
+	room      bool // for one call over the threshold
 }
 
 // Memory holds the thresholds of a bounded number of targets. It is not safe
 // for concurrent use.
 type Memory struct {
-	targets map[Target]report
+	targets  map[Target]report
+	probedAt time.Duration // last probe of any target
+	expireAt time.Duration // earliest time of the next search for old reports
 }
 
-// Bounds of the memory.
-const (
-	// TargetsMax is the number of targets that a Memory holds.
-	TargetsMax = 1024
-	// Expiry is the time after which a report counts no more.
-	Expiry = 250 * time.Millisecond
-	// ProbeInterval is the time between two calls that pass a target's
-	// threshold to ask whether it still holds.
-	ProbeInterval = 25 * time.Millisecond
-)
-
 // NewMemory returns an empty Memory.
 func NewMemory() *Memory {
 	return &Memory{targets: make(map[Target]report)}
 }
 
 // Report takes in what an answer of target said: the first priority that it
-// sheds and the further calls that it would run at once.
+// sheds and the further calls that it would run at once. With room for further
+// calls, one call may pass the threshold.
 func (m *Memory) Report(now time.Duration, target Target, threshold priority.Priority, headroom uint16) {
-	old, known := m.targets[target]
-	if !known && len(m.targets) >= TargetsMax {
-		m.expire(now)
+	if threshold == priority.Lowest {
+		delete(m.targets, target)
+		return
 	}
-	if !known && len(m.targets) >= TargetsMax {
+	old, known := m.targets[target]
+	if !known && !m.makeRoom(now) {
 		return
 	}
-	m.targets[target] = report{at: now, threshold: threshold, headroom: headroom, probedAt: old.probedAt}
+	m.targets[target] = report{
+		at:        now,
+		probedAt:  old.probedAt,
+		threshold: threshold,
+		room:      headroom > 0,
+	}
+}
+
+// Sheds reports whether target would shed a call of priority p, as far as is
+// known.
+func (m *Memory) Sheds(now time.Duration, target Target, p priority.Priority) bool {
+	r, known := m.targets[target]
+	return known && r.sheds(now, p)
 }
 
-// Refuse reports whether target would shed a call of priority p. Now and then
-// it lets a call pass to ask whether the threshold still holds.
+// Refuse reports whether a call of priority p is not to be sent to target. Now
+// and then it lets a call pass to ask whether the threshold still holds.
 func (m *Memory) Refuse(now time.Duration, target Target, p priority.Priority) bool {
 	r, known := m.targets[target]
 	if !known || !r.sheds(now, p) {
 		return false
 	}
-	if now-r.probedAt < ProbeInterval {
+	if !m.mayPass(now, &r) {
 		return true
 	}
-	r.probedAt = now
+	if !r.room {
+		r.probedAt = now
+		m.probedAt = now
+	}
+	r.room = false
 	m.targets[target] = r
 	return false
 }
 
 // RefuseAll reports whether every target of a service would shed a call of
-// priority p. It is false for an empty list.
+// priority p and none is to be asked again now. It is false for an empty list.
 func (m *Memory) RefuseAll(now time.Duration, targets []Target, p priority.Priority) bool {
 	for _, target := range targets {
-		if !m.Refuse(now, target, p) {
+		r, known := m.targets[target]
+		if !known || !r.sheds(now, p) || m.mayPass(now, &r) {
 			return false
 		}
 	}
@@ -85,17 +109,32 @@
 	delete(m.targets, target)
 }
 
-func (m *Memory) expire(now time.Duration) {
+// mayPass reports whether one call may pass the threshold of r.
+func (m *Memory) mayPass(now time.Duration, r *report) bool {
+	if r.room {
+		return true
+	}
+	asked := max(r.at, r.probedAt)
+	return now-asked >= ProbeInterval && now-m.probedAt >= ProbeGap
+}
+
+// makeRoom reports whether a further target can be held.
+func (m *Memory) makeRoom(now time.Duration) bool {
+	if len(m.targets) < TargetsMax {
+		return true
+	}
+	if now < m.expireAt {
+		return false
+	}
+	m.expireAt = now + Expiry
 	for target, r := range m.targets {
 		if now-r.at >= Expiry {
 			delete(m.targets, target)
 		}
 	}
+	return len(m.targets) < TargetsMax
 }
 
 func (r *report) sheds(now time.Duration, p priority.Priority) bool {
-	if r.headroom > 0 || now-r.at >= Expiry {
-		return false
-	}
-	return r.threshold != priority.Lowest && !p.Before(r.threshold)
+	return now-r.at < Expiry && !p.Before(r.threshold)
 }
--- a/decision/shedding/threshold.go
+++ b/decision/shedding/threshold.go
@@ -10,7 +10,7 @@
 // report says.
 func (m *Memory) Threshold(now time.Duration, target Target) priority.Priority {
 	r, known := m.targets[target]
-	if !known || r.headroom > 0 || now-r.at >= Expiry {
+	if !known || now-r.at >= Expiry {
 		return priority.Lowest
 	}
 	return r.threshold
