--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -4,35 +4,35 @@
 
 // Events of the control thread.
 const (
-	// CatalogueInForce: a newer catalogue was taken into force.
+	// CatalogueInForce means that a newer catalogue was taken into force.
 	CatalogueInForce Number = 2001
-	// DocumentRefused: an offered catalogue or VM list was refused.
+	// DocumentRefused means that an offered catalogue or VM list was refused.
 	DocumentRefused Number = 2002
-	// PlatformRead: a read of the platform failed.
+	// PlatformRead means that a read of the platform failed.
 	PlatformRead Number = 2003
-	// PlatformBack: the platform answers again.
+	// PlatformBack means that the platform answers again.
 	PlatformBack Number = 2004
-	// WokeLate: the control thread did not run for a while.
+	// WokeLate means that the control thread did not run for a while.
 	WokeLate Number = 2005
-	// ReaderDuty: the node begins or ends to read the platform for its zone.
+	// ReaderDuty means that the node begins or ends to read the platform for its zone.
 	ReaderDuty Number = 2006
-	// LinkUp: a link to a peer was authenticated.
+	// LinkUp means that a link to a peer was authenticated.
 	LinkUp Number = 2007
-	// LinkClosed: a link to a peer ended.
+	// LinkClosed means that a link to a peer ended.
 	LinkClosed Number = 2008
-	// LinkRefused: a link was refused or closed for what the other side did.
+	// LinkRefused means that a link was refused or closed for what the other side did.
 	LinkRefused Number = 2009
-	// MemberChanged: a VM's state changed.
+	// MemberChanged means that a VM's state changed.
 	MemberChanged Number = 2010
-	// SuspectKnown: a request is known to have crashed an endpoint.
+	// SuspectKnown means that a request is known to have crashed an endpoint.
 	SuspectKnown Number = 2011
-	// IncarnationConflict: two processes claim one VM.
+	// IncarnationConflict means that two processes claim one VM.
 	IncarnationConflict Number = 2012
-	// FirstCatalogue: a node that started took its first catalogue into force.
+	// FirstCatalogue means that a node that started took its first catalogue into force.
 	FirstCatalogue Number = 2013
-	// NothingKnown: a node that started has found no catalogue.
+	// NothingKnown means that a node that started has found no catalogue.
 	NothingKnown Number = 2014
-	// LeaveAnnounced: the node told its peers that it leaves.
+	// LeaveAnnounced means that the node told its peers that it leaves.
 	LeaveAnnounced Number = 2015
 )
 
