Hold a node's planned stop by a test; keep slow readers of events from holding up calls

Cause: no test ran a whole node; a stuck standard error would have blocked every call that logs; control's context ended with SIGTERM, before the planned stop. Change: internal/node tests with the stand-in platform: a stop with calls in flight cuts off none and leaves no goroutine; address in use and platform unreachable at start. Events go through the asynchronous writer. Property tests draw with a fixed seed.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # The linter runs at one pinned version, built from the Go module proxy.
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
+# Property tests draw the same cases on every run.
+export RAPID_SEED := 1
 
 .PHONY: build test lint format bench demo clean
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,12 +39,20 @@
 
 // Node is one node.
 type Node struct {
-	settings *settings.Node
-	log      *event.Log
-	traffic  *traffic.Traffic
-	control  *control.Control
-	status   *status.Server
-	servers  []*listening
+	settings    *settings.Node
+	incarnation uint64
+	now         func() time.Duration
+	ring        *event.Ring
+	lines       io.Closer
+	log         *event.Log
+	instruments *metrics.Set
+	refusals    *status.Refusals
+	holder      *view.Holder
+	reports     *view.Reports
+	traffic     *traffic.Traffic
+	control     *control.Control
+	status      *status.Server
+	servers     []*listening
 }
 
 // listening is one listener with its server.
@@ -57,64 +65,89 @@
 // Start opens the listeners of a node and starts its work. Events go to out.
 func Start(ctx context.Context, s *settings.Node, version string, out io.Writer) (*Node, error) {
 	started := time.Now()
-	now := func() time.Duration { return time.Since(started) }
-	incarnation := uint64(started.UnixNano())
-	ring := event.NewRing(eventLines)
-	log := event.NewLog(io.MultiWriter(out, ring), "node", s.VM, s.Level()).LimitRate(eventsPerSecond)
-	instruments := metrics.NewSet()
-	refusals := status.NewRefusals()
-	holder := &view.Holder{}
-	reports := view.NewReports()
-	t := traffic.New(traffic.Config{
-		Settings:    s,
-		Incarnation: incarnation,
-		View:        holder,
-		Reports:     reports,
-		Log:         log,
-		Metrics:     instruments,
-		Refusals:    refusals,
-		Now:         now,
-	})
-	n := &Node{settings: s, log: log, traffic: t}
+	n := &Node{
+		settings:    s,
+		incarnation: uint64(started.UnixNano()),
+		now:         func() time.Duration { return time.Since(started) },
+		ring:        event.NewRing(eventLines),
+		instruments: metrics.NewSet(),
+		refusals:    status.NewRefusals(),
+		holder:      &view.Holder{},
+		reports:     view.NewReports(),
+	}
+	// A reader of the output that hangs must not hold up calls.
+	lines := event.NewAsyncWriter(unclosed{out}, func(int) {})
+	n.lines = lines
+	n.log = event.NewLog(io.MultiWriter(lines, n.ring), "node", s.VM, s.Level()).LimitRate(eventsPerSecond)
+	n.traffic = n.newTraffic()
 	if err := n.listen(); err != nil {
-		n.closeListeners()
+		n.abort()
 		return nil, err
 	}
-	c, err := control.Start(ctx, control.Config{
-		Settings:    s,
-		Incarnation: incarnation,
-		Log:         log,
-		Holder:      holder,
-		Reports:     reports,
-		Registry:    instruments.Registry(),
-		Now:         now,
-	})
+	// The planned stop needs control after ctx has ended; Stop ends it.
+	c, err := n.startControl(context.WithoutCancel(ctx))
 	if err != nil {
-		n.closeListeners()
+		n.abort()
 		return nil, errors.Wrap(err, "start control")
 	}
 	n.control = c
-	n.status = status.New(status.Config{
+	n.status = n.newStatus(version)
+	n.attach()
+	n.log.Emit(event.NodeStarted, "", event.F("incarnation", n.incarnation), event.F("caller_address", s.CallerAddress))
+	return n, nil
+}
+
+// unclosed is a writer that stays open when the lines end: the process still
+// reports to it.
+type unclosed struct {
+	io.Writer
+}
+
+func (n *Node) newTraffic() *traffic.Traffic {
+	return traffic.New(traffic.Config{
+		Settings:    n.settings,
+		Incarnation: n.incarnation,
+		View:        n.holder,
+		Reports:     n.reports,
+		Log:         n.log,
+		Metrics:     n.instruments,
+		Refusals:    n.refusals,
+		Now:         n.now,
+	})
+}
+
+func (n *Node) startControl(ctx context.Context) (*control.Control, error) {
+	return control.Start(ctx, control.Config{
+		Settings:    n.settings,
+		Incarnation: n.incarnation,
+		Log:         n.log,
+		Holder:      n.holder,
+		Reports:     n.reports,
+		Registry:    n.instruments.Registry(),
+		Now:         n.now,
+	})
+}
+
+func (n *Node) newStatus(version string) *status.Server {
+	s := n.settings
+	return status.New(status.Config{
 		Identity: status.Node{
 			VM:               s.VM,
 			AvailabilityZone: s.AvailabilityZone,
 			Region:           s.Region,
 			Service:          s.Service,
-			Incarnation:      incarnation,
+			Incarnation:      n.incarnation,
 			Version:          version,
 		},
-		View:      holder,
-		Catalogue: func() status.Catalogue { return catalogueState(c.Status()) },
-		Gate:      t.GateState,
-		Records:   t.RecordsState,
-		Control:   func() any { return c.Status() },
-		Refusals:  refusals,
-		Events:    ring,
-		Metrics:   instruments.Registry(),
+		View:      n.holder,
+		Catalogue: func() status.Catalogue { return catalogueState(n.control.Status()) },
+		Gate:      n.traffic.GateState,
+		Records:   n.traffic.RecordsState,
+		Control:   func() any { return n.control.Status() },
+		Refusals:  n.refusals,
+		Events:    n.ring,
+		Metrics:   n.instruments.Registry(),
 	})
-	n.attach()
-	log.Emit(event.NodeStarted, "", event.F("incarnation", incarnation), event.F("caller_address", s.CallerAddress))
-	return n, nil
 }
 
 // catalogueState says which catalogue is in force and what holds back a newer one.
@@ -166,10 +199,13 @@
 	}
 }
 
-func (n *Node) closeListeners() {
+// abort closes what a failed start has opened. That start's error is told, so
+// errors here are not.
+func (n *Node) abort() {
 	for _, one := range n.servers {
-		_ = one.listener.Close() // the start failed; that error is told
+		_ = one.listener.Close()
 	}
+	_ = n.lines.Close()
 }
 
 // Run serves until ctx ends, then stops as planned: the fleet is told, work in
@@ -198,6 +234,9 @@
 	if waitErr := group.Wait(); err == nil {
 		err = waitErr
 	}
+	if closeErr := n.lines.Close(); err == nil {
+		err = errors.Wrap(closeErr, "write events")
+	}
 	return err
 }
 
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,216 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/standin/platform"
+	"github.com/galenacart/galenacart/internal/vmlist"
+)
+
+const catalogueText = `{
+  "classes": [{"name": "booking", "owner": "team"}, {"name": "lookup", "owner": "team"}],
+  "services": [{"name": "deep", "owner": "team", "class": "lookup", "limits": {"slots": 20, "connections": 100, "queue": 20}}],
+  "routes": [
+    {"name": "look", "owner": "team", "class": "lookup", "service": "deep", "method": "GET", "path": "/deep", "idempotent": true, "limits": {"timeoutMs": 5000}},
+    {"name": "book", "owner": "team", "class": "booking", "service": "deep", "method": "POST", "path": "/deep", "idempotent": false, "limits": {"timeoutMs": 5000}}
+  ],
+  "retry": {"budgetPerRequest": 3, "percentOfSuccesses": 10},
+  "idempotency": {"tokenLifetimeMs": 60000, "recordsMax": 1000, "answerBytesMax": 65536}
+}`
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func newSettings(t *testing.T, vm, platformAddress, endpointAddress string) *settings.Node {
+	t.Helper()
+	return &settings.Node{
+		VM: vm, AvailabilityZone: "a", Region: "r", Service: "deep",
+		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), OutboundAddress: freeAddress(t),
+		StatusAddress: freeAddress(t), EndpointAddress: endpointAddress,
+		PlatformAddresses: []string{platformAddress}, FleetKey: "a fleet key of some length",
+		StopTimeoutMs: 10000,
+	}
+}
+
+// newPlatform serves the catalogue and a list of the given VMs.
+func newPlatform(t *testing.T, nodes ...*settings.Node) {
+	t.Helper()
+	list := &vmlist.List{}
+	for _, n := range nodes {
+		list.VMs = append(list.VMs, vmlist.VM{
+			Name: n.VM, AvailabilityZone: n.AvailabilityZone, Region: n.Region, Service: n.Service,
+			PeerAddress: n.PeerAddress, CallerAddress: n.CallerAddress, State: vmlist.Live,
+		})
+	}
+	encoded, err := json.Marshal(list)
+	require.NoError(t, err)
+	dir := t.TempDir()
+	write := func(name string, data []byte) string {
+		file := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(file, data, 0o600))
+		return file
+	}
+	s := &platform.Settings{ReadsPerSecond: 2000, FirstRevision: 1}
+	p := platform.New(s, event.NewLog(io.Discard, "platform", "platform", zerolog.InfoLevel))
+	require.NoError(t, p.Load([]platform.KeyFile{
+		{Key: "catalogue", File: write("catalogue.json", []byte(catalogueText))},
+		{Key: "vms", File: write("vms.json", encoded)},
+	}))
+	l, err := net.Listen("tcp", nodes[0].PlatformAddresses[0])
+	require.NoError(t, err)
+	server := httptest.NewUnstartedServer(p.Handler())
+	require.NoError(t, server.Listener.Close())
+	server.Listener = l
+	server.Start()
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+}
+
+// running is a node that runs until stop.
+type running struct {
+	settings *settings.Node
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+func start(t *testing.T, s *settings.Node) *running {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	n, err := Start(ctx, s, "test", io.Discard)
+	require.NoError(t, err)
+	r := &running{settings: s, stop: cancel, ended: make(chan error, 1)}
+	go func() { r.ended <- n.Run(ctx) }()
+	return r
+}
+
+func (r *running) send(t *testing.T, method string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+r.settings.CallerAddress+"/deep", nil)
+	require.NoError(t, err)
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+func (r *running) awaitReady(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		status, _ := r.send(t, http.MethodGet)
+		return status == http.StatusOK
+	}, 30*time.Second, 20*time.Millisecond)
+}
+
+// receive waits for a value, and fails the test rather than hang for ever.
+func receive[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case value := <-from:
+		return value
+	case <-time.After(30 * time.Second):
+		require.FailNow(t, "nothing came in 30 s")
+		panic("unreachable")
+	}
+}
+
+// A planned stop begins while calls are in flight at the node's endpoint, sent
+// by way of another node and by way of the stopping node itself.
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) }) // runs last, after the stand-ins have ended
+	const calls = 2
+	var entered, release = make(chan struct{}, 2*calls), make(chan struct{})
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			entered <- struct{}{}
+			<-release
+		}
+		_, _ = io.WriteString(w, "done")
+	}))
+	platformAddress := freeAddress(t)
+	first := newSettings(t, "deep-1", platformAddress, endpoint.Listener.Addr().String())
+	second := newSettings(t, "deep-2", platformAddress, endpoint.Listener.Addr().String())
+	newPlatform(t, first, second)
+	leaving, staying := start(t, first), start(t, second)
+	leaving.awaitReady(t)
+	staying.awaitReady(t)
+
+	answers := make(chan string, 2*calls)
+	for range calls {
+		for _, n := range []*running{leaving, staying} {
+			go func() {
+				status, body := n.send(t, http.MethodPost)
+				answers <- fmt.Sprint(status, " ", body)
+			}()
+		}
+	}
+	for range 2 * calls {
+		receive(t, entered)
+	}
+	leaving.stop()
+	time.Sleep(2 * drainGrace) // the listeners are closed by now
+	close(release)
+	for range 2 * calls {
+		require.Equal(t, "200 done", receive(t, answers))
+	}
+	require.NoError(t, receive(t, leaving.ended))
+	status, _ := staying.send(t, http.MethodPost)
+	require.Equal(t, http.StatusOK, status)
+	staying.stop()
+	require.NoError(t, receive(t, staying.ended))
+	endpoint.CloseClientConnections()
+	endpoint.Close()
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+}
+
+func TestAddressInUseNamesTheSetting(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	s := newSettings(t, "deep-1", freeAddress(t), freeAddress(t))
+	s.PeerAddress = taken.Addr().String()
+	_, err = Start(t.Context(), s, "test", io.Discard)
+	require.ErrorContains(t, err, "peerAddress "+s.PeerAddress)
+}
+
+// With no platform at its start a node lives, says so, and refuses as not run.
+func TestPlatformUnreachableAtStart(t *testing.T) {
+	s := newSettings(t, "deep-1", freeAddress(t), freeAddress(t))
+	n := start(t, s)
+	status, body := n.send(t, http.MethodPost)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, `"kind":"not_ready"`)
+	require.Contains(t, body, `"ran":"no"`)
+	n.stop()
+	require.NoError(t, receive(t, n.ended))
+}
