--- a/internal/load/report/ideal.go
+++ b/internal/load/report/ideal.go
@@ -3,11 +3,13 @@
 import (
 	"github.com/galenacart/galenacart/internal/load/experiment"
 	"github.com/galenacart/galenacart/internal/load/ideal"
+	"github.com/galenacart/galenacart/internal/load/outcome"
 )
 
-// AddIdeal compares the goodput of each phase with the best that is possible
-// for the requests that did arrive. rates returns the best goodput of each
-// class in a phase.
+// AddIdeal compares what was answered during each phase with the best that is
+// possible for the requests that did arrive in it. rates returns the best
+// goodput of each class in a phase. Answers after the end count for the last
+// phase. Work that a phase leaves to the next one can lift that one above 1.
 func (r *Report) AddIdeal(in Input, rates func(*experiment.Phase) ([]ideal.Rate, error)) error {
 	for p := range r.Phases {
 		arrived := in.Experiment.Phases[p]
@@ -17,21 +19,40 @@
 			return err
 		}
 		for c := range r.Phases[p].Classes {
-			r.Phases[p].Classes[c].compareWith(best)
+			class := &r.Phases[p].Classes[c]
+			answered := r.answered(in, p, class.Class)
+			class.compareWith(best, float64(answered)/arrived.Duration().Seconds())
 		}
 	}
 	return nil
 }
 
-// compareWith fills in the best goodput of the class.
-func (c *ClassResult) compareWith(best []ideal.Rate) {
+// answered counts the whole answers to requests of a class that came during a
+// phase, whenever the requests arrived.
+func (r *Report) answered(in Input, phase int, class string) int {
+	start, end := r.Phases[phase].StartMs, r.Phases[phase].EndMs
+	last := phase == len(r.Phases)-1
+	count := 0
+	for i := range in.Outcomes {
+		o := &in.Outcomes[i]
+		ended := (o.Arrival() + o.Latency()).Milliseconds()
+		if o.Class == class && o.Result == outcome.Whole && ended >= start && (last || ended < end) {
+			count++
+		}
+	}
+	return count
+}
+
+// compareWith fills in the best goodput of the class and how near to it the
+// answered requests a second came.
+func (c *ClassResult) compareWith(best []ideal.Rate, answeredPerSecond float64) {
 	for _, b := range best {
 		if b.Class != c.Class {
 			continue
 		}
 		c.IdealPerSecond = b.PerSecond
 		if b.PerSecond > 0 {
-			c.OfIdeal = c.GoodPerSecond / b.PerSecond
+			c.OfIdeal = answeredPerSecond / b.PerSecond
 		}
 	}
 }
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -67,7 +67,8 @@
 	GoodShare float64 `json:"goodShare"`
 	// IdealPerSecond is the best goodput possible; 0 when it wasn't worked out.
 	IdealPerSecond float64 `json:"idealPerSecond,omitempty"`
-	// OfIdeal is GoodPerSecond/IdealPerSecond, or 0.
+	// OfIdeal is the rate of whole answers that came during the phase, divided by
+	// IdealPerSecond; or 0.
 	OfIdeal float64 `json:"ofIdeal,omitempty"`
 	// P50Ms is the median latency of good requests, in milliseconds.
 	P50Ms float64 `json:"p50Ms"`
