--- a/cmd/galenacart-load/compare.go
+++ b/cmd/galenacart-load/compare.go
@@ -14,7 +14,8 @@
 
 // compareCommand prints several reports in one table.
 type compareCommand struct {
-	plots plotFiles
+	plots  plotFiles
+	spread bool
 }
 
 // plotFiles collects the values of a repeated flag.
@@ -37,14 +38,15 @@
 func (*compareCommand) Name() string     { return "compare" }
 func (*compareCommand) Synopsis() string { return "print reports of one experiment in one table" }
 func (*compareCommand) Usage() string {
-	return `galenacart-load compare [-plot FILE]... REPORT...
-Prints the reports of several runs of one experiment and seed side by side. -plot draws
-them into a .svg or .png file.
+	return `galenacart-load compare [-spread] [-plot FILE]... REPORT...
+Prints the reports of several runs of one experiment and seed side by side, or the least,
+median and largest of each figure. -plot draws them into a .svg or .png file.
 Exit codes: 0 printed, 1 failed, 2 bad usage or input.
 `
 }
 
 func (c *compareCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.spread, "spread", false, "print the spread over the reports, of one mode")
 	f.Var(&c.plots, "plot", "`file` to draw to, .svg or .png; may be repeated")
 }
 
@@ -61,7 +63,11 @@
 	if err := report.Comparable(reports); err != nil {
 		return badUsage(errors.WithMessage(err, "REPORT"))
 	}
-	if err := report.Compare(os.Stdout, reports); err != nil {
+	write := report.Compare
+	if c.spread {
+		write = report.Spread
+	}
+	if err := write(os.Stdout, reports); err != nil {
 		return failed(err)
 	}
 	for _, file := range c.plots {
--- a/demo/processes.sh
+++ b/demo/processes.sh
@@ -2,7 +2,7 @@
 # Every process ends with the script that started it.
 
 readonly BIN=bin
-readonly STOP_SECONDS=10
+readonly STOP_SECONDS=${STOP_SECONDS:-10}
 readonly START_SECONDS=0.5
 started=0
 
--- a/internal/load/outcome/outcome.go
+++ b/internal/load/outcome/outcome.go
@@ -56,7 +56,8 @@
 	EndWallNs int64 `json:"endWallNs"`
 	// Result says how the request ended.
 	Result Result `json:"result"`
-	// Kind is the node's kind of refusal, or empty.
+	// Kind is the node's kind of refusal; for a failed request that of the call
+	// below it that was refused; or empty.
 	Kind string `json:"kind,omitempty"`
 	// Ran is what the caller was told: no, yes or unknown.
 	Ran string `json:"ran"`
@@ -78,12 +79,17 @@
 	return time.Duration(o.LatencyNs)
 }
 
-// Label returns the kind of a refusal, and the result of the others.
+// Label returns the kind of a refusal, and the result of the others, with the
+// kind of refusal that caused it.
 func (o *Outcome) Label() string {
-	if o.Result == Refused {
+	switch {
+	case o.Result == Refused:
 		return o.Kind
+	case o.Kind != "":
+		return string(o.Result) + "(" + o.Kind + ")"
+	default:
+		return string(o.Result)
 	}
-	return string(o.Result)
 }
 
 // Collector gathers outcomes. It is safe for concurrent use.
--- a/internal/load/outcome/outcome_test.go
+++ b/internal/load/outcome/outcome_test.go
@@ -22,6 +22,7 @@
 	require.Equal(t, c.All(), again)
 	require.Equal(t, "overloaded", again[0].Label())
 	require.Equal(t, "whole", again[1].Label())
+	require.Equal(t, "failed(deadline)", (&Outcome{Result: Failed, Kind: "deadline"}).Label())
 
 	require.NoError(t, os.WriteFile(file, []byte("{\"request\":\"a\"}\n{"), 0o600))
 	_, err = ReadFile(file)
--- a/internal/load/report/report_test.go
+++ b/internal/load/report/report_test.go
@@ -186,6 +186,27 @@
 	require.Error(t, r.AddIdeal(in, func(*experiment.Phase) ([]ideal.Rate, error) { return nil, errors.New("no") }))
 }
 
+func TestSpread(t *testing.T) {
+	var reports []*Report
+	for i, period := range []time.Duration{40, 10, 20} {
+		r := New(input(func(at time.Duration) bool { return at%(period*time.Millisecond) == 0 }))
+		r.Truth = &Truth{Requests: 10, ExtraAttempts: i}
+		reports = append(reports, r)
+	}
+	reports[0].Recovery.Recovered = false
+	var out bytes.Buffer
+	require.NoError(t, Spread(&out, reports))
+	text := strings.Join(strings.Fields(out.String()), " ")
+	for _, want := range []string{
+		"least / median / most of 3",
+		"during booking 0.250 / 0.500 / 1.000",
+		"recovery, s 0.0 / 0.0 / 0.0 1 not within the run",
+		"extra attempts/request 0.000 / 0.100 / 0.200",
+	} {
+		require.Contains(t, text, want)
+	}
+}
+
 func TestComparable(t *testing.T) {
 	always := func(time.Duration) bool { return true }
 	a, b := New(input(always)), New(input(always))
--- a/internal/load/runner/request.go
+++ b/internal/load/runner/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"regexp"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,7 +72,7 @@
 	case !a.Own():
 		o.Result, o.Kind = outcome.Refused, a.Kind
 	case a.Status >= http.StatusBadRequest:
-		o.Result, o.Detail = outcome.Failed, shorten(string(a.Body))
+		o.Result, o.Kind, o.Detail = outcome.Failed, causeOf(a.Body), shorten(string(a.Body))
 	default:
 		o.Result = outcome.Whole
 		if err := k.tree.Check(a.Body, o.Request); err != nil {
@@ -94,8 +95,22 @@
 	}
 }
 
+// problemType matches the type of a node's refusal, also inside of the text by
+// which an endpoint passes on the failure of a call below it.
+var problemType = regexp.MustCompile(`urn:galenacart:problem:([a-z_]+)`)
+
+// causeOf returns the kind of the deepest refusal in the body of an endpoint's
+// own error, or nothing.
+func causeOf(body []byte) string {
+	all := problemType.FindAllSubmatch(body, -1)
+	if len(all) == 0 {
+		return ""
+	}
+	return string(all[len(all)-1][1])
+}
+
 // detailBytes bounds the detail kept of a failure.
-const detailBytes = 200
+const detailBytes = 1000
 
 func shorten(s string) string {
 	return s[:min(len(s), detailBytes)]
--- a/internal/load/runner/runner_test.go
+++ b/internal/load/runner/runner_test.go
@@ -127,6 +127,14 @@
 	require.Equal(t, []experiment.Slow{{Service: "stock", Factor: 5}, {Service: "stock", Factor: 1}}, speeds.changes)
 }
 
+func TestCauseOf(t *testing.T) {
+	inner := `{"error":"child call failed","detail":"status 503: {\"type\":\"urn:galenacart:problem:deadline\"}"}`
+	quoted, err := json.Marshal(map[string]string{"detail": inner})
+	require.NoError(t, err)
+	require.Equal(t, "deadline", causeOf(quoted))
+	require.Empty(t, causeOf([]byte("disk full")))
+}
+
 func TestRunStopsWithItsContext(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(serve))
 	defer server.Close()
