--- a/internal/load/report/truth.go
+++ b/internal/load/report/truth.go
@@ -34,10 +34,49 @@
 	// WrongNotRun counts the requests that must not repeat, whose callers were
 	// told that they were not run, and that were started.
 	WrongNotRun int `json:"wrongNotRun"`
+	// Told counts what became of the requests that must not repeat, for their
+	// callers.
+	Told Told `json:"told"`
 	// Examples names a few requests behind the last two counts.
 	Examples []string `json:"examples,omitempty"`
 }
 
+// Told counts requests that must not repeat by what their callers know.
+type Told struct {
+	// Requests counts all of them.
+	Requests int `json:"requests"`
+	// Whole counts those answered whole and in time.
+	Whole int `json:"whole"`
+	// NotRun counts the others that were told not run.
+	NotRun int `json:"notRun"`
+	// Run counts the others that were told run.
+	Run int `json:"run"`
+	// Unknown counts the others.
+	Unknown int `json:"unknown"`
+}
+
+func newTold(all []outcome.Outcome) Told {
+	var t Told
+	for i := range all {
+		o := &all[i]
+		if o.Idempotent {
+			continue
+		}
+		t.Requests++
+		switch {
+		case o.Result == outcome.Whole:
+			t.Whole++
+		case o.Ran == "no":
+			t.NotRun++
+		case o.Ran == "yes":
+			t.Run++
+		default:
+			t.Unknown++
+		}
+	}
+	return t
+}
+
 const maxExamples = 10
 
 // place is one place in the tree of calls of a request.
@@ -51,7 +90,7 @@
 	for i := range all {
 		byRequest[all[i].Request] = &all[i]
 	}
-	t := &Truth{}
+	t := &Truth{Told: newTold(all)}
 	t.countAttempts(records, byRequest)
 	t.countWaste(records, byRequest)
 	t.countDoubles(records, byRequest)
@@ -139,6 +178,11 @@
 	}
 }
 
+// share returns a count and its share of all requests as text.
+func (t *Told) share(count int) string {
+	return fmt.Sprintf("%d (%.4f)", count, perRequest(count, t.Requests))
+}
+
 // WriteText writes the counts for people.
 func (t *Truth) WriteText(w io.Writer) error {
 	out := newTable(w)
@@ -151,6 +195,11 @@
 	out.row("share of it after the request's end", fmt.Sprintf("%.4f", t.WastedAfterEndShare))
 	out.row("calls run twice that must not repeat", fmt.Sprint(t.DoubleRuns))
 	out.row("requests told not run that were run", fmt.Sprint(t.WrongNotRun))
+	out.row("of "+fmt.Sprint(t.Told.Requests)+" requests that must not repeat")
+	out.row("  whole and in time", t.Told.share(t.Told.Whole))
+	out.row("  told not run", t.Told.share(t.Told.NotRun))
+	out.row("  told run, without a whole answer in time", t.Told.share(t.Told.Run))
+	out.row("  told unknown", t.Told.share(t.Told.Unknown))
 	for _, example := range t.Examples {
 		out.row(example)
 	}
--- a/internal/load/report/truth_test.go
+++ b/internal/load/report/truth_test.go
@@ -79,8 +79,18 @@
 			for _, example := range got.Examples {
 				require.Contains(t, out.String(), example)
 			}
-			got.Examples = nil
+			got.Examples, got.Told = nil, Told{}
 			require.Equal(t, &c.want, got)
 		})
 	}
 }
+
+func TestTold(t *testing.T) {
+	got := NewTruth(nil, []outcome.Outcome{
+		told("a", false, outcome.Whole, "yes", 0), told("b", false, outcome.Refused, "no", 0),
+		told("c", false, outcome.Failed, "yes", 0), told("d", false, outcome.Late, "unknown", 0),
+		told("e", false, outcome.Late, "unknown", 0), told("f", true, outcome.Late, "unknown", 0),
+	}).Told
+	require.Equal(t, Told{Requests: 5, Whole: 1, NotRun: 1, Run: 1, Unknown: 2}, got)
+	require.Equal(t, "2 (0.4000)", got.share(got.Unknown))
+}
