--- a/internal/load/report/truth.go
+++ b/internal/load/report/truth.go
@@ -195,7 +195,7 @@
 	out.row("share of it after the request's end", fmt.Sprintf("%.4f", t.WastedAfterEndShare))
 	out.row("calls run twice that must not repeat", fmt.Sprint(t.DoubleRuns))
 	out.row("requests told not run that were run", fmt.Sprint(t.WrongNotRun))
-	out.row("of "+fmt.Sprint(t.Told.Requests)+" requests that must not repeat")
+	out.row("of " + fmt.Sprint(t.Told.Requests) + " requests that must not repeat")
 	out.row("  whole and in time", t.Told.share(t.Told.Whole))
 	out.row("  told not run", t.Told.share(t.Told.NotRun))
 	out.row("  told run, without a whole answer in time", t.Told.share(t.Told.Run))
