Take away what the load tool does not use

Cause: the callers' package offered an observer that nobody used; the path of tokens and the name of the request header stood twice.

Change: the observer is gone; both names come from where they are defined, and a test holds the callers' package to the nodes' path.

Conclusion: callers' package and load tool are smaller.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -92,22 +92,6 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// Send is one send of a request, for observers.
-type Send struct {
-	// Request is the request.
-	Request *Request
-	// Address is the node.
-	Address string
-	// Token says that the send asked for a token.
-	Token bool
-	// Answer is the node's answer, or nil.
-	Answer *Answer
-	// Err is set when no whole answer came.
-	Err error
-	// Duration is the time from the send to its end.
-	Duration time.Duration
-}
-
 // LostError means that no send of a request was answered.
 type LostError struct {
 	// Sends counts how often the request was sent.
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -52,7 +52,6 @@
 	sendTimeout    time.Duration
 	maxAnswerBytes int64
 	pause          Pause
-	observe        func(Send)
 }
 
 // New returns a client of the nodes at the given caller addresses, each an IP
@@ -66,7 +65,6 @@
 		maxSends:       DefaultMaxSends,
 		maxAnswerBytes: DefaultMaxAnswerBytes,
 		pause:          HonourRetryAfter(rand.Float64),
-		observe:        func(Send) {},
 	}
 	c.http = &http.Client{
 		Transport:     newTransport(),
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/galenacart/galenacart/internal/call"
 	"github.com/galenacart/galenacart/internal/problem"
+	"github.com/galenacart/galenacart/internal/traffic"
 )
 
 func TestMain(m *testing.M) {
@@ -274,6 +275,7 @@
 	require.Equal(t, problem.HeaderKind, headerKind)
 	require.Equal(t, problem.HeaderRan, headerRan)
 	require.Equal(t, call.HeaderIdempotencyKey, headerKey)
+	require.Equal(t, traffic.PathToken, tokenPath)
 	require.Equal(t, problem.KindNone.String(), KindNone)
 	require.Equal(t, problem.KindTokenExpired.String(), kindTokenExpired)
 	for ran, word := range map[problem.Ran]Ran{problem.RanNo: RanNo, problem.RanYes: RanYes, problem.RanUnknown: RanUnknown} {
--- a/caller/delivery.go
+++ b/caller/delivery.go
@@ -51,7 +51,7 @@
 	if d.key != "" {
 		header.Set(headerKey, d.key)
 	}
-	answer, err := d.send(ctx, d.request.Method, d.request.Path, header, d.request.Body, false)
+	answer, err := d.send(ctx, d.request.Method, d.request.Path, header, d.request.Body)
 	d.learn(answer, err)
 	return answer, d.wait(answer), err
 }
@@ -74,7 +74,7 @@
 // fetchToken gets a token. It returns nothing when it has one, and the node's
 // answer when the node refused.
 func (d *delivery) fetchToken(ctx context.Context) (*Answer, error) {
-	answer, err := d.send(ctx, http.MethodPost, tokenPath, http.Header{}, nil, true)
+	answer, err := d.send(ctx, http.MethodPost, tokenPath, http.Header{}, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +92,7 @@
 	return nil, nil
 }
 
-func (d *delivery) send(ctx context.Context, method, path string, h http.Header, body []byte, isToken bool) (*Answer, error) {
+func (d *delivery) send(ctx context.Context, method, path string, h http.Header, body []byte) (*Answer, error) {
 	c := d.client
 	if c.sendTimeout > 0 {
 		var cancel context.CancelFunc
@@ -100,14 +100,7 @@
 		defer cancel()
 	}
 	d.sends++
-	address := d.address()
-	start := time.Now()
-	answer, err := c.exchange(ctx, address, method, path, h, body)
-	c.observe(Send{
-		Request: d.request, Address: address, Token: isToken,
-		Answer: answer, Err: err, Duration: time.Since(start),
-	})
-	return answer, err
+	return c.exchange(ctx, d.address(), method, path, h, body)
 }
 
 // address returns the node for the next send: the one that just handed out the
--- a/caller/options.go
+++ b/caller/options.go
@@ -35,11 +35,6 @@
 	return func(c *Client) { c.pause = p }
 }
 
-// WithObserver gets every send after it ended. It is called concurrently.
-func WithObserver(observe func(Send)) Option {
-	return func(c *Client) { c.observe = observe }
-}
-
 // Pause returns the wait before the next send. sends counts those made so far;
 // retryAfter is what the last answer asked for, or 0.
 type Pause func(sends int, retryAfter time.Duration) time.Duration
--- a/cmd/galenacart-load/compare.go
+++ b/cmd/galenacart-load/compare.go
@@ -14,27 +14,10 @@
 
 // compareCommand prints several reports in one table.
 type compareCommand struct {
-	plots  plotFiles
+	plots  []string
 	spread bool
 }
 
-// plotFiles collects the values of a repeated flag.
-type plotFiles []string
-
-// String returns the values for the flag package.
-func (p *plotFiles) String() string {
-	if p == nil || len(*p) == 0 {
-		return ""
-	}
-	return (*p)[0]
-}
-
-// Set adds a value.
-func (p *plotFiles) Set(value string) error {
-	*p = append(*p, value)
-	return nil
-}
-
 func (*compareCommand) Name() string     { return "compare" }
 func (*compareCommand) Synopsis() string { return "print reports of one experiment in one table" }
 func (*compareCommand) Usage() string {
@@ -47,7 +30,10 @@
 
 func (c *compareCommand) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.spread, "spread", false, "print the spread over the reports, of one mode")
-	f.Var(&c.plots, "plot", "`file` to draw to, .svg or .png; may be repeated")
+	f.Func("plot", "`file` to draw to, .svg or .png; may be repeated", func(file string) error {
+		c.plots = append(c.plots, file)
+		return nil
+	})
 }
 
 // Execute prints the table.
--- a/internal/load/overhead/overhead.go
+++ b/internal/load/overhead/overhead.go
@@ -16,6 +16,7 @@
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/load/arrival"
 	"github.com/galenacart/galenacart/internal/load/experiment"
+	"github.com/galenacart/galenacart/internal/standin/endpoint"
 )
 
 // Config says what to measure.
@@ -137,7 +138,7 @@
 	request := &caller.Request{
 		Method:     c.Route.Method,
 		Path:       fmt.Sprintf("%s?number=%d", c.Route.Path, number),
-		Header:     http.Header{"X-Request-Id": {fmt.Sprintf("overhead-%d-%d", c.Seed, number)}},
+		Header:     http.Header{endpoint.HeaderRequest: {fmt.Sprintf("overhead-%d-%d", c.Seed, number)}},
 		Idempotent: true,
 	}
 	answer, err := w.client.Do(ctx, request)
--- a/internal/load/runner/ready.go
+++ b/internal/load/runner/ready.go
@@ -8,12 +8,13 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/galenacart/galenacart/internal/traffic"
 )
 
 const (
 	readyPause = 50 * time.Millisecond
 	readyDial  = time.Second
-	tokenPath  = "/galenacart/token"
 )
 
 // WaitReady waits until every process in targets takes requests: endpoints
@@ -58,7 +59,7 @@
 func handsOutTokens(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, readyDial)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+tokenPath, http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+traffic.PathToken, http.NoBody)
 	if err != nil {
 		return errors.Wrap(err, "ask for a token")
 	}
--- a/internal/load/runner/request.go
+++ b/internal/load/runner/request.go
@@ -12,11 +12,9 @@
 	"github.com/galenacart/galenacart/caller"
 	"github.com/galenacart/galenacart/internal/load/arrival"
 	"github.com/galenacart/galenacart/internal/load/outcome"
+	"github.com/galenacart/galenacart/internal/standin/endpoint"
 )
 
-// headerRequest carries the unique ID of each request through the whole chain.
-const headerRequest = "X-Request-Id"
-
 // request sends one request and records what became of it.
 func (r *Runner) request(ctx context.Context, number int, a arrival.Arrival) {
 	k := r.kinds[a.Route]
@@ -54,7 +52,7 @@
 		Header:     http.Header{},
 		Idempotent: k.route.Idempotent,
 	}
-	request.Header.Set(headerRequest, id)
+	request.Header.Set(endpoint.HeaderRequest, id)
 	if k.route.Method != http.MethodGet && k.route.Method != http.MethodHead {
 		request.Body = fmt.Appendf(nil, `{"request":%q}`, id)
 		request.Header.Set("Content-Type", "application/json")
--- a/internal/load/runner/runner.go
+++ b/internal/load/runner/runner.go
@@ -37,8 +37,6 @@
 	Targets *Targets
 	// Slower changes the speed of endpoints; nil when no phase does.
 	Slower Slower
-	// Observe gets every send after it ended. It may be nil.
-	Observe func(caller.Send)
 	// Progress is told when a phase begins. It may be nil.
 	Progress func(phase *experiment.Phase)
 }
@@ -91,7 +89,7 @@
 	if r.clients[key] != nil {
 		return nil
 	}
-	client, err := newClient(key.resends, r.config.Targets.Addresses(key.service), r.config.Observe)
+	client, err := newClient(key.resends, r.config.Targets.Addresses(key.service))
 	if err != nil {
 		return errors.Wrapf(err, "service %s", key.service)
 	}
@@ -99,7 +97,7 @@
 	return nil
 }
 
-func newClient(r experiment.Resends, addresses []string, observe func(caller.Send)) (*caller.Client, error) {
+func newClient(r experiment.Resends, addresses []string) (*caller.Client, error) {
 	options := []caller.Option{
 		caller.WithMaxSends(r.MaxSends),
 		caller.WithSendTimeout(r.SendTimeout()),
@@ -107,9 +105,6 @@
 	if !r.HonourRetryAfter {
 		options = append(options, caller.WithPause(caller.Constant(r.Pause())))
 	}
-	if observe != nil {
-		options = append(options, caller.WithObserver(observe))
-	}
 	return caller.New(addresses, options...)
 }
 
--- a/internal/load/runner/runner_test.go
+++ b/internal/load/runner/runner_test.go
@@ -65,7 +65,7 @@
 // serve ends each request as its number says.
 func serve(w http.ResponseWriter, r *http.Request) {
 	number, _ := strconv.Atoi(r.URL.Query().Get("number"))
-	a := answer.Answer{Request: r.Header.Get(headerRequest), Service: "stock", Method: r.Method, Path: r.URL.Path}
+	a := answer.Answer{Request: r.Header.Get(endpoint.HeaderRequest), Service: "stock", Method: r.Method, Path: r.URL.Path}
 	switch endings[number%len(endings)] {
 	case outcome.Refused:
 		problem.Write(w, problem.New(problem.KindOverloaded, problem.RanNo, "full"), "")
