Flush the links at a planned stop, and scatter reads that come due together

The thread went on deciding after its stop. A fleet that begins to check together had saved reads, which broke the limit for some seconds. A platform that was back at an older state was not shown by a node that had read it before its peers answered.

Change: Stop waits until the links have ended; nodes that begin to check give up saved reads and begin with a random part of one; each answer without a value names the platform's revision to the adoption controller. The start window was skipped by a first epoch that counted as a wake-up; it holds now.

One of three runs of the package under the race detector ended in a crash whose output was not kept; it is being looked for.

--- a/decision/readers/share.go
+++ b/decision/readers/share.go
@@ -26,9 +26,16 @@
 	filled time.Duration
 }
 
-// NewShare returns a share that allows two reads at once.
-func NewShare(now time.Duration) Share {
-	return Share{tokens: minBurst, filled: now}
+// NewShare returns a share that allows one read at once. random is in [0, 1): the
+// nodes of a fleet that starts come to their second reads apart.
+func NewShare(now time.Duration, random float64) Share {
+	return Share{tokens: 1 + random, filled: now}
+}
+
+// Scatter gives up the reads that were saved. Nodes that scatter at the same time
+// come to their next reads spread over the time that the whole fleet needs.
+func (s *Share) Scatter(now time.Duration, random float64) {
+	s.tokens, s.filled = random, now
 }
 
 // Rate returns the reads a second that one of vms nodes may make. vms is 0 when
@@ -57,12 +64,3 @@
 func (s *Share) Refund(reads int) {
 	s.tokens = min(maxBurst, s.tokens+float64(reads))
 }
-
-// Spread returns the time over which vms nodes that all want to read a number of
-// documents at once have to spread, so that together they keep FleetLimit.
-func Spread(vms, documents int) time.Duration {
-	if vms <= 0 {
-		vms = UnknownFleet
-	}
-	return time.Duration(float64(vms*documents) / FleetLimit * float64(time.Second))
-}
--- a/internal/control/adoption_controller.go
+++ b/internal/control/adoption_controller.go
@@ -69,6 +69,10 @@
 }
 
 func (a *adoptionController) judge(o *offer) {
+	if o.document == nil && o.fault == nil {
+		a.judgeRevision(o)
+		return
+	}
 	verdict := adoption.Judge(a.best(o.key), o.version)
 	switch {
 	case verdict == adoption.Same:
@@ -88,6 +92,21 @@
 	}
 }
 
+// judgeRevision takes an offer that names a revision without its content: the
+// platform has nothing newer than what it told before.
+func (a *adoptionController) judgeRevision(o *offer) {
+	state := a.board.documents.Get()
+	inForce := state.byKey[o.key].version.Revision
+	last := state.byKey[o.key].refused
+	switch {
+	case o.version.Revision < inForce:
+		a.refuse(o, "older than the state in force")
+	case last != nil && last.source == sourcePlatform && last.version.Revision < inForce:
+		state.byKey[o.key].refused = nil // the platform has caught up
+		a.out.Set(state)
+	}
+}
+
 // gated says that a catalogue has to wait for the gate. A VM list has not: the
 // node needs it to find its peers.
 func (a *adoptionController) gated(k key) bool {
--- a/internal/control/liar_test.go
+++ b/internal/control/liar_test.go
@@ -124,3 +124,56 @@
 func newcomer(*fleet) peer.Identity {
 	return peer.Identity{VM: "new", AvailabilityZone: "zone-0", Region: "vestland", Service: "stock", PeerAddress: "new:1", Incarnation: 99}
 }
+
+func TestStoppedIncarnationDoesNotComeBack(t *testing.T) {
+	inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
+		stopped := f.nodes["vm-0-1"].Incarnation()
+		f.stop("vm-0-1")
+		time.Sleep(time.Second)
+		s := f.connect(t, identityOf(f.vms[1], stopped), f.vms[0])
+		require.Error(t, <-s.cause)
+		synctest.Wait()
+		require.Contains(t, f.nodes["vm-0-0"].events.String(), `"fault":"incarnation"`)
+		require.Nil(t, f.nodes["vm-0-0"].holder.Load().ByVM["vm-0-1"])
+	})
+}
+
+// Nodes that have forgotten a VM don't pass its record to and fro.
+func TestOldRecordsAreNotPassedOn(t *testing.T) {
+	inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
+		time.Sleep(5 * time.Second)
+		n := f.nodes["vm-0-0"]
+		s := f.connect(t, newcomer(f), f.vms[0])
+		old := peer.Record{VM: "dead", Incarnation: 7, Stamp: 1 << 40, AgeMs: peer.AgeMs(forgetAfter)}
+		s.link.Send(&peer.Message{Records: &peer.Records{List: []peer.Record{old}}})
+		time.Sleep(2 * time.Second)
+		for _, other := range f.nodes {
+			require.Nil(t, other.holder.Load().ByVM["dead"])
+			require.NotContains(t, other.events.String(), `"dead"`)
+			require.NotContains(t, other.events.String(), `"fault":"flood"`)
+		}
+		require.Len(t, n.Status().Peers, 3)
+		s.link.Close(nil)
+		require.Error(t, <-s.cause)
+	})
+}
+
+// A record that speaks for a node's own VM is answered with a newer one.
+func TestFalseRecordOfALiveNodeIsRefuted(t *testing.T) {
+	inFleet(t, 1, 3, func(t *testing.T, f *fleet) {
+		time.Sleep(5 * time.Second)
+		s := f.connect(t, newcomer(f), f.vms[0])
+		lie := peer.Record{VM: "vm-0-1", Incarnation: 7, Stamp: 1 << 40, State: peer.Stopped}
+		s.link.Send(&peer.Message{Records: &peer.Records{List: []peer.Record{lie}}})
+		time.Sleep(time.Second)
+		for _, n := range f.nodes {
+			m := n.holder.Load().ByVM["vm-0-1"]
+			require.NotNil(t, m)
+			require.False(t, m.Leaving)
+			require.Equal(t, f.nodes["vm-0-1"].Incarnation(), m.Incarnation)
+		}
+		require.Contains(t, f.nodes["vm-0-1"].events.String(), `"event":2012`)
+		s.link.Close(nil)
+		require.Error(t, <-s.cause)
+	})
+}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -58,7 +58,7 @@
 	// leave begins the planned stop.
 	leave struct{}
 
-	// stop ends the thread's work; done is closed when peers were told.
+	// stop ends the thread's work; done is closed when the links have ended.
 	stop struct {
 		done chan<- struct{}
 	}
--- a/internal/control/platform_controller.go
+++ b/internal/control/platform_controller.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenacart/galenacart/decision/adoption"
 	"github.com/galenacart/galenacart/decision/readers"
 	"github.com/galenacart/galenacart/internal/blackboard"
 	"github.com/galenacart/galenacart/internal/event"
@@ -59,9 +60,10 @@
 		contact: t.board.contact.Claim("platform controller"),
 		offers:  t.board.platformOffers.Claim("platform controller"),
 		client:  platform.NewClient(t.Settings.PlatformAddresses, t.HTTP),
-		share:   readers.NewShare(t.now),
 		random:  rand.New(rand.NewPCG(seed, t.Incarnation)),
+		epoch:   t.board.life.Get().epoch,
 	}
+	p.share = readers.NewShare(t.now, p.random.Float64())
 	first := t.now + time.Duration(p.random.Float64()*float64(t.StartWindow))
 	for k := range p.reading {
 		p.reading[k].next = first
@@ -78,9 +80,10 @@
 	state := p.board.contact.Get()
 	before := state.duty
 	for k := range keyCount {
-		state.duty[k] = readers.Choose(p.situation(k))
-		if before[k] == readers.DutyNone && state.duty[k] == readers.DutyCheck && p.reading[k].started > 0 {
-			p.delay(k) // the others begin to check at the same time
+		situation := p.situation(k)
+		state.duty[k] = readers.Choose(situation)
+		if before[k] != readers.DutyCheck && state.duty[k] == readers.DutyCheck && situation.Heard {
+			p.share.Scatter(p.now, p.random.Float64()) // others begin to check at the same time
 		}
 	}
 	for _, k := range p.order() {
@@ -105,12 +108,6 @@
 	return [keyCount]key{keyCatalogue, keyVMs}
 }
 
-// delay puts the next read off by a part of the time that a whole fleet needs.
-func (p *platformController) delay(k key) {
-	spread := readers.Spread(p.fleet(), int(keyCount))
-	p.reading[k].next = p.now + time.Duration(p.random.Float64()*float64(spread))
-}
-
 // wake voids what was begun before a pause of the process.
 func (p *platformController) wake(epoch uint64) {
 	p.epoch = epoch
@@ -120,8 +117,8 @@
 			r.cancel()
 		}
 		*r = reading{after: r.after, started: r.started}
-		p.delay(key(k))
 	}
+	p.share.Scatter(p.now, p.random.Float64()) // others may have been paused with this node
 	p.contact.Set(contact{})
 }
 
@@ -234,7 +231,7 @@
 	switch done.failure.Reason {
 	case platform.ReasonUnchanged, platform.ReasonNotFound:
 		p.succeed(done.key, r.after)
-		p.noteOlder(done)
+		p.noteRevision(done)
 	case platform.ReasonNoConnection:
 		p.share.Refund(r.granted)
 		p.fail(done)
@@ -260,16 +257,14 @@
 	p.contact.Set(state)
 }
 
-// noteOlder reports a platform whose newest revision is behind what it told.
-func (p *platformController) noteOlder(done readDone) {
-	revision := done.failure.Revision
-	if revision == 0 || revision >= p.reading[done.key].after {
+// noteRevision passes on the revision that an answer without a value named. It
+// shows a platform that has gone back to an older state.
+func (p *platformController) noteRevision(done readDone) {
+	if done.failure.Revision == 0 {
 		return
 	}
-	older := &offer{key: done.key, source: sourcePlatform}
-	older.version.Revision = revision
 	all := p.board.platformOffers.Get()
-	all[done.key] = older
+	all[done.key] = &offer{key: done.key, source: sourcePlatform, version: adoption.Version{Revision: done.failure.Revision}}
 	p.offers.Set(all)
 }
 
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -42,7 +42,9 @@
 	peers      *peerController
 	spread     *spreadController
 	publisher  *publisher
-	stopped    bool
+	running    int             // links whose goroutines run
+	stopped    bool            // nothing is decided any more
+	flushed    chan<- struct{} // closed when the thread has stopped and all links have ended
 }
 
 func newThread(ctx context.Context, c Config) *thread {
@@ -100,6 +102,9 @@
 	t.membership.clearNews()
 	t.suspects.clearNews()
 	t.handle(posted.message)
+	if t.stopped {
+		return
+	}
 	t.peers.run()
 	t.platform.run()
 	t.adoption.run()
@@ -132,10 +137,12 @@
 	case readDone:
 		t.platform.finish(m)
 	case linkOpened:
+		t.running++
 		t.peers.opened(m.link)
 	case linkRefused:
 		t.peers.refused(m)
 	case linkEnded:
+		t.running--
 		t.peers.ended(m)
 	case linkMessage:
 		t.peers.receive(m)
@@ -148,23 +155,41 @@
 	case leave:
 		t.leave()
 	case stop:
-		t.membership.announceStop()
-		t.spread.run()
-		t.peers.closeAll()
-		t.stopped = true
-		close(m.done)
+		t.stop(m.done)
 	case statusWanted:
 		m.reply <- t.status()
 	}
 }
 
-// discard releases those who wait for a thread that has stopped.
+// stop tells the peers that the process ends and closes the links, which send
+// what waits. done is closed when they have.
+func (t *thread) stop(done chan<- struct{}) {
+	t.membership.announceStop()
+	t.spread.run()
+	t.peers.closeAll()
+	t.stopped, t.flushed = true, done
+	t.checkFlushed()
+}
+
+// checkFlushed releases Stop when no link is left.
+func (t *thread) checkFlushed() {
+	if t.running == 0 && t.flushed != nil {
+		close(t.flushed)
+		t.flushed = nil
+	}
+}
+
+// discard handles what still comes in after the thread has stopped.
 func (t *thread) discard(message any) {
 	switch m := message.(type) {
 	case linkMessage:
 		m.link.Done()
 	case linkOpened:
+		t.running++
 		m.link.Close(nil)
+	case linkEnded:
+		t.running--
+		t.checkFlushed()
 	case statusWanted:
 		m.reply <- t.status()
 	case stop:
