--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,9 @@
 	Refusals *status.Refusals
 	// Now returns the time since the process started. It never goes back.
 	Now func() time.Duration
+	// Dial opens connections to other nodes and to the local endpoint. Optional;
+	// the default opens TCP connections.
+	Dial DialFunc
 }
 
 // Traffic carries the calls of one node.
@@ -60,32 +64,39 @@
 	suspects *suspects
 	chain    *chain
 	tokens   *token.Codec
+	watch    *watch
+	probes   sync.WaitGroup
 	leaving  atomic.Bool
 }
 
 // New returns the traffic side of a node.
 func New(c Config) *Traffic {
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
 	t := &Traffic{
 		config:   c,
 		gate:     newGatekeeper(c.Now),
-		local:    newEndpoint(c.Settings),
-		peers:    newPeers(c.Settings),
+		local:    newEndpoint(c.Settings, c.Dial),
+		peers:    newPeers(c.Settings, c.Dial),
 		targets:  newTargets(c.Now),
 		parents:  newParents(),
 		requests: newRecords(c.Now),
 		attempts: newRecords(c.Now),
 		suspects: newSuspects(c.Now),
 		chain:    newChain(c.Now),
+		watch:    newWatch(c.Now),
 		tokens:   token.NewCodec(c.Settings.FleetKey),
 	}
 	t.registerGauges()
 	return t
 }
 
-// Run looks after queued calls until ctx ends.
+// Run looks after queued calls and sends probes until ctx ends.
 func (t *Traffic) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer t.probes.Wait()
 	var applied *view.View
 	for {
 		if v := t.config.View.Load(); v != applied {
@@ -93,6 +104,7 @@
 			applied = v
 		}
 		t.gate.tick()
+		t.look(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -189,7 +201,10 @@
 
 // PeerHandler serves calls from other nodes.
 func (t *Traffic) PeerHandler() http.Handler {
-	return http.HandlerFunc(t.servePeer)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathPing, t.servePing)
+	mux.HandleFunc("/", t.servePeer)
+	return mux
 }
 
 // OutboundHandler serves the local endpoint's own calls.
