Make the measurement of capacity a command of the load tool

Cause: only the load tool may start processes and use the stand-ins; the dependency test refused the package where it stood.

Change: internal/load/capacity and galenacart-load capacity take the place of the program of its own.

Conclusion: the dependency test passes unchanged.

--- a/cmd/galenacart-capacity/main.go
+++ b/cmd/galenacart-load/capacity.go
@@ -1,5 +1,3 @@
-// Command galenacart-capacity measures what control costs a node, with fleets
-// of real node processes on loopback addresses.
 package main
 
 import (
@@ -8,34 +6,19 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
-	"github.com/galenacart/galenacart/internal/capacity"
-	"github.com/galenacart/galenacart/internal/version"
+	"github.com/galenacart/galenacart/internal/load/capacity"
 )
 
-func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&measureCommand{}, "")
-	subcommands.Register(version.Command(), "")
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	code := subcommands.Execute(ctx)
-	stop()
-	os.Exit(int(code))
-}
-
-// measureCommand measures fleets of several sizes.
-type measureCommand struct {
+// capacityCommand measures fleets of several sizes.
+type capacityCommand struct {
 	node   string
 	nodes  string
 	listed int
@@ -43,20 +26,18 @@
 	out    string
 }
 
-// Name returns the command's name.
-func (*measureCommand) Name() string { return "measure" }
-
-// Synopsis returns a line about the command.
-func (*measureCommand) Synopsis() string { return "measure fleets of several sizes" }
-
-// Usage returns the command's usage.
-func (*measureCommand) Usage() string {
-	return "measure [-node FILE] [-nodes LIST] [-listed N] [-idle DURATION] [-out FILE]\n" +
-		"  Starts and stops its own node processes on 127.31.0.0/16.\n"
+func (*capacityCommand) Name() string     { return "capacity" }
+func (*capacityCommand) Synopsis() string { return "measure what control costs a node" }
+func (*capacityCommand) Usage() string {
+	return `galenacart-load capacity [-node FILE] [-nodes LIST] [-listed N] [-idle DURATION] [-out FILE]
+Runs fleets of node processes of several sizes on 127.31.0.0/16 with the platform stand-in,
+samples what control costs them, and fits how the cost grows. It stops all that it started.
+Exit codes: 0 measured, 1 failed, 2 bad usage.
+`
 }
 
 // SetFlags declares the command's flags.
-func (c *measureCommand) SetFlags(f *flag.FlagSet) {
+func (c *capacityCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.node, "node", "bin/galenacart-node", "`file` of the node program")
 	f.StringVar(&c.nodes, "nodes", "25,50,100,200", "`list` of fleet sizes, each at most 200")
 	f.IntVar(&c.listed, "listed", 5000, "`number` of VMs in the list that do not run, in one more run of 50 nodes; 0: no such run")
@@ -64,11 +45,14 @@
 	f.StringVar(&c.out, "out", "out/capacity.json", "`file` for the results")
 }
 
-// Execute runs the command.
-func (c *measureCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := c.run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "galenacart-capacity:", err)
-		return subcommands.ExitFailure
+// Execute measures and prints.
+func (c *capacityCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	sizes, err := c.sizes()
+	if err != nil {
+		return badUsage(err)
+	}
+	if err := c.run(ctx, sizes); err != nil {
+		return failed(err)
 	}
 	return subcommands.ExitSuccess
 }
@@ -82,7 +66,7 @@
 )
 
 // sizes returns the fleets to measure.
-func (c *measureCommand) sizes() ([]capacity.Size, error) {
+func (c *capacityCommand) sizes() ([]capacity.Size, error) {
 	var out []capacity.Size
 	for _, text := range strings.Split(c.nodes, ",") {
 		n, err := strconv.Atoi(text)
@@ -97,11 +81,7 @@
 	return out, nil
 }
 
-func (c *measureCommand) run(ctx context.Context) error {
-	sizes, err := c.sizes()
-	if err != nil {
-		return err
-	}
+func (c *capacityCommand) run(ctx context.Context, sizes []capacity.Size) error {
 	var results []*capacity.Result
 	for _, size := range sizes {
 		result, err := capacity.Measure(ctx, size, c.node, c.idle)
@@ -124,7 +104,7 @@
 	return c.save(results)
 }
 
-func (c *measureCommand) save(results []*capacity.Result) error {
+func (c *capacityCommand) save(results []*capacity.Result) error {
 	data, err := json.MarshalIndent(results, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "encode results")
