--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: build test lint format bench demo clean
+.PHONY: build test lint format bench demo capacity clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -23,5 +23,8 @@
 demo: build
 	demo/run.sh
 
+capacity: build
+	demo/capacity.sh
+
 clean:
 	rm -rf $(BIN) out
--- a/cmd/galenacart-load/main.go
+++ b/cmd/galenacart-load/main.go
@@ -29,6 +29,7 @@
 	commander.Register(&compareCommand{}, "experiments")
 	commander.Register(&checkTruthCommand{}, "experiments")
 	commander.Register(&overheadCommand{}, "experiments")
+	commander.Register(&capacityCommand{}, "experiments")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- /dev/null
+++ b/internal/load/capacity/derive.go
@@ -0,0 +1,230 @@
+package capacity
+
+import (
+	"github.com/galenacart/galenacart/decision/readers"
+)
+
+const (
+	// plannedLinks is the mean number of links of a node in a fleet of many zones:
+	// four made in its zone and one in each of three others, and as many accepted.
+	plannedLinks = 2 * (4 + 3)
+	// frameBytes is what a message takes on the network beyond its payload: the
+	// headers of WebSocket, TCP, IP and Ethernet, and an acknowledgement.
+	frameBytes = 150
+	// listChanges is the number of times that a restart changes the VM list:
+	// leaving, gone, and live again.
+	listChanges = 3
+	// linkBurst and linkRate bound the messages that a node takes on one link
+	// before it closes the link as a flood: at once, and for each second after.
+	linkBurst, linkRate = 600, 200
+	// eventSeconds is the time over which a lost rack or zone comes back.
+	eventSeconds = 10
+)
+
+// Row is one value at the planned size.
+type Row struct {
+	// Subject is a role or an event.
+	Subject string `json:"subject"`
+	// Quantity says what the value is.
+	Quantity string `json:"quantity"`
+	// Value is the value at the planned size.
+	Value float64 `json:"value"`
+	// Unit is the unit of the value and the bound.
+	Unit string `json:"unit"`
+	// Bound is the users' bound, 0 when there is none.
+	Bound float64 `json:"bound,omitempty"`
+	// Growth says how the value grows with the fleet.
+	Growth Growth `json:"growth"`
+	// Carrier is the package of the mechanism that carries it.
+	Carrier string `json:"carrier"`
+}
+
+// Margin returns how often the value fits into its bound.
+func (r Row) Margin() float64 {
+	return ratio(r.Bound, r.Value)
+}
+
+// Met reports whether the value is within its bound, if it has one.
+func (r Row) Met() bool {
+	return r.Bound == 0 || r.Value <= r.Bound
+}
+
+// Report is what follows from a measurement.
+type Report struct {
+	// Measured is what it follows from.
+	Measured *Measured `json:"measured"`
+	// Target is the planned size.
+	Target Target `json:"target"`
+	// Model holds the slopes.
+	Model Model `json:"model"`
+	// Rows holds the values at the planned size.
+	Rows []Row `json:"rows"`
+}
+
+// Missed returns the rows over their bound, the worst one first.
+func (r *Report) Missed() []Row {
+	var out []Row
+	for _, row := range r.Rows {
+		if row.Met() {
+			continue
+		}
+		at := len(out)
+		for at > 0 && out[at-1].Margin() > row.Margin() {
+			at--
+		}
+		out = append(out[:at], append([]Row{row}, out[at:]...)...)
+	}
+	return out
+}
+
+// Derive works out the values at a size. It fails when a part of the measurement
+// is missing.
+func Derive(m *Measured, t Target, l Limits) (*Report, error) {
+	if err := m.check(); err != nil {
+		return nil, err
+	}
+	d := &derivation{measured: m, target: t, limits: l, model: NewModel(m)}
+	d.roles()
+	d.fleet()
+	d.restarts()
+	return &Report{Measured: m, Target: t, Model: d.model, Rows: d.rows}, nil
+}
+
+// derivation gathers the rows.
+type derivation struct {
+	measured *Measured
+	target   Target
+	limits   Limits
+	model    Model
+	rows     []Row
+}
+
+func (d *derivation) add(r Row) {
+	r.Value = max(r.Value, 0) // noise can make a small slope negative
+	d.rows = append(d.rows, r)
+}
+
+func (d *derivation) vms() float64 {
+	return float64(d.target.Nodes)
+}
+
+func (d *derivation) services() float64 {
+	return float64(d.target.Services)
+}
+
+// restartCPU is what one restart costs each other node: the records of the VM
+// and the changes of the list.
+func (d *derivation) restartCPU() float64 {
+	return max(0, d.model.RestartCPU.Value(d.vms())) + listChanges*max(0, d.model.ListCPU.Value(d.vms()))
+}
+
+// dayCPU is what the changes and restarts of a day cost, as a rate.
+func (d *derivation) dayCPU() float64 {
+	changes := d.target.ChangesPerDay * max(0, d.model.ChangeCPU.Value(d.vms(), d.services()))
+	return (changes + d.target.RestartsPerDay*d.restartCPU()) / secondsPerDay
+}
+
+// messages returns the rate of messages, with those of an ordinary day.
+func (d *derivation) messages() float64 {
+	day := d.target.ChangesPerDay*d.model.ChangeMessages +
+		d.target.RestartsPerDay*(d.model.RestartMessages+listChanges*d.model.ListMessages)
+	return plannedLinks*d.model.LinkMessages + day/secondsPerDay
+}
+
+// bytes returns the rate of bytes with those of headers and of an ordinary day.
+func (d *derivation) bytes() float64 {
+	day := d.target.ChangesPerDay*d.model.ChangeBytes +
+		d.target.RestartsPerDay*(d.model.RestartBytes+listChanges*d.model.ListBytes)
+	return plannedLinks*d.model.LinkBytes + day/secondsPerDay + d.messages()*frameBytes
+}
+
+// readerBytes is what a reader reads from the platform: both documents whole
+// with each change.
+func (d *derivation) readerBytes() float64 {
+	list := d.target.RestartsPerDay * listChanges * d.listBytes()
+	return (list + d.target.ChangesPerDay*d.catalogueBytes()) / secondsPerDay
+}
+
+func (d *derivation) listBytes() float64 {
+	return d.vms() * d.measured.ListBytesPerVM
+}
+
+func (d *derivation) catalogueBytes() float64 {
+	return d.services() * d.measured.CatalogueBytesPerService
+}
+
+// roles adds what a node of each role needs.
+func (d *derivation) roles() {
+	m, g := &d.model, d.model.Growth
+	idleCPU := m.IdleCPU.Value(plannedLinks, d.vms(), d.services()) + d.dayCPU()
+	idleMemory := m.IdleMemory.Value(d.vms(), d.services())
+	const idle, reader, loaded = "idle node", "reader", "node with calls"
+	d.control(idle, idleCPU, idleMemory, d.bytes(), g)
+	readerCPU := m.ReaderCPU.Value(plannedLinks, d.vms(), d.services()) + d.dayCPU()
+	d.control(reader, readerCPU, m.ReaderMemory.Value(d.vms(), d.services()), d.bytes()+d.readerBytes(), g)
+	calls := d.target.CallsPerNode() * m.CallCPU
+	d.add(Row{loaded, "processor time of calls (no bound)", calls, "core", 0, Linear, "internal/traffic"})
+	d.add(Row{loaded, "memory with calls", idleMemory + max(0, m.CallMemory), "bytes", d.limits.MemoryBytes, g.Memory, "internal/traffic"})
+	for _, t := range d.measured.Traffic {
+		added := float64(t.AddedP99Micros)
+		d.add(Row{loaded, "added at p99, as measured", added, "us", d.limits.AddedMicros, Flat, "internal/traffic"})
+	}
+}
+
+// control adds what control costs in one role.
+func (d *derivation) control(role string, cpu, memory, bytes float64, g Growths) {
+	d.add(Row{role, "processor time of control", cpu, "core", d.limits.CPU, g.CPU, "internal/control"})
+	d.add(Row{role, "memory", memory, "bytes", d.limits.MemoryBytes, g.Memory, "internal/control"})
+	d.add(Row{role, "control messages", d.messages(), "1/s", 0, g.Messages, "internal/peer"})
+	d.add(Row{role, "control bytes with headers", bytes, "bytes/s", d.limits.BytesPerSecond, g.Bytes, "internal/peer"})
+}
+
+// fleet adds what the whole fleet needs.
+func (d *derivation) fleet() {
+	m, t, l := &d.model, d.target, d.limits
+	const fleet = "fleet"
+	change := m.ChangeSeconds.Value(log2(d.vms()))
+	d.add(Row{fleet, "change in force everywhere", change, "s", l.ChangeSeconds, m.Growth.Change, "internal/control, internal/peer/delta"})
+	// Each reader is held to its share of what the whole fleet may read.
+	share := float64(readers.FleetLimit) / d.vms() * readers.PerZone * float64(t.Zones)
+	reads := min(m.ZoneReads*float64(t.Zones), share)
+	d.add(Row{fleet, "platform reads at rest", reads, "1/s", l.ReadsPerSecond, Flat, "decision/readers"})
+	d.add(Row{fleet, "platform reads, all start at once", m.StartReads.Value(d.vms()), "1/s", l.ReadsPerSecond, Linear, "decision/readers"})
+	d.add(Row{fleet, "VM list in one value", d.listBytes(), "bytes", l.ValueBytes, Linear, "internal/vmlist"})
+	d.add(Row{fleet, "catalogue in one value", d.catalogueBytes(), "bytes", l.ValueBytes, Flat, "internal/catalogue"})
+}
+
+// restarts adds what VMs that come and go cost each other node.
+func (d *derivation) restarts() {
+	d.add(Row{"one restart", "processor time", d.restartCPU(), "s", 0, Linear, "internal/control"})
+	d.add(Row{"ordinary day", "processor time of changes and restarts", d.dayCPU(), "core", d.limits.CPU, Linear, "internal/control"})
+	d.together("rack lost and back", float64(d.target.RackVMs))
+	d.together("zone lost and back", d.target.ZoneVMs())
+	d.regions()
+}
+
+// together adds what many restarts at once cost, while they last.
+func (d *derivation) together(event string, vms float64) {
+	m := &d.model
+	cpu := vms * max(0, m.TogetherCPU.Value(d.vms()))
+	messages := vms * m.TogetherMessages
+	bytes := vms*m.TogetherBytes + messages*frameBytes
+	d.add(Row{event, "processor time", cpu / eventSeconds, "core", d.limits.CPU, Linear, "internal/control"})
+	d.add(Row{event, "control bytes with headers", bytes / eventSeconds, "bytes/s", d.limits.BytesPerSecond, Linear, "internal/peer"})
+	// Half of the messages come in, spread over the links.
+	d.add(Row{event, "messages on one link", messages / 2 / plannedLinks, "", linkBurst + linkRate*eventSeconds, Linear, "internal/peer"})
+}
+
+// regions adds what two regions cost that lose each other and meet again.
+func (d *derivation) regions() {
+	const event, regions = "regions part and heal", 2
+	m := &d.model
+	half := float64(d.target.Zones / regions)
+	// Links within the zone stay; of the others, those to the zones over there go.
+	lost := plannedLinks * 3.0 / 7 * half / float64(d.target.Zones-1)
+	cpu := lost * max(0, m.LostLinkCPU.Value(d.vms()))
+	bytes := lost * m.LostLinkBytes
+	d.add(Row{event, "links lost", lost, "", 0, Flat, "internal/control"})
+	d.add(Row{event, "processor time", cpu / eventSeconds, "core", d.limits.CPU, Linear, "internal/control"})
+	d.add(Row{event, "control bytes", bytes / eventSeconds, "bytes/s", d.limits.BytesPerSecond, Flat, "internal/peer"})
+}
--- /dev/null
+++ b/internal/load/capacity/fit.go
@@ -0,0 +1,166 @@
+package capacity
+
+import "math"
+
+// Point is one measured value with what it may depend on.
+type Point struct {
+	// At holds the predictors, such as the numbers of VMs and services.
+	At []float64
+	// Value is the measured value.
+	Value float64
+}
+
+// Slopes is a linear function: a constant and one slope for each predictor.
+type Slopes struct {
+	// Constant is the value where all predictors are 0.
+	Constant float64 `json:"constant"`
+	// Per holds the growth with one unit of each predictor.
+	Per []float64 `json:"per"`
+	// Residual is the root of the mean squared distance of the points.
+	Residual float64 `json:"residual"`
+}
+
+// Value returns the value at some predictors.
+func (s Slopes) Value(at ...float64) float64 {
+	v := s.Constant
+	for i, x := range at {
+		v += s.Per[i] * x
+	}
+	return v
+}
+
+// Fit returns the linear function of least squares through points. A predictor
+// that the points don't tell apart from the others gets the slope 0.
+func Fit(points []Point) Slopes {
+	if len(points) == 0 {
+		return Slopes{}
+	}
+	terms := len(points[0].At) + 1
+	scale := scales(points, terms)
+	solution := solve(normalEquations(points, scale))
+	out := Slopes{Constant: solution[0], Per: make([]float64, terms-1)}
+	for i := range out.Per {
+		out.Per[i] = solution[i+1] / scale[i+1]
+	}
+	sum := 0.0
+	for _, p := range points {
+		d := p.Value - out.Value(p.At...)
+		sum += d * d
+	}
+	out.Residual = math.Sqrt(sum / float64(len(points)))
+	return out
+}
+
+// scales returns the largest size of each term, so that terms of different
+// units weigh the same in the solution.
+func scales(points []Point, terms int) []float64 {
+	out := make([]float64, terms)
+	for i := range out {
+		for _, p := range points {
+			out[i] = max(out[i], math.Abs(term(p, i)))
+		}
+		if out[i] == 0 {
+			out[i] = 1
+		}
+	}
+	return out
+}
+
+func term(p Point, i int) float64 {
+	if i == 0 {
+		return 1
+	}
+	return p.At[i-1]
+}
+
+// normalEquations returns the matrix of the least squares problem, with the
+// right-hand side as its last column.
+func normalEquations(points []Point, scale []float64) [][]float64 {
+	n := len(scale)
+	rows := make([][]float64, n)
+	for i := range rows {
+		rows[i] = make([]float64, n+1)
+		for _, p := range points {
+			x := term(p, i) / scale[i]
+			for j := range n {
+				rows[i][j] += x * term(p, j) / scale[j]
+			}
+			rows[i][n] += x * p.Value
+		}
+	}
+	return rows
+}
+
+// singular is the pivot, relative to the number of points' weight, under which
+// a term is taken as told by the terms before it.
+const singular = 1e-9
+
+// solve runs Gauss-Jordan elimination. Terms without a pivot get 0.
+func solve(rows [][]float64) []float64 {
+	n := len(rows)
+	free := make([]bool, n)
+	for i := range n {
+		if math.Abs(rows[i][i]) < singular {
+			free[i] = true
+			continue
+		}
+		for j := range n {
+			if j == i {
+				continue
+			}
+			factor := rows[j][i] / rows[i][i]
+			for k := range rows[j] {
+				rows[j][k] -= factor * rows[i][k]
+			}
+		}
+	}
+	out := make([]float64, n)
+	for i := range n {
+		if !free[i] {
+			out[i] = rows[i][n] / rows[i][i]
+		}
+	}
+	return out
+}
+
+// Growth is the way in which a cost grows.
+type Growth string
+
+// The ways of growth.
+const (
+	// Flat means no growth that the measurement can tell from noise.
+	Flat Growth = "flat"
+	// Logarithmic means growth with the logarithm of the size.
+	Logarithmic Growth = "log"
+	// Linear means growth with the size.
+	Linear Growth = "linear"
+)
+
+// flatShare is the share of the mean under which a total growth over all sizes
+// counts as flat.
+const flatShare = 0.1
+
+// GrowthOf tells which way of growth fits best through values at sizes.
+func GrowthOf(sizes, values []float64) Growth {
+	if len(sizes) == 0 {
+		return Flat
+	}
+	var linear, logarithmic []Point
+	mean, smallest, largest := 0.0, math.Inf(1), 0.0
+	for i, x := range sizes {
+		linear = append(linear, Point{At: []float64{x}, Value: values[i]})
+		logarithmic = append(logarithmic, Point{At: []float64{math.Log2(x)}, Value: values[i]})
+		mean += values[i] / float64(len(sizes))
+		smallest, largest = min(smallest, x), max(largest, x)
+	}
+	line, curve := Fit(linear), Fit(logarithmic)
+	grown := line.Value(largest) - line.Value(smallest)
+	switch {
+	case grown <= flatShare*math.Abs(mean) || grown <= 2*line.Residual:
+		return Flat
+	case curve.Residual < line.Residual:
+		return Logarithmic
+	default:
+		return Linear
+	}
+}
