Let a few real nodes hold the state of a large fleet

Cause: with VMs that are listed and don't run, nodes spend their time on dials that fail and hold no records, so that the growth with the number of VMs was not that of a fleet.

Change: the VMs that are only listed answer links in the measuring process, agree with every beat, and tell their records once. Changes come 1.5 s apart, so that each is in force before the next. The records that a returning VM hears on each link are counted apart. What was measured is kept after each fleet. The arithmetic moves to internal/load/capacity/planning.

--- a/cmd/galenacart-load/capacity.go
+++ b/cmd/galenacart-load/capacity.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 
 	fleets "github.com/galenacart/galenacart/internal/capacity"
-	"github.com/galenacart/galenacart/internal/load/capacity"
 	"github.com/galenacart/galenacart/internal/load/capacity/measure"
+	"github.com/galenacart/galenacart/internal/load/capacity/planning"
 	"github.com/galenacart/galenacart/internal/strictjson"
 )
 
@@ -92,7 +92,7 @@
 	if err != nil {
 		return badUsage(errors.WithMessage(err, "-in"))
 	}
-	r, err := capacity.Derive(m, capacity.Planned(), capacity.Bounds())
+	r, err := planning.Derive(m, planning.Planned(), planning.Bounds())
 	if err != nil {
 		return badUsage(errors.WithMessage(err, "-in"))
 	}
@@ -119,8 +119,9 @@
 func (c *capacityCommand) runMeasure(ctx context.Context, sizes []fleets.Size) error {
 	ctx, cancel := context.WithTimeout(ctx, c.longest)
 	defer cancel()
-	planned := capacity.Planned()
-	m, err := measure.Run(ctx, measure.Config{
+	planned := planning.Planned()
+	c.in = filepath.Join(c.out, measuredName)
+	_, err := measure.Run(ctx, measure.Config{
 		Program: c.node, Dir: filepath.Join(c.out, "nodes"), Rest: sizes, RestTime: c.rest,
 		Events: []measure.Size{
 			{Nodes: capacityEvents, Zones: capacityZones, Services: capacityServices},
@@ -128,10 +129,13 @@
 			{Nodes: capacityEvents, Zones: capacityZones, Services: planned.Services, Listed: c.listed},
 		},
 		Progress: func(text string) { fmt.Fprintln(os.Stderr, "capacity:", text) },
+		Save:     c.save,
 	})
-	if err != nil {
-		return err
-	}
+	return err
+}
+
+// save writes what was measured so far.
+func (c *capacityCommand) save(m *planning.Measured) error {
 	data, err := json.MarshalIndent(m, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "encode measurement")
@@ -139,20 +143,19 @@
 	if err := os.MkdirAll(c.out, 0o755); err != nil {
 		return errors.Wrap(err, "write measurement")
 	}
-	c.in = filepath.Join(c.out, measuredName)
 	return errors.Wrap(os.WriteFile(c.in, append(data, '\n'), 0o644), "write measurement")
 }
 
-func readMeasured(file string) (*capacity.Measured, error) {
+func readMeasured(file string) (*planning.Measured, error) {
 	data, err := strictjson.ReadFile(file, maxMeasuredBytes)
 	if err != nil {
 		return nil, err
 	}
-	m := &capacity.Measured{}
+	m := &planning.Measured{}
 	return m, strictjson.Decode(file, data, m)
 }
 
-func (c *capacityCommand) print(r *capacity.Report) error {
+func (c *capacityCommand) print(r *planning.Report) error {
 	if c.json {
 		e := json.NewEncoder(os.Stdout)
 		e.SetIndent("", "  ")
--- a/internal/load/capacity/measure/events.go
+++ b/internal/load/capacity/measure/events.go
@@ -7,18 +7,20 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/galenacart/galenacart/internal/load/capacity"
+	"github.com/galenacart/galenacart/internal/load/capacity/planning"
 )
 
 const (
 	// settleTime is the wait after a start until what it caused is over.
 	settleTime = 8 * time.Second
+	// listedSettleTime is that wait where nodes have to learn of many VMs.
+	listedSettleTime = 20 * time.Second
 	// eventWindow is the time over which an event's cost is taken.
 	eventWindow = 5 * time.Second
 	// changes is the number of changes over which one change's cost is averaged.
-	changes = 8
-	// changeGap is the time between two changes.
-	changeGap = 400 * time.Millisecond
+	changes = 5
+	// changeGap is the time between two changes: each is in force before the next.
+	changeGap = 1500 * time.Millisecond
 	// frozenTime is the time for which a zone does not answer. It is longer than
 	// the time after which its links count as lost.
 	frozenTime = 6 * time.Second
@@ -57,8 +59,8 @@
 
 // costOf returns what an action costs some processes on average, beyond their
 // costs at rest, from its start until a window after its end.
-func costOf(ctx context.Context, over []*process, atRest map[*process]rates, action func() error) (capacity.Cost, error) {
-	var cost capacity.Cost
+func costOf(ctx context.Context, over []*process, atRest map[*process]rates, action func() error) (planning.Cost, error) {
+	var cost planning.Cost
 	before, err := takeAll(ctx, over)
 	if err != nil {
 		return cost, err
@@ -87,9 +89,13 @@
 }
 
 // measureEvents makes each event happen in turn.
-func (f *fleet) measureEvents(ctx context.Context, restTime time.Duration) (*capacity.Events, error) {
-	out := &capacity.Events{Nodes: f.size.Nodes, Zones: f.size.Zones, Listed: f.size.Listed, Services: f.size.Services}
-	if err := pause(ctx, settleTime); err != nil {
+func (f *fleet) measureEvents(ctx context.Context, restTime time.Duration) (*planning.Events, error) {
+	out := &planning.Events{Nodes: f.size.Nodes, Zones: f.size.Zones, Listed: f.size.Listed, Services: f.size.Services}
+	settle := settleTime
+	if f.size.Listed > 0 {
+		settle = listedSettleTime
+	}
+	if err := pause(ctx, settle); err != nil {
 		return nil, err
 	}
 	atRest, err := f.rest(ctx, restTime)
@@ -99,7 +105,7 @@
 	if err := f.measureRoles(ctx, atRest, out); err != nil {
 		return nil, err
 	}
-	steps := []func(context.Context, map[*process]rates, *capacity.Events) error{
+	steps := []func(context.Context, map[*process]rates, *planning.Events) error{
 		f.measureChanges, f.measureOneVM, f.measureZone, f.measureFreeze,
 	}
 	for _, step := range steps {
@@ -111,7 +117,7 @@
 }
 
 // measureChanges publishes changes of the catalogue, and then of the VM list.
-func (f *fleet) measureChanges(ctx context.Context, atRest map[*process]rates, out *capacity.Events) error {
+func (f *fleet) measureChanges(ctx context.Context, atRest map[*process]rates, out *planning.Events) error {
 	var err error
 	edits := 0
 	out.CatalogueChange, err = f.repeat(ctx, atRest, f.publishCatalogue)
@@ -128,7 +134,7 @@
 }
 
 // repeat returns the cost of one of several changes.
-func (f *fleet) repeat(ctx context.Context, atRest map[*process]rates, change func() error) (capacity.Cost, error) {
+func (f *fleet) repeat(ctx context.Context, atRest map[*process]rates, change func() error) (planning.Cost, error) {
 	cost, err := costOf(ctx, f.processes, atRest, func() error {
 		for range changes {
 			if err := change(); err != nil {
@@ -147,7 +153,7 @@
 }
 
 // measureOneVM stops one VM in the planned way and starts it again.
-func (f *fleet) measureOneVM(ctx context.Context, atRest map[*process]rates, out *capacity.Events) error {
+func (f *fleet) measureOneVM(ctx context.Context, atRest map[*process]rates, out *planning.Events) error {
 	one := f.processes[len(f.processes)-1]
 	others := f.processes[:len(f.processes)-1]
 	var err error
@@ -173,7 +179,7 @@
 }
 
 // measureZone restarts all VMs of a zone at once.
-func (f *fleet) measureZone(ctx context.Context, atRest map[*process]rates, out *capacity.Events) error {
+func (f *fleet) measureZone(ctx context.Context, atRest map[*process]rates, out *planning.Events) error {
 	inside, outside := f.apart(zoneName(f.size.Zones - 1))
 	out.ZoneVMs = len(inside)
 	f.store.ResetCounters()
@@ -194,7 +200,7 @@
 }
 
 // measureFreeze stops all processes of a zone without a word and lets them go on.
-func (f *fleet) measureFreeze(ctx context.Context, atRest map[*process]rates, out *capacity.Events) error {
+func (f *fleet) measureFreeze(ctx context.Context, atRest map[*process]rates, out *planning.Events) error {
 	inside, outside := f.apart(zoneName(f.size.Zones - 1))
 	f.store.ResetCounters()
 	var err error
--- a/internal/load/capacity/measure/fleet.go
+++ b/internal/load/capacity/measure/fleet.go
@@ -35,6 +35,7 @@
 	dir       string
 	store     *platform.Platform
 	server    *http.Server
+	crowd     *crowd
 	list      *vmlist.List
 	processes []*process
 	running   int // VMs at the begin of the list that run
@@ -50,6 +51,10 @@
 	if err := f.startPlatform(); err != nil {
 		return nil, err
 	}
+	var err error
+	if f.crowd, err = startCrowd(f.size.listed(), fleetKey); err != nil {
+		return f, err
+	}
 	for _, vm := range f.list.VMs[:f.running] {
 		p, err := startProcess(program, dir, vm.Name)
 		if err != nil {
@@ -147,6 +152,9 @@
 // close ends everything and returns the first fault of a stop.
 func (f *fleet) close() error {
 	err := stop(f.processes)
+	if f.crowd != nil {
+		f.crowd.close()
+	}
 	if f.server != nil {
 		_ = f.server.Close() // watches may still be open
 	}
--- a/internal/load/capacity/measure/measure_test.go
+++ b/internal/load/capacity/measure/measure_test.go
@@ -19,13 +19,14 @@
 	require.NoError(t, err)
 	require.Len(t, c.Services, 190)
 	require.Equal(t, timeoutMs+1, c.Routes[0].Limits.TimeoutMs)
-	names := map[string]bool{}
+	names, addresses := map[string]bool{}, map[string]bool{}
 	for _, vm := range size.listed() {
-		names[vm.Name] = true
+		names[vm.Name], addresses[vm.PeerAddress] = true, true
 		require.True(t, strings.HasPrefix(vm.PeerAddress, "127.33.1"), vm.PeerAddress)
 		require.NotContains(t, []string{zoneName(0), zoneName(1), zoneName(2)}, vm.AvailabilityZone)
 	}
 	require.Len(t, names, 5000)
+	require.Len(t, addresses, 5000)
 	require.False(t, names["vm-24"], "a VM that runs")
 }
 
--- a/internal/load/capacity/measure/plan.go
+++ b/internal/load/capacity/measure/plan.go
@@ -1,4 +1,4 @@
-// Package measure takes what package capacity works with: it runs fleets of real
+// Package measure takes what package planning works with: it runs fleets of real
 // node processes on loopback addresses and samples them while nothing happens,
 // while VMs come and go, and under calls. Every process ends with it.
 package measure
@@ -17,9 +17,10 @@
 var plan = layout.Plan{Network: "127.33", PortBase: 22000}
 
 const (
-	region = "region"
-	class  = "work"
-	owner  = "measurement"
+	region   = "region"
+	fleetKey = "a fleet key for measurements"
+	class    = "work"
+	owner    = "measurement"
 
 	// serviceFront and serviceBack have one VM each: calls enter at the first one
 	// and are answered at the other.
@@ -84,7 +85,7 @@
 // deployment spreads the VMs over zones and services.
 func (s Size) deployment() *deployment.Deployment {
 	d := &deployment.Deployment{
-		Name: "capacity", Region: region, FleetKey: "a fleet key for measurements",
+		Name: "capacity", Region: region, FleetKey: fleetKey,
 		Platform: deployment.Platform{ReadsPerSecond: 2000},
 	}
 	for i := range s.Zones {
@@ -112,23 +113,33 @@
 }
 
 const (
-	// listedZones is the number of zones of the VMs that don't run.
+	// listedZones is the number of zones of the VMs that are only listed.
 	listedZones = 7
-	// listedHosts bounds the addresses that these VMs share in each zone.
+	// listedHosts is the number of IP addresses of these VMs in each zone. VMs
+	// beyond it take further ports.
 	listedHosts = 200
+	// listedPorts is the distance of these ports.
+	listedPorts = 10
+
+	listedFirstByte  = 100 // third byte of the addresses of the first zone
+	listedPeerPort   = 22001
+	listedCallerPort = 22000
 )
 
-// listed returns the VMs that don't run. They are in zones of their own, so that
-// they don't take the duties of those that run.
+// listed returns the VMs that are only listed. They are in zones of their own, so
+// that they don't take the duties of those that run.
 func (s Size) listed() []vmlist.VM {
 	var all []vmlist.VM
 	for i := range s.Listed {
-		zone := s.Zones + i%listedZones
-		address := fmt.Sprintf("%s.%d.%d", plan.Network, 100+zone, 1+i/listedZones%listedHosts)
+		zone, number := s.Zones+i%listedZones, i/listedZones
+		ip := fmt.Sprintf("%s.%d.%d", plan.Network, listedFirstByte+zone, 1+number%listedHosts)
+		ports := number / listedHosts * listedPorts
 		all = append(all, vmlist.VM{
 			Name: fmt.Sprintf("vm-%d", s.Nodes+i), AvailabilityZone: zoneName(zone), Region: region,
-			Service:     s.serviceName(2 + i%(s.Services-2)),
-			PeerAddress: address + ":22001", CallerAddress: address + ":22000", State: vmlist.Live,
+			Service:       s.serviceName(2 + i%(s.Services-2)),
+			PeerAddress:   fmt.Sprintf("%s:%d", ip, listedPeerPort+ports),
+			CallerAddress: fmt.Sprintf("%s:%d", ip, listedCallerPort+ports),
+			State:         vmlist.Live,
 		})
 	}
 	return all
--- a/internal/load/capacity/measure/roles.go
+++ b/internal/load/capacity/measure/roles.go
@@ -9,11 +9,11 @@
 	"github.com/galenacart/galenacart/decision/readers"
 	"github.com/galenacart/galenacart/internal/control"
 	"github.com/galenacart/galenacart/internal/inspect"
-	"github.com/galenacart/galenacart/internal/load/capacity"
+	"github.com/galenacart/galenacart/internal/load/capacity/planning"
 )
 
 // measureRoles finds the duty of each node and the means of each duty.
-func (f *fleet) measureRoles(ctx context.Context, atRest map[*process]rates, out *capacity.Events) error {
+func (f *fleet) measureRoles(ctx context.Context, atRest map[*process]rates, out *planning.Events) error {
 	samples, err := takeAll(ctx, f.processes)
 	if err != nil {
 		return err
@@ -42,7 +42,7 @@
 }
 
 // mean turns the sums of a role into means.
-func mean(r *capacity.Role) {
+func mean(r *planning.Role) {
 	n := float64(max(r.Nodes, 1))
 	for _, sum := range []*float64{&r.Links, &r.CPU, &r.MemoryBytes, &r.Messages, &r.Bytes} {
 		*sum /= n
--- a/internal/load/capacity/measure/run.go
+++ b/internal/load/capacity/measure/run.go
@@ -14,7 +14,8 @@
 	"github.com/pkg/errors"
 
 	fleets "github.com/galenacart/galenacart/internal/capacity"
-	"github.com/galenacart/galenacart/internal/load/capacity"
+	"github.com/galenacart/galenacart/internal/load/capacity/planning"
+	"github.com/galenacart/galenacart/internal/peer"
 	"github.com/galenacart/galenacart/internal/vmlist"
 )
 
@@ -32,12 +33,14 @@
 	RestTime time.Duration
 	// Progress is told of each step.
 	Progress func(text string)
+	// Save keeps what was measured so far, after each fleet.
+	Save func(m *planning.Measured) error
 }
 
 // Run measures everything, one fleet after the other.
-func Run(ctx context.Context, c Config) (*capacity.Measured, error) {
-	m := &capacity.Measured{Taken: time.Now().UTC().Truncate(time.Second)}
-	m.Machine = capacity.Machine{Cores: runtime.NumCPU(), Go: runtime.Version(), LoadBefore: loadAverage()}
+func Run(ctx context.Context, c Config) (*planning.Measured, error) {
+	m := &planning.Measured{Taken: time.Now().UTC().Truncate(time.Second)}
+	m.Machine = planning.Machine{Cores: runtime.NumCPU(), Go: runtime.Version(), LoadBefore: loadAverage()}
 	if err := measureDocuments(m); err != nil {
 		return nil, err
 	}
@@ -48,19 +51,29 @@
 			return nil, errors.Wrapf(err, "fleet of %d nodes at rest", size.Nodes)
 		}
 		m.Fleets = append(m.Fleets, fleetOf(r))
+		if err := c.save(m); err != nil {
+			return nil, err
+		}
 	}
 	for _, size := range c.Events {
 		c.Progress(fmt.Sprintf("changes, restarts and calls: %d nodes, %d zones, %d services", size.Nodes, size.Zones, size.Services))
 		if err := c.runEvents(ctx, size, m); err != nil {
 			return nil, errors.Wrapf(err, "fleet of %d nodes", size.Nodes)
 		}
+		if err := c.save(m); err != nil {
+			return nil, err
+		}
 	}
-	m.Machine.LoadAfter = loadAverage()
 	return m, nil
 }
 
+func (c *Config) save(m *planning.Measured) error {
+	m.Machine.LoadAfter = loadAverage()
+	return c.Save(m)
+}
+
 // runEvents measures one fleet and ends it.
-func (c *Config) runEvents(ctx context.Context, size Size, m *capacity.Measured) (err error) {
+func (c *Config) runEvents(ctx context.Context, size Size, m *planning.Measured) (err error) {
 	dir := filepath.Join(c.Dir, fmt.Sprintf("%d-nodes-%d-services", size.Nodes, size.Services))
 	f, err := startFleet(ctx, size, c.Program, dir)
 	if f != nil {
@@ -87,8 +100,8 @@
 }
 
 // fleetOf brings a result into the form and the units of the arithmetic.
-func fleetOf(r *fleets.Result) capacity.Fleet {
-	return capacity.Fleet{
+func fleetOf(r *fleets.Result) planning.Fleet {
+	return planning.Fleet{
 		Nodes: r.Size.Nodes, Zones: r.Size.Zones, Listed: r.Size.Listed, Services: r.Size.Services,
 		Reader: roleOf(r.Readers), Idle: roleOf(r.Others),
 		StartSeconds: r.StartSeconds, StartPeakReads: r.StartPeakReads,
@@ -97,27 +110,39 @@
 	}
 }
 
-func roleOf(r fleets.Role) capacity.Role {
-	return capacity.Role{
+func roleOf(r fleets.Role) planning.Role {
+	return planning.Role{
 		Nodes: r.Nodes, Links: r.Links, CPU: r.CPUPercent / 100, MemoryBytes: 1e6 * r.MemoryMB,
 		Messages: r.MessagesPerSecond, Bytes: 1e3 * r.KBPerSecond,
 	}
 }
 
-// measureDocuments finds the sizes of one entry of each document, with names as
-// long as those of the planned fleet.
-func measureDocuments(m *capacity.Measured) error {
-	vm, err := json.Marshal(vmlist.VM{
+// measureDocuments finds the sizes of one entry of each document and of one
+// record, with names as long as those of the planned fleet.
+func measureDocuments(m *planning.Measured) error {
+	vm := vmlist.VM{
 		Name: "dispatch-archive-0123", AvailabilityZone: "vestland-3", Region: "vestland", Service: "dispatch-archive",
 		PeerAddress: "10.123.123.123:7001", CallerAddress: "10.123.123.123:7000", State: vmlist.Live,
-	})
+	}
+	entry, err := json.Marshal(vm)
 	if err != nil {
 		return errors.Wrap(err, "encode VM")
 	}
-	m.ListBytesPerVM = float64(len(vm) + len(","))
+	m.ListBytesPerVM = float64(len(entry) + len(","))
+	list := make([]peer.Record, peer.MaxRecords)
+	for i := range list {
+		list[i] = peer.Record{
+			VM: vm.Name, AvailabilityZone: vm.AvailabilityZone, Region: vm.Region, Service: vm.Service,
+			PeerAddress: vm.PeerAddress, Incarnation: uint64(m.Taken.UnixNano()), Stamp: 1 << 30, AgeMs: 1 << 20,
+		}
+	}
+	message, err := peer.Encode(&peer.Message{Records: &peer.Records{List: list}})
+	if err != nil {
+		return errors.WithMessage(err, "encode records")
+	}
+	m.RecordBytes = float64(len(message)) / peer.MaxRecords
 	const services = 100
-	c := Size{Nodes: 1, Zones: 1, Services: services}.catalogue(0)
-	all, err := json.Marshal(c)
+	all, err := json.Marshal(Size{Nodes: 1, Zones: 1, Services: services}.catalogue(0))
 	if err != nil {
 		return errors.Wrap(err, "encode catalogue")
 	}
--- a/internal/load/capacity/measure/traffic.go
+++ b/internal/load/capacity/measure/traffic.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/galenacart/galenacart/internal/load/capacity"
+	"github.com/galenacart/galenacart/internal/load/capacity/planning"
 	"github.com/galenacart/galenacart/internal/load/overhead"
 )
 
@@ -36,7 +36,7 @@
 }
 
 // measureTraffic sends calls from one node to the endpoint beside another.
-func (f *fleet) measureTraffic(ctx context.Context, restTime time.Duration) (*capacity.Traffic, error) {
+func (f *fleet) measureTraffic(ctx context.Context, restTime time.Duration) (*planning.Traffic, error) {
 	sender, receiver := f.processes[0], f.processes[1]
 	server, err := startEndpoint(receiver.settings.EndpointAddress)
 	if err != nil {
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &capacity.Traffic{
+	out := &planning.Traffic{
 		Nodes: f.size.Nodes, Failed: result.TwoNodes.Failed,
 		CallsPerSecond:    float64(result.TwoNodes.Calls) / trafficTime.Seconds(),
 		SenderMemoryBytes: float64(after[0].memory), ReceiverMemoryBytes: float64(after[1].memory),
--- a/internal/load/capacity/derive.go
+++ b/internal/load/capacity/planning/derive.go
@@ -1,13 +1,17 @@
-package capacity
+package planning
 
 import (
+	"fmt"
+
 	"github.com/galenacart/galenacart/decision/readers"
 )
 
 const (
 	// plannedLinks is the mean number of links of a node in a fleet of many zones:
 	// four made in its zone and one in each of three others, and as many accepted.
-	plannedLinks = 2 * (4 + 3)
+	plannedLinks = 2 * (linksInZone + linksElsewhere)
+	// linksInZone and linksElsewhere are the links that a node makes.
+	linksInZone, linksElsewhere = 4, 3
 	// frameBytes is what a message takes on the network beyond its payload: the
 	// headers of WebSocket, TCP, IP and Ethernet, and an acknowledgement.
 	frameBytes = 150
@@ -133,11 +137,18 @@
 
 // bytes returns the rate of bytes with those of headers and of an ordinary day.
 func (d *derivation) bytes() float64 {
+	neighbour := plannedLinks / d.vms() * d.recordsBytes()
 	day := d.target.ChangesPerDay*d.model.ChangeBytes +
-		d.target.RestartsPerDay*(d.model.RestartBytes+listChanges*d.model.ListBytes)
+		d.target.RestartsPerDay*(d.model.RestartBytes+listChanges*d.model.ListBytes+neighbour)
 	return plannedLinks*d.model.LinkBytes + day/secondsPerDay + d.messages()*frameBytes
 }
 
+// recordsBytes is what goes to a VM that comes back on each of its links, as it
+// knows no records and its peers know all.
+func (d *derivation) recordsBytes() float64 {
+	return d.vms() * d.measured.RecordBytes
+}
+
 // readerBytes is what a reader reads from the platform: both documents whole
 // with each change.
 func (d *derivation) readerBytes() float64 {
@@ -165,9 +176,10 @@
 	calls := d.target.CallsPerNode() * m.CallCPU
 	d.add(Row{loaded, "processor time of calls (no bound)", calls, "core", 0, Linear, "internal/traffic"})
 	d.add(Row{loaded, "memory with calls", idleMemory + max(0, m.CallMemory), "bytes", d.limits.MemoryBytes, g.Memory, "internal/traffic"})
-	for _, t := range d.measured.Traffic {
+	for i, t := range d.measured.Traffic {
 		added := float64(t.AddedP99Micros)
-		d.add(Row{loaded, "added at p99, as measured", added, "us", d.limits.AddedMicros, Flat, "internal/traffic"})
+		name := fmt.Sprintf("added at p99, as measured with %.0f VMs", d.measured.Events[i].VMs())
+		d.add(Row{loaded, name, added, "us", d.limits.AddedMicros, Flat, "internal/traffic"})
 	}
 }
 
@@ -197,9 +209,14 @@
 // restarts adds what VMs that come and go cost each other node.
 func (d *derivation) restarts() {
 	d.add(Row{"one restart", "processor time", d.restartCPU(), "s", 0, Linear, "internal/control"})
+	bytes := d.recordsBytes() / eventSeconds
+	d.add(Row{"one restart", "records to it on each of its links", bytes, "bytes/s", d.limits.BytesPerSecond, Linear, "internal/control"})
 	d.add(Row{"ordinary day", "processor time of changes and restarts", d.dayCPU(), "core", d.limits.CPU, Linear, "internal/control"})
 	d.together("rack lost and back", float64(d.target.RackVMs))
 	d.together("zone lost and back", d.target.ZoneVMs())
+	// A VM of the zone hears all records on each link to another zone.
+	back := 2 * linksElsewhere * d.recordsBytes() / eventSeconds
+	d.add(Row{"zone lost and back", "records to each of its VMs", back, "bytes/s", d.limits.BytesPerSecond, Linear, "internal/control"})
 	d.regions()
 }
 
@@ -221,7 +238,7 @@
 	m := &d.model
 	half := float64(d.target.Zones / regions)
 	// Links within the zone stay; of the others, those to the zones over there go.
-	lost := plannedLinks * 3.0 / 7 * half / float64(d.target.Zones-1)
+	lost := 2 * linksElsewhere * half / float64(d.target.Zones-1)
 	cpu := lost * max(0, m.LostLinkCPU.Value(d.vms()))
 	bytes := lost * m.LostLinkBytes
 	d.add(Row{event, "links lost", lost, "", 0, Flat, "internal/control"})
--- a/internal/load/capacity/derive_test.go
+++ b/internal/load/capacity/planning/derive_test.go
@@ -1,4 +1,4 @@
-package capacity
+package planning
 
 import (
 	"bytes"
@@ -23,7 +23,7 @@
 
 // known returns points without noise.
 func known() *Measured {
-	m := &Measured{ListBytesPerVM: 190, CatalogueBytesPerService: 400}
+	m := &Measured{ListBytesPerVM: 190, RecordBytes: 100, CatalogueBytesPerService: 400}
 	for _, size := range []struct {
 		nodes, zones int
 		links        float64
@@ -44,6 +44,9 @@
 		e.CatalogueChange = Cost{CPU: changeCPU, Messages: 10, Bytes: 1000}
 		e.Leave = Cost{CPU: restartCPU / 2, Messages: 14, Bytes: 1400}
 		e.Join = e.Leave
+		if size.listed > 0 {
+			e.Join.Messages, e.Join.Bytes = 400, 5e5 // records of the large list
+		}
 		e.Zone = Cost{CPU: 0.01 * float64(e.ZoneVMs), Messages: 28 * float64(e.ZoneVMs), Bytes: 2800 * float64(e.ZoneVMs)}
 		m.Events = append(m.Events, e)
 		m.Traffic = append(m.Traffic, Traffic{
@@ -77,7 +80,7 @@
 	const day = 86400.0
 	changes := (2700*changeCPU + 806*(restartCPU+3*listCPUPerVM*5900)) / day
 	messages := 28 + (2700*10+806*(28+3*10))/day
-	payload := 14*300 + (2700*1000+806*(2800+3*1000))/day
+	payload := 14*300 + (2700*1000+806*(2800+3*1000+14*100))/day
 	cases := []struct {
 		subject, quantity string
 		want              float64
@@ -96,6 +99,8 @@
 		{"fleet", "VM list in one value", 190 * 5900, false},
 		{"one restart", "processor time", restartCPU + 3*listCPUPerVM*5900, true},
 		{"rack lost and back", "processor time", 40 * 0.01 / 10, false},
+		{"one restart", "records to it on each of its links", 100 * 5900 / 10, false},
+		{"zone lost and back", "records to each of its VMs", 6 * 100 * 5900 / 10, false},
 		{"zone lost and back", "messages on one link", 590 * 28.0 / 28, true},
 		{"regions part and heal", "links lost", 6 * 5 / 9.0, true},
 	}
--- a/internal/load/capacity/fit.go
+++ b/internal/load/capacity/planning/fit.go
@@ -1,4 +1,4 @@
-package capacity
+package planning
 
 import "math"
 
--- a/internal/load/capacity/measured.go
+++ b/internal/load/capacity/planning/measured.go
@@ -1,8 +1,8 @@
-// Package capacity works out what a fleet of the planned size needs, from what
+// Package planning works out what a fleet of the planned size needs, from what
 // fleets of real processes on one machine were measured to cost: measured
 // points, slopes fitted through them, values at the planned size and their
 // margins. It does no I/O and measures nothing itself.
-package capacity
+package planning
 
 import (
 	"time"
@@ -25,6 +25,8 @@
 	Traffic []Traffic `json:"traffic"`
 	// ListBytesPerVM is the size of one entry of the VM list, in bytes.
 	ListBytesPerVM float64 `json:"listBytesPerVM"`
+	// RecordBytes is the size of the record of one VM on a link, in bytes.
+	RecordBytes float64 `json:"recordBytes"`
 	// CatalogueBytesPerService is the size of a service with its routes in the
 	// catalogue, in bytes.
 	CatalogueBytesPerService float64 `json:"catalogueBytesPerService"`
--- a/internal/load/capacity/model.go
+++ b/internal/load/capacity/planning/model.go
@@ -1,4 +1,4 @@
-package capacity
+package planning
 
 import "math"
 
@@ -136,9 +136,10 @@
 	o.ChangeCPU, o.ListCPU = Fit(change), Fit(list)
 }
 
-// fitRestarts fits what VMs that come and go cost the others. Messages and
-// bytes don't depend on the number of VMs, as each node passes a record on once
-// on each of its links; the largest of the measured ones counts.
+// fitRestarts fits what VMs that come and go cost the others. Messages and bytes
+// come from fleets whose VMs all run: there a node passes a record on once on each
+// of its links, whatever the number of VMs, and the largest measured cost counts.
+// The records of a large list, which go to a VM that comes back, are counted apart.
 func (o *Model) fitRestarts(events []Events) {
 	var one, together, lost []Point
 	for i := range events {
@@ -148,6 +149,9 @@
 		one = append(one, Point{At: at, Value: e.Leave.CPU + e.Join.CPU})
 		together = append(together, Point{At: at, Value: e.Zone.CPU / vms})
 		lost = append(lost, Point{At: at, Value: e.Freeze.CPU / linksLostWithAZone})
+		if e.Listed > 0 {
+			continue
+		}
 		o.RestartMessages = max(o.RestartMessages, e.Leave.Messages+e.Join.Messages)
 		o.RestartBytes = max(o.RestartBytes, e.Leave.Bytes+e.Join.Bytes)
 		o.TogetherMessages = max(o.TogetherMessages, e.Zone.Messages/vms)
--- a/internal/load/capacity/target.go
+++ b/internal/load/capacity/planning/target.go
@@ -1,4 +1,4 @@
-package capacity
+package planning
 
 // secondsPerDay turns counts of a day into rates.
 const secondsPerDay = 24 * 60 * 60
