--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Property tests draw the same cases on every run.
 export RAPID_SEED := 1
 
-.PHONY: build test lint format bench demo clean
+.PHONY: build test lint format bench demo capacity clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -25,5 +25,8 @@
 demo: build
 	demo/run.sh
 
+capacity: build
+	demo/capacity.sh
+
 clean:
 	rm -rf $(BIN) out
