Clear a VM that left once another process has taken its place; unknown parents are unknown

Fuzzing found that a child call without a running parent was told not run although an earlier send of it had run. Change: what an answer says about leaving is kept by traffic and cleared by an answered ping, and no longer reported to control; a call without a running parent is told unknown. Ruled out: letting the mark expire by time, because a slow stop would get calls again.

--- a/decision/routing/target.go
+++ b/decision/routing/target.go
@@ -161,6 +161,9 @@
 	if !known {
 		return
 	}
+	if !t.aside() {
+		return
+	}
 	t.probing = false
 	if !answered {
 		t.failed(now)
--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -187,10 +187,7 @@
 
 // judge learns from the answer of a node.
 func (t *Traffic) judge(s *service, vm string, o *outgoing, a *answer, reply *call.Reply) (try, routing.Finished) {
-	s.report(vm, o.route.Name, reply.Threshold, reply.Headroom, reply.Incarnation)
-	if reply.Leaving {
-		t.config.Reports.Send(view.Report{Kind: view.ReportPeerLeaving, VM: vm})
-	}
+	s.report(vm, o.route.Name, reply)
 	if reply.Losses > 0 {
 		t.suspects.lost(o.request.fingerprint, int(reply.Losses))
 	}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -62,7 +62,7 @@
 	}
 	p := t.parents.get(id)
 	if p == nil {
-		return failed(problem.New(problem.KindUnknownParent, problem.RanNo, "call %s is not running here", named))
+		return failed(problem.New(problem.KindUnknownParent, problem.RanUnknown, "call %s is not running here", named))
 	}
 	return t.child(r, p, v, route, q)
 }
--- a/internal/traffic/path_test.go
+++ b/internal/traffic/path_test.go
@@ -243,8 +243,19 @@
 	f := newFleet(t)
 	front := f.add("front-1", "front", "a", answerWith(""))
 	deep := f.add("deep-1", "deep", "a", answerWith(""))
+	f.add("middle-1", "middle", "a", answerWith(""))
 	f.start()
 	got := send(t, front.outbound.URL, "GET", "/deep", "", "")
 	require.Equal(t, problem.KindNoRoute.String(), got.header.Get(problem.HeaderKind), "front may not call deep")
 	require.Zero(t, deep.runs.Load())
+
+	middle := f.nodes["middle-1"]
+	r, err := http.NewRequestWithContext(t.Context(), "POST", middle.outbound.URL+"/deep", nil)
+	require.NoError(t, err)
+	r.Header.Set(call.HeaderParent, call.ID{}.String())
+	response, err := http.DefaultTransport.RoundTrip(r)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, problem.KindUnknownParent.String(), response.Header.Get(problem.HeaderKind))
+	require.Equal(t, "unknown", response.Header.Get(problem.HeaderRan), "an earlier send may have run while the parent did")
 }
--- a/internal/traffic/targets.go
+++ b/internal/traffic/targets.go
@@ -11,9 +11,13 @@
 	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/decision/routing"
 	"github.com/galenacart/galenacart/decision/shedding"
+	"github.com/galenacart/galenacart/internal/call"
 	"github.com/galenacart/galenacart/internal/view"
 )
 
+// leaverPingInterval is the time between two pings of a VM that was leaving.
+const leaverPingInterval = 500 * time.Millisecond
+
 // targets holds what this node knows of the endpoints that it sends calls to.
 type targets struct {
 	now func() time.Duration
@@ -31,6 +35,7 @@
 	thresholds   *shedding.Memory
 	brake        *retry.Brake
 	incarnations map[string]uint64
+	leavers      map[string]time.Duration // the time of the next ping, by VM
 	candidates   []routing.Candidate
 }
 
@@ -49,6 +54,7 @@
 			thresholds:   shedding.NewMemory(),
 			brake:        retry.NewBrake(),
 			incarnations: make(map[string]uint64),
+			leavers:      make(map[string]time.Duration),
 		}
 		t.services[name] = s
 	}
@@ -73,6 +79,11 @@
 			delete(s.incarnations, vm)
 		}
 	}
+	for vm := range s.leavers {
+		if v.ByVM[vm] == nil {
+			delete(s.leavers, vm)
+		}
+	}
 }
 
 // place is where a node stands.
@@ -88,10 +99,11 @@
 	now := s.now()
 	s.candidates = s.candidates[:0]
 	for _, m := range members {
+		_, leaves := s.leavers[m.VM]
 		s.candidates = append(s.candidates, routing.Candidate{
 			VM:       m.VM,
 			Distance: from.distance(m),
-			Leaving:  m.Leaving,
+			Leaving:  m.Leaving || leaves,
 			Tried:    contains(tried, m.VM),
 			Shedding: s.thresholds.Refuse(now, targetOf(m.VM, route), p),
 		})
@@ -111,12 +123,16 @@
 	s.router.Finish(s.now(), vm, f)
 }
 
-// report takes in what an answer said about its node.
-func (s *service) report(vm, route string, threshold priority.Priority, headroom uint16, incarnation uint64) {
+// report takes in what an answer said about its node. A node that leaves gets
+// no calls until a ping shows that another process has taken its place.
+func (s *service) report(vm, route string, r *call.Reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.thresholds.Report(s.now(), targetOf(vm, route), threshold, headroom)
-	s.incarnations[vm] = incarnation
+	s.thresholds.Report(s.now(), targetOf(vm, route), r.Threshold, r.Headroom)
+	s.incarnations[vm] = r.Incarnation
+	if r.Leaving {
+		s.leavers[vm] = s.now() + leaverPingInterval
+	}
 }
 
 // threshold returns the first priority that every usable endpoint sheds.
--- a/internal/traffic/watch.go
+++ b/internal/traffic/watch.go
@@ -129,6 +129,10 @@
 
 // servePing answers other nodes.
 func (t *Traffic) servePing(w http.ResponseWriter, _ *http.Request) {
+	if t.Leaving() {
+		problem.Write(w, problem.New(problem.KindLeaving, problem.RanNo, "the node is stopping"), "")
+		return
+	}
 	if t.watch.isStalled() {
 		problem.Write(w, problem.New(problem.KindUnreachable, problem.RanNo, "the endpoint doesn't answer"), "")
 		return
@@ -157,11 +161,22 @@
 func (s *service) due() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.router.Due(s.now(), nil)
+	now := s.now()
+	out := s.router.Due(now, nil)
+	for vm, at := range s.leavers {
+		if now >= at {
+			s.leavers[vm] = now + leaverPingInterval
+			out = append(out, vm)
+		}
+	}
+	return out
 }
 
 func (s *service) probed(vm string, answered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.router.Probed(s.now(), vm, answered)
+	if answered {
+		delete(s.leavers, vm)
+	}
 }
