Follow one boundary of shedding at gates and along the chain

Cause: a node refused whole requests below a route only while every endpoint below had reported within 250 ms, which is rare under shedding, so endpoints went on working for requests that were refused below. Change: decision/boundary, taken out of admission, follows what became of single calls; the chain uses it for the calls below each route.

--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenacart/galenacart/decision/boundary"
 	"github.com/galenacart/galenacart/decision/capacity"
 	"github.com/galenacart/galenacart/decision/priority"
 )
@@ -35,7 +36,7 @@
 	queue     queue
 	flights   flights
 	answers   estimate
-	threshold threshold
+	threshold boundary.Boundary
 	now       time.Duration
 }
 
@@ -109,7 +110,7 @@
 // Threshold returns the first priority that would be shed now, or
 // priority.Lowest if none would.
 func (g *Gate) Threshold(now time.Duration) priority.Priority {
-	return g.threshold.current(max(g.now, now))
+	return g.threshold.Current(max(g.now, now))
 }
 
 // Headroom returns the number of further calls that would run at once.
@@ -177,7 +178,7 @@
 }
 
 func (g *Gate) start(now time.Duration, e *entry) {
-	g.threshold.ran(e.priority)
+	g.threshold.Ran(e.priority)
 	g.flights.add(flight{
 		id:       e.id,
 		started:  now,
@@ -197,7 +198,7 @@
 		}
 	}
 	if ahead == g.queue.len() {
-		g.threshold.shed(now, e.priority)
+		g.threshold.Shed(now, e.priority)
 	}
 	return VerdictTooLate, out
 }
@@ -209,11 +210,11 @@
 		return VerdictQueued, out
 	}
 	if g.queue.len() == 0 || !e.before(g.queue.worst()) {
-		g.threshold.shed(now, e.priority)
+		g.threshold.Shed(now, e.priority)
 		return VerdictShed, out
 	}
 	evicted := g.queue.replaceWorst(*e)
-	g.threshold.shed(now, evicted.priority)
+	g.threshold.Shed(now, evicted.priority)
 	return VerdictQueued, append(out, Release{ID: evicted.id, Verdict: VerdictShed})
 }
 
@@ -227,7 +228,7 @@
 		out = append(out, Release{ID: e.id, Verdict: VerdictShed})
 	}
 	g.queue.popWorst(n)
-	g.threshold.shed(now, first)
+	g.threshold.Shed(now, first)
 	return out
 }
 
--- a/decision/shedding/chain.go
+++ b/decision/shedding/chain.go
@@ -3,17 +3,10 @@
 import (
 	"time"
 
+	"github.com/galenacart/galenacart/decision/boundary"
 	"github.com/galenacart/galenacart/decision/priority"
 )
 
-const (
-	// chainExpiry is the time after which a report counts no more.
-	chainExpiry = 250 * time.Millisecond
-	// chainProbeInterval is the time between two calls of a route that pass its
-	// threshold to ask whether it still holds.
-	chainProbeInterval = 25 * time.Millisecond
-)
-
 // Chain remembers, at the node of an endpoint, which calls are shed below each
 // of the endpoint's routes, so that a whole request is refused at its first hop
 // instead of its last. It is not safe for concurrent use.
@@ -23,51 +16,43 @@
 
 // route is what is known below one route of the endpoint.
 type route struct {
-	below    map[string]*below // by the route of the endpoint's own call
+	below    map[string]*boundary.Boundary // by the route of the endpoint's own call
 	probedAt time.Duration
 }
 
-// below is what is known of one kind of call that the endpoint makes.
-type below struct {
-	at        time.Duration
-	threshold priority.Priority
-}
-
 // NewChain returns an empty Chain.
 func NewChain() *Chain {
 	return &Chain{routes: make(map[string]*route)}
 }
 
-// Report takes in the first priority that every endpoint below sheds, after a
-// call named child that the endpoint made while it ran a call named parent.
-func (c *Chain) Report(now time.Duration, parent, child string, threshold priority.Priority) {
+// Shed takes in that every endpoint below shed a call named child that the
+// endpoint made while it ran a call named parent.
+func (c *Chain) Shed(now time.Duration, parent, child string, p priority.Priority) {
+	c.follow(parent, child).Shed(now, p)
+}
+
+// Ran takes in that a call below was run.
+func (c *Chain) Ran(parent, child string, p priority.Priority) {
 	r, known := c.routes[parent]
 	if !known {
-		r = &route{below: make(map[string]*below)}
-		c.routes[parent] = r
+		return
 	}
-	b, known := r.below[child]
-	if !known {
-		b = &below{}
-		r.below[child] = b
+	if b, known := r.below[child]; known {
+		b.Ran(p)
 	}
-	b.at = now
-	b.threshold = threshold
 }
 
 // Threshold returns the first priority that is shed below the route.
 func (c *Chain) Threshold(now time.Duration, parent string) priority.Priority {
-	lowest := priority.Lowest
+	tightest := priority.Lowest
 	r, known := c.routes[parent]
 	if !known {
-		return lowest
+		return tightest
 	}
 	for _, b := range r.below {
-		if now-b.at < chainExpiry && b.threshold.Before(lowest) {
-			lowest = b.threshold
-		}
+		tightest = min(tightest, b.Current(now))
 	}
-	return lowest
+	return tightest
 }
 
 // Refuse reports whether a call of priority p would be shed below the route.
@@ -78,9 +63,23 @@
 		return false
 	}
 	r := c.routes[parent]
-	if now-r.probedAt < chainProbeInterval {
+	if now-r.probedAt < ProbeInterval {
 		return true
 	}
 	r.probedAt = now
 	return false
 }
+
+func (c *Chain) follow(parent, child string) *boundary.Boundary {
+	r, known := c.routes[parent]
+	if !known {
+		r = &route{below: make(map[string]*boundary.Boundary)}
+		c.routes[parent] = r
+	}
+	b, known := r.below[child]
+	if !known {
+		b = &boundary.Boundary{}
+		r.below[child] = b
+	}
+	return b
+}
--- a/decision/shedding/chain_test.go
+++ b/decision/shedding/chain_test.go
@@ -9,26 +9,27 @@
 	"github.com/galenacart/galenacart/decision/priority"
 )
 
+const second = priority.Priority(1 << 24)
+
 func TestChainRefusesWhatIsShedBelow(t *testing.T) {
 	c := NewChain()
 	now := time.Second
-	require.False(t, c.Refuse(now, "book", 50))
-	c.Report(now, "book", "reserve", 50)
-	c.Report(now, "book", "price", priority.Lowest)
-	c.Report(now, "book", "plan", 90)
-	require.Equal(t, priority.Priority(50), c.Threshold(now, "book"), "the tightest of all calls below counts")
-	require.False(t, c.Refuse(now, "book", 49))
-	require.False(t, c.Refuse(now, "other", 60))
-	require.False(t, c.Refuse(now, "book", 60), "the first one asks")
-	require.True(t, c.Refuse(now+time.Millisecond, "book", 60))
-	require.False(t, c.Refuse(now+ProbeInterval, "book", 60), "now and then one asks again")
+	require.False(t, c.Refuse(now, "book", second))
+	c.Shed(now, "book", "reserve", second+50)
+	c.Shed(now, "book", "plan", second+90)
+	require.Equal(t, second+50, c.Threshold(now, "book"), "the tightest of all calls below counts")
+	require.False(t, c.Refuse(now, "book", second+49))
+	require.False(t, c.Refuse(now, "other", second+60))
+	require.False(t, c.Refuse(now, "book", second+60), "the first one asks")
+	require.True(t, c.Refuse(now+time.Millisecond, "book", priority.Lowest-1))
+	require.False(t, c.Refuse(now+ProbeInterval, "book", priority.Lowest-1), "now and then one asks again")
 }
 
 func TestChainReopens(t *testing.T) {
 	c := NewChain()
-	c.Report(0, "book", "reserve", 50)
-	c.Report(0, "book", "reserve", priority.Lowest)
-	require.Equal(t, priority.Lowest, c.Threshold(0, "book"), "the newest report of a call counts")
-	c.Report(0, "book", "reserve", 50)
-	require.Equal(t, priority.Lowest, c.Threshold(Expiry, "book"), "a report expires")
+	c.Shed(0, "book", "reserve", second)
+	before := c.Threshold(0, "book")
+	c.Ran("book", "reserve", second+1000)
+	require.Greater(t, c.Threshold(0, "book"), before, "a call that ran beyond the threshold raises it")
+	require.Equal(t, priority.Lowest, c.Threshold(time.Second, "book"), "without further shedding it opens")
 }
--- a/internal/traffic/chain.go
+++ b/internal/traffic/chain.go
@@ -20,10 +20,16 @@
 	return &chain{now: now, below: shedding.NewChain()}
 }
 
-func (c *chain) report(parent, child string, threshold priority.Priority) {
+func (c *chain) shed(parent, child string, p priority.Priority) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.below.Report(c.now(), parent, child, threshold)
+	c.below.Shed(c.now(), parent, child, p)
+}
+
+func (c *chain) ran(parent, child string, p priority.Priority) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.below.Ran(parent, child, p)
 }
 
 func (c *chain) refuse(route string, p priority.Priority) bool {
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -64,7 +64,7 @@
 	if p == nil {
 		return failed(problem.New(problem.KindUnknownParent, problem.RanUnknown, "call %s is not running here", named))
 	}
-	return t.child(r, p, v, route, q)
+	return t.child(r, p, route, q)
 }
 
 // outboundRoute returns the route of an endpoint's call. The endpoint may only
@@ -95,7 +95,7 @@
 }
 
 // child carries a call that the endpoint makes for a running call.
-func (t *Traffic) child(r *http.Request, p *parent, v *view.View, route *catalogue.Route, q *request) *answer {
+func (t *Traffic) child(r *http.Request, p *parent, route *catalogue.Route, q *request) *answer {
 	key := childKey(q)
 	fingerprint := xxhash.Sum64(key[:])
 	resend := p.childStarts(t.config.Now(), fingerprint)
@@ -108,7 +108,7 @@
 		})
 	}
 	ok := a.problem == nil
-	t.learnBelow(p, v, route)
+	t.learnBelow(p, route, a)
 	return a.onClose(func() { p.childEnds(t.config.Now(), fingerprint, ok) })
 }
 
@@ -145,13 +145,13 @@
 
 // learnBelow notes which calls are shed further down, so that the next ones are
 // refused before any work.
-func (t *Traffic) learnBelow(p *parent, v *view.View, route *catalogue.Route) {
-	members := v.ByService[route.Service]
-	if len(members) == 0 {
-		return
+func (t *Traffic) learnBelow(p *parent, route *catalogue.Route, a *answer) {
+	switch {
+	case a.problem == nil:
+		t.chain.ran(p.route, route.Name, p.priority)
+	case a.problem.Kind == problem.KindOverloaded || a.problem.Kind == problem.KindOverloadedEverywhere:
+		t.chain.shed(p.route, route.Name, p.priority)
 	}
-	threshold := t.targets.service(route.Service).threshold(members, route.Name)
-	t.chain.report(p.route, route.Name, threshold)
 }
 
 // childKey identifies a non-idempotent call of the endpoint within its parent:
--- a/internal/traffic/targets.go
+++ b/internal/traffic/targets.go
@@ -135,21 +135,6 @@
 	}
 }
 
-// threshold returns the first priority that every usable endpoint sheds.
-func (s *service) threshold(members []*view.Member, route string) priority.Priority {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	most := priority.Highest
-	for _, m := range members {
-		if m.Leaving {
-			continue
-		}
-		most = max(most, s.thresholds.Threshold(now, targetOf(m.VM, route)))
-	}
-	return most
-}
-
 // incarnation returns the run of a VM's process that answered last, or 0.
 func (s *service) incarnation(vm string) uint64 {
 	s.mu.Lock()
