Keep the rows of the demo's table short

Change: a row shows the three most frequent ones and the count of the others; the JSON report keeps all.

Conclusion: the table can be read.

--- a/internal/load/report/report_test.go
+++ b/internal/load/report/report_test.go
@@ -186,6 +186,12 @@
 	require.Error(t, r.AddIdeal(in, func(*experiment.Phase) ([]ideal.Rate, error) { return nil, errors.New("no") }))
 }
 
+func TestEndingsOfARow(t *testing.T) {
+	all := []Ending{{"whole", "yes", 90}, {"overloaded", "no", 5}, {"late", "unknown", 4}, {"lost", "no", 3}, {"lost", "unknown", 2}, {"failed", "yes", 1}}
+	require.Equal(t, "overloaded/no 5, late/unknown 4, lost/no 3, others 3", endings(all))
+	require.Equal(t, "-", endings(all[:1]))
+}
+
 func TestSpread(t *testing.T) {
 	var reports []*Report
 	for i, period := range []time.Duration{40, 10, 20} {
--- a/internal/load/report/text.go
+++ b/internal/load/report/text.go
@@ -7,6 +7,8 @@
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/load/outcome"
 )
 
 // table writes aligned columns and keeps the first error.
@@ -105,13 +107,24 @@
 	return fmt.Sprintf("%.3f", c.OfIdeal)
 }
 
+// maxEndings bounds the endings shown in a row; the JSON report has them all.
+const maxEndings = 3
+
+// endings returns the most frequent endings other than whole answers.
 func endings(all []Ending) string {
 	var words []string
+	more := 0
 	for _, e := range all {
-		if e.Label == "whole" {
-			continue
+		switch {
+		case e.Label == string(outcome.Whole):
+		case len(words) < maxEndings:
+			words = append(words, fmt.Sprintf("%s/%s %d", e.Label, e.Ran, e.Count))
+		default:
+			more += e.Count
 		}
-		words = append(words, fmt.Sprintf("%s/%s %d", e.Label, e.Ran, e.Count))
+	}
+	if more > 0 {
+		words = append(words, fmt.Sprintf("others %d", more))
 	}
 	if len(words) == 0 {
 		return "-"
