Admission: judge slots by own time together with the usual time downstream

Cause: in the middle of a chain an endpoint's own time is a few milliseconds of a long answer; small changes of it under load looked like full slots, and nodes refused calls with most slots free (docs/MEASUREMENTS.md). Change: the time given to the limiter holds the endpoint's own time plus the usual time of its own calls, so only a change that matters to the whole answer counts.

--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -24,6 +24,10 @@
 	probeShare = 16
 )
 
+// downstreamWeight is the weight of one call in the usual time that an endpoint
+// waits for its own calls.
+const downstreamWeight = 1.0 / 256
+
 // Gate decides about the calls for one endpoint. It is not safe for concurrent
 // use.
 //
@@ -37,7 +41,9 @@
 	flights   flights
 	answers   estimate
 	threshold boundary.Boundary
-	now       time.Duration
+	// downstream is the usual time that the endpoint waits for its own calls.
+	downstream time.Duration
+	now        time.Duration
 }
 
 // NewGate returns a Gate with no calls.
@@ -142,7 +148,7 @@
 	switch r.Outcome {
 	case OutcomeAnswered:
 		g.answers.add(r.Took)
-		g.limiter.End(now, call.mark, ownTime(r))
+		g.limiter.End(now, call.mark, g.slotTime(r))
 	case OutcomeRefused:
 		g.limiter.Refused(now, call.mark)
 	default:
@@ -151,14 +157,17 @@
 			return
 		}
 		g.answers.add(r.Took)
-		g.limiter.CutOff(now, call.mark, ownTime(r))
+		g.limiter.CutOff(now, call.mark, g.slotTime(r))
 	}
 }
 
-// ownTime returns the time that the endpoint itself needed. The time that it
-// waited for others tells nothing about its slots.
-func ownTime(r *Result) time.Duration {
-	return max(r.Took-r.DownstreamWait, r.Took/16, 1)
+// slotTime returns the time for which the call would have held a slot if the
+// endpoint's own calls had taken their usual time. How long they took just now
+// tells nothing about the endpoint's slots; that they are a part of the whole
+// keeps small changes of the endpoint's own time from looking like a full one.
+func (g *Gate) slotTime(r *Result) time.Duration {
+	g.downstream += time.Duration(float64(r.DownstreamWait-g.downstream) * downstreamWeight)
+	return max(r.Took-r.DownstreamWait+g.downstream, 1)
 }
 
 // settle sheds what no longer fits into the queue and starts what has a slot.
