Capacity: a second, wider comparison; other ways measured on the same endpoints

Cause: with calls of very different length and a limit far above the slots a narrow comparison has no restoring force. A slowdown between the two levels of a comparison raised the limit from 10 to 18. Bookings at 0.8 of a 10-slot endpoint lost up to 1.7 % to the bound of 100 ms on waiting. Change: every second settled comparison spans 0.36 instead of 0.18; what calls in flight can't explain is not learned; calls may wait 200 ms at least.

--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -16,7 +16,7 @@
 	// waitAnswers is the time that a call may wait, in times to answer.
 	waitAnswers = 4
 	// waitMin and waitMax bound the time that a call may wait.
-	waitMin = 100 * time.Millisecond
+	waitMin = 200 * time.Millisecond
 	waitMax = 500 * time.Millisecond
 	// probeShare is the part of the slots, one in probeShare, that is filled
 	// whatever the estimates say. It shows when they are out of date.
--- a/decision/capacity/knee.go
+++ b/decision/capacity/knee.go
@@ -23,6 +23,10 @@
 	// comparison, as a logarithm. A wide gap tells more and costs more.
 	gapMin = 0.18
 	gapMax = 0.7
+	// gapCheck is the gap of one comparison in checkEvery once the limit is
+	// settled. Far above the slots it tells more than the least one.
+	gapCheck   = 0.36
+	checkEvery = 2
 	// gapPerStep sets the gap from the step.
 	gapPerStep = 2
 	// gapWide is the gap from which on a small batch tells enough.
@@ -37,6 +41,11 @@
 	// elasticityTarget is the aim for the change of the time to answer relative
 	// to the change of the level: 0 below the endpoint's slots, 1 above.
 	elasticityTarget = 0.7
+	// elasticityLeast and elasticityMost bound what the number of calls in flight
+	// can explain over the least gap. Outside of them the endpoint itself became slower or faster
+	// between the two levels, and the comparison tells nothing.
+	elasticityLeast = -3
+	elasticityMost  = 5
 	// elasticityLow is the mean elasticity that shows spare slots.
 	elasticityLow = 0.3
 	// elasticityWeight is the weight of one comparison in the mean elasticity.
@@ -57,6 +66,7 @@
 	mean     float64 // mean elasticity
 	upwards  bool    // sign of the last error
 	compared bool
+	turn     int // counts the comparisons while the limit is settled
 }
 
 func newKnee() knee {
@@ -82,6 +92,9 @@
 // to measure at each. An endpoint of one slot is compared at 2 and 1.
 func (k *knee) levels() (high, low, size int) {
 	gap := max(gapMin, min(gapMax, gapPerStep*k.step))
+	if k.check() && gap < gapCheck {
+		gap = gapCheck
+	}
 	high = max(2, k.level(0))
 	low = max(1, min(high-1, k.level(-gap)))
 	if gap > gapWide {
@@ -93,10 +106,21 @@
 // adapt takes in the elasticity of one comparison and reports whether the limit
 // is settled.
 func (k *knee) adapt(elasticity float64) bool {
-	err := elasticityTarget - elasticity
+	scale := 1.0
+	if k.check() {
+		scale = gapMin / gapCheck
+	}
+	if elasticity < elasticityLeast*scale || elasticity > elasticityMost*scale {
+		return false
+	}
+	k.turn++
+	if k.step > stepSettled {
+		k.turn = 0
+	}
+	err := elasticityTarget*scale - elasticity
 	k.adaptStep(err > 0)
 	k.move(k.step * max(-1, min(1, errorGain*err)))
-	k.mean += (elasticity - k.mean) * elasticityWeight
+	k.mean += (max(-1, min(2, elasticity)) - k.mean) * elasticityWeight
 	if k.mean < elasticityLow {
 		k.mean += elasticityLift
 		k.move(jump)
@@ -105,6 +129,11 @@
 	return k.step <= stepSettled
 }
 
+// check reports whether the present comparison has gapCheck.
+func (k *knee) check() bool {
+	return k.turn%checkEvery == checkEvery-1
+}
+
 func (k *knee) adaptStep(upwards bool) {
 	if k.compared && upwards == k.upwards {
 		k.step = min(stepInitial, k.step*stepGrowth)
--- a/decision/capacity/limiter_test.go
+++ b/decision/capacity/limiter_test.go
@@ -53,7 +53,7 @@
 
 func TestLimitOutlivesSlowdown(t *testing.T) {
 	for _, d := range distributions {
-		for _, slots := range []int{10, 70} {
+		for slots, seeds := range map[int]uint64{10: 4 * seeds, 70: seeds} {
 			t.Run(fmt.Sprintf("%s %d", d.desc, slots), func(t *testing.T) {
 				before, after := 0.0, 0.0
 				for seed := uint64(1); seed <= seeds; seed++ {
