--- a/internal/traffic/fuzz_conn_test.go
+++ b/internal/traffic/fuzz_conn_test.go
@@ -136,7 +136,7 @@
 
 // deliver brings one piece over. It returns false when the connection ends.
 func (c *memoryConn) deliver(to net.Conn, piece []byte) bool {
-	strikes := c.pieces.Add(1)-1 == int64(c.plan.Piece)
+	strikes := c.pieces.Add(1)-1 == int64(c.plan.Piece) && c.plan.Fault != faultNone
 	if strikes && !c.strike(to, piece) {
 		return false
 	}
@@ -148,8 +148,10 @@
 	if c.silent.Load() {
 		return true
 	}
-	_, err := to.Write(piece)
-	return err == nil && !(strikes && c.plan.Fault == faultCutAfter)
+	if _, err := to.Write(piece); err != nil {
+		return false
+	}
+	return !strikes || c.plan.Fault != faultCutAfter
 }
 
 // strike does what the plan says about a piece.
--- a/internal/traffic/fuzz_endpoint_test.go
+++ b/internal/traffic/fuzz_endpoint_test.go
@@ -83,12 +83,11 @@
 	if r.Method == http.MethodPost {
 		content, _ = url.ParseQuery(string(body))
 	}
-	id := content.Get("id")
 	status, filler := http.StatusOK, fillerSmall
 	if plan.Manner == mannerLarge {
 		filler = fillerLarge
 	}
-	run := h.ledger.run(id, r.Header.Get(headerSending), e.place.vm, status, filler)
+	run := h.ledger.run(r.Header.Get(headerSending), e.place.vm, status, filler)
 	if content.Get("crash") != "" && e.place.service == "deep" {
 		e.breakDown(run)
 	}
@@ -166,7 +165,8 @@
 }
 
 func (q *asking) build(ctx context.Context) (*http.Request, error) {
-	content := "id=" + url.QueryEscape(q.id)
+	root, _, _ := strings.Cut(q.id, "/") // all calls of a chain have the same content
+	content := "id=" + root
 	if q.crash {
 		content += "&crash=1"
 	}
--- a/internal/traffic/fuzz_history_test.go
+++ b/internal/traffic/fuzz_history_test.go
@@ -46,7 +46,7 @@
 }
 
 // play runs the whole script inside a bubble and returns what the oracle finds.
-func (h *history) play() []string {
+func (h *history) play() []finding {
 	for i := range h.script.Nodes {
 		e := &fuzzEndpoint{history: h, place: placeOf(i)}
 		e.start()
--- a/internal/traffic/fuzz_log_test.go
+++ b/internal/traffic/fuzz_log_test.go
@@ -1,7 +1,10 @@
 package traffic
 
 import (
+	"bytes"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -10,7 +13,7 @@
 // runEntry is one run at an endpoint, as the endpoint itself saw it.
 type runEntry struct {
 	number  int
-	id      string // the request's own content
+	id      string // the request
 	sending string // the sending that brought it
 	vm      string
 	crashed bool
@@ -45,6 +48,7 @@
 	mu      sync.Mutex
 	runs    []*runEntry
 	answers []answerEntry
+	panics  []string
 	sent    map[string]int64 // the order of each sending
 }
 
@@ -52,8 +56,10 @@
 	return &ledger{sent: make(map[string]int64)}
 }
 
-// run notes the start of a run.
-func (l *ledger) run(id, sending, vm string, status, filler int) *runEntry {
+// run notes the start of a run. The sending's name is the request's name, a dot
+// and a number.
+func (l *ledger) run(sending, vm string, status, filler int) *runEntry {
+	id, _, _ := strings.Cut(sending, ".")
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := &runEntry{number: len(l.runs) + 1, id: id, sending: sending, vm: vm, status: status}
@@ -76,6 +82,16 @@
 	l.answers = append(l.answers, a)
 }
 
+// Write takes the lines that HTTP servers log and keeps panics of handlers.
+func (l *ledger) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("panic")) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.panics = append(l.panics, string(line))
+	}
+	return len(line), nil
+}
+
 // tally counts what happened over many histories.
 type tally struct {
 	mu     sync.Mutex
@@ -91,3 +107,20 @@
 	defer t.mu.Unlock()
 	t.counts[what]++
 }
+
+// String returns how often each thing happened, in the order of the names.
+func (t *tally) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(t.counts)) {
+		fmt.Fprintf(&out, "%8d %s\n", t.counts[name], name)
+	}
+	return out.String()
+}
+
+func (t *tally) count(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts[name]
+}
--- a/internal/traffic/fuzz_node_test.go
+++ b/internal/traffic/fuzz_node_test.go
@@ -126,14 +126,14 @@
 	n.stop = cancel
 	go n.traffic.Run(ctx)
 	go h.control(ctx, n)
-	n.serve(h.network.listen(n.process, p.host+portPeer), n.traffic.PeerHandler())
-	n.serve(h.network.listen(n.process, p.host+portCaller), n.traffic.CallerHandler())
-	n.serve(h.network.listen(n.process, p.host+portOutbound), n.traffic.OutboundHandler())
+	h.serve(n, h.network.listen(n.process, p.host+portPeer), n.traffic.PeerHandler())
+	h.serve(n, h.network.listen(n.process, p.host+portCaller), n.traffic.CallerHandler())
+	h.serve(n, h.network.listen(n.process, p.host+portOutbound), n.traffic.OutboundHandler())
 	return n
 }
 
-func (n *fuzzNode) serve(l *memoryListener, handler http.Handler) {
-	s := &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
+func (h *history) serve(n *fuzzNode, l *memoryListener, handler http.Handler) {
+	s := &http.Server{Handler: handler, ErrorLog: log.New(h.ledger, "", 0)}
 	n.servers = append(n.servers, s)
 	go func() { _ = s.Serve(l) }()
 }
--- a/internal/traffic/fuzz_oracle_test.go
+++ b/internal/traffic/fuzz_oracle_test.go
@@ -9,15 +9,41 @@
 // crashedMax is the number of endpoints that one request may break.
 const crashedMax = 2
 
+// promise is one of the things that must always hold.
+type promise uint8
+
+const (
+	promiseOnce         promise = iota
+	promiseVerdict              // towards callers
+	promiseChildVerdict         // towards endpoints, about their own calls
+	promiseWhole
+	promiseBudget
+	promiseCrashes
+	promiseChainCrashes // by a request that reaches the endpoint over another one
+	promisePanic
+
+	promiseCount
+)
+
+var promiseNames = [promiseCount]string{
+	"once", "verdict", "child-verdict", "whole", "budget", "crashes", "chain-crashes", "panic",
+}
+
+// finding is one broken promise.
+type finding struct {
+	promise promise
+	text    string
+}
+
 // oracle judges a history by what endpoints and callers saw.
 type oracle struct {
 	ledger *ledger
 	extra  int // runs that the network itself may have caused by repeats
 	byID   map[string][]*runEntry
-	found  []string
+	found  []finding
 }
 
-func judgeHistory(h *history) []string {
+func judgeHistory(h *history) []finding {
 	h.ledger.mu.Lock()
 	defer h.ledger.mu.Unlock()
 	o := &oracle{ledger: h.ledger, extra: h.network.repeatCount(), byID: make(map[string][]*runEntry)}
@@ -32,12 +58,15 @@
 		o.judgeAnswer(a)
 		h.tally.add("answer:" + verdictOf(a))
 	}
+	for _, text := range h.ledger.panics {
+		o.fault(promisePanic, "%s", text)
+	}
 	o.countReplays(h.tally)
 	return o.found
 }
 
-func (o *oracle) fault(format string, args ...any) {
-	o.found = append(o.found, fmt.Sprintf(format, args...))
+func (o *oracle) fault(p promise, format string, args ...any) {
+	o.found = append(o.found, finding{promise: p, text: fmt.Sprintf(format, args...)})
 }
 
 // judgeRuns checks how often a request and what it caused ran.
@@ -48,7 +77,7 @@
 			continue
 		}
 		if plan.Method == "POST" && len(runs) > 1 {
-			o.fault("request %s ran %d times", runID, len(runs))
+			o.fault(promiseOnce, "request %s ran %d times", runID, len(runs))
 		}
 		extra += len(runs) - 1
 		for _, r := range runs {
@@ -58,10 +87,14 @@
 		}
 	}
 	if plan.Method == "GET" && extra > fuzzRetryBudget+o.extra {
-		o.fault("request %s caused %d extra runs, the budget is %d", id, extra, fuzzRetryBudget)
+		o.fault(promiseBudget, "request %s caused %d extra runs, the budget is %d", id, extra, fuzzRetryBudget)
 	}
 	if crashed > crashedMax {
-		o.fault("request %s broke %d endpoints", id, crashed)
+		p := promiseCrashes
+		if plan.Path == "/middle" {
+			p = promiseChainCrashes
+		}
+		o.fault(p, "request %s broke %d endpoints", id, crashed)
 	}
 }
 
@@ -73,8 +106,11 @@
 	if a.ran == "no" {
 		o.judgeNotRun(a)
 	}
+	if a.ran == "yes" && len(o.byID[a.id]) == 0 {
+		o.fault(verdictPromise(a), "%s %s was told %s run, but nothing ran", a.method, a.sending, a.kind)
+	}
 	if a.whole() && !o.isOwn(a) {
-		o.fault("answer to %s is not its own whole one: status %d, %d bytes %.80q", a.sending, a.status, len(a.body), a.body)
+		o.fault(promiseWhole, "answer to %s is not its own whole one: status %d, %d bytes %.80q", a.sending, a.status, len(a.body), a.body)
 	}
 }
 
@@ -86,11 +122,18 @@
 			continue
 		}
 		if a.fence || o.ledger.sent[r.sending] < a.order {
-			o.fault("%s %s was told %s not run, but run %d by sending %s", a.method, a.sending, a.kind, r.number, r.sending)
+			o.fault(verdictPromise(a), "%s %s was told %s not run, but run %d by sending %s", a.method, a.sending, a.kind, r.number, r.sending)
 		}
 	}
 }
 
+func verdictPromise(a *answerEntry) promise {
+	if strings.Contains(a.id, "/") {
+		return promiseChildVerdict
+	}
+	return promiseVerdict
+}
+
 // isOwn reports whether an answer is the whole answer of a run of the request.
 func (o *oracle) isOwn(a *answerEntry) bool {
 	for _, r := range o.byID[a.id] {
