Let the endpoints lost to a request travel with its calls and answers

Change: calls and answers carry the endpoints lost to any call of the same root request, at most eight. Ruled out: waiting for the peer links, which are slower than the next attempt. Sends of one request through many nodes at the very same moment are still bounded only by the nodes' own channel.

--- a/internal/call/fuzz_test.go
+++ b/internal/call/fuzz_test.go
@@ -28,7 +28,7 @@
 	h := http.Header{}
 	m := &Meta{
 		Attempt: ID{1}, Root: ID{2}, Priority: 3, RemainingMs: 800, Retries: 2, Method: "POST", Fingerprint: 7,
-		Depth: 1, Clock: 9, Correlation: "c", Service: "stock", Token: "gct1.x", Resume: 5, Losses: 1,
+		Depth: 1, Clock: 9, Correlation: "c", Service: "stock", Token: "gct1.x", Resume: 5, Losses: []Loss{{Fingerprint: 1, Count: 1}},
 	}
 	require.NoError(f, SetMeta(h, m))
 	for _, text := range seedTexts(f, h, HeaderMeta) {
@@ -51,7 +51,7 @@
 func FuzzGetReply(f *testing.F) {
 	h := http.Header{}
 	r := &Reply{
-		Attempt: ID{1}, Retries: 2, Threshold: 3, Headroom: 4, Leaving: true, Clock: 6, Losses: 1,
+		Attempt: ID{1}, Retries: 2, Threshold: 3, Headroom: 4, Leaving: true, Clock: 6, Losses: []Loss{{Fingerprint: 1, Count: 1}},
 		Kind: "overloaded", Ran: "no", Detail: "shed", Incarnation: 7, DeclaredLength: 12,
 	}
 	require.NoError(f, SetReply(h, r))
--- a/internal/call/meta.go
+++ b/internal/call/meta.go
@@ -45,6 +45,14 @@
 // ID identifies one call, or one attempt of it, over the whole fleet.
 type ID [16]byte
 
+// Loss tells of endpoints that broke down while they ran a call.
+type Loss struct {
+	// Fingerprint identifies the call's content.
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	// Count is the number of endpoints.
+	Count uint8 `cbor:"2,keyasint"`
+}
+
 // Meta describes a call to the node that receives it.
 type Meta struct {
 	// Attempt identifies this attempt. The answer repeats it.
@@ -78,9 +86,9 @@
 	// starts the call. It holds the incarnation of the process that got the
 	// attempt; 0 stands for an ordinary call.
 	Resume uint64 `cbor:"14,keyasint,omitempty"`
-	// Losses is the number of endpoints lost to the request, as far as the
-	// sender knows.
-	Losses uint8 `cbor:"16,keyasint,omitempty"`
+	// Losses are the endpoints lost to calls of the same root request, as far as
+	// the sender knows.
+	Losses []Loss `cbor:"16,keyasint,omitempty"`
 	// Fence asks the home named by Token to make sure that the request is never
 	// started any more, and to say whether it was.
 	Fence bool `cbor:"15,keyasint,omitempty"`
@@ -100,9 +108,9 @@
 	Leaving bool `cbor:"5,keyasint"`
 	// Clock is the sender's logical time.
 	Clock uint64 `cbor:"6,keyasint"`
-	// Losses is the number of endpoints lost to the request, after an endpoint
-	// broke down while it ran the call.
-	Losses uint8 `cbor:"7,keyasint,omitempty"`
+	// Losses are the endpoints lost to calls of the same root request, as far as
+	// the node knows.
+	Losses []Loss `cbor:"7,keyasint,omitempty"`
 	// Status is the HTTP status of the endpoint's answer. 0 means that the node
 	// answered in place of the endpoint; then Kind says why.
 	Status uint16 `cbor:"8,keyasint"`
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenacart/galenacart/internal/call"
 	"github.com/galenacart/galenacart/internal/problem"
 )
 
@@ -25,7 +26,7 @@
 	response *http.Response // the message that brought the answer, or nil
 	declared int64          // Content-Length of an answer to HEAD
 	retries  int            // unspent part of the retry budget
-	losses   int            // endpoints lost to the request
+	losses   []call.Loss    // endpoints lost to calls of the same root request
 }
 
 // failed returns an answer that is a problem.
--- a/internal/traffic/caller.go
+++ b/internal/traffic/caller.go
@@ -86,6 +86,7 @@
 		request:     q,
 		deadline:    t.config.Now() + timeout,
 		pool:        newBudget(v.Index.Catalogue().Retry.BudgetPerRequest),
+		losses:      newLosses(nil),
 	}
 }
 
--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -30,6 +30,7 @@
 	request     *request
 	deadline    time.Duration
 	pool        *budget
+	losses      *losses
 
 	tried []string
 	free  int
@@ -154,10 +155,17 @@
 		Clock:       t.config.Log.Clock().Tick(),
 		Correlation: o.correlation,
 		Service:     o.route.Service,
-		Losses:      uint8(min(t.suspects.losses(o.request.fingerprint), 1<<8-1)),
+		Losses:      t.lossesFor(o),
 	}
 }
 
+// lossesFor returns the endpoints lost to calls of the root request, those that
+// this node knows of from elsewhere included.
+func (t *Traffic) lossesFor(o *outgoing) []call.Loss {
+	o.losses.add(t.suspects.losses(o.request.fingerprint))
+	return o.losses.list()
+}
+
 // attemptHere runs a call at the local endpoint without leaving the process.
 func (t *Traffic) attemptHere(ctx context.Context, s *service, meta *call.Meta, o *outgoing) (try, routing.Finished) {
 	ctx, cancel := context.WithTimeout(ctx, meta.Remaining())
@@ -188,8 +196,9 @@
 // judge learns from the answer of a node.
 func (t *Traffic) judge(s *service, vm string, o *outgoing, a *answer, reply *call.Reply) (try, routing.Finished) {
 	s.report(vm, o.route.Name, reply)
-	if reply.Losses > 0 {
-		t.suspects.lost(o.request.fingerprint, int(reply.Losses))
+	for _, loss := range reply.Losses {
+		t.suspects.lost(loss)
+		o.losses.add(loss)
 	}
 	end := routing.Finished{Outcome: routing.OutcomeAnswered, Headroom: int(reply.Headroom), Refused: a.problem != nil}
 	if a.problem == nil {
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -60,7 +60,10 @@
 	if t.chain.refuse(r.Name, m.Priority) {
 		return failed(problem.New(problem.KindOverloaded, problem.RanNo, "calls below route %s are shed", r.Name))
 	}
-	guard := t.suspects.enter(ctx, q.fingerprint, int(m.Losses))
+	for _, loss := range m.Losses {
+		t.suspects.lost(loss)
+	}
+	guard := t.suspects.enter(ctx, q.fingerprint)
 	if guard == nil {
 		t.config.Log.Emit(event.SuspectRefused, m.Correlation, event.F("fingerprint", q.fingerprint))
 		return failed(problem.New(problem.KindSuspect, problem.RanNo, "endpoints that ran this request broke down"))
@@ -102,6 +105,7 @@
 		idempotent:  e.route.Idempotent,
 		abandon:     e.cancel,
 		pool:        newBudget(int(e.meta.Retries)),
+		losses:      newLosses(e.meta.Losses),
 		children:    newRecords(t.config.Now),
 		seen:        make(map[uint64]*childState),
 	}
@@ -111,7 +115,8 @@
 		a = failed(e.explain(ctx, err))
 		e.end(outcomeOf(a, ctx))
 		a.retries = e.parent.pool.left()
-		a.losses = t.suspects.losses(e.request.fingerprint)
+		e.parent.losses.add(t.suspects.losses(e.request.fingerprint))
+		a.losses = e.parent.losses.list()
 		return a
 	}
 	if e.refusedByEndpoint(a.status) {
@@ -123,6 +128,7 @@
 	}
 	t.watch.answered()
 	a.retries = e.parent.pool.left()
+	a.losses = e.parent.losses.list()
 	return a.onClose(func() { e.end(admission.OutcomeAnswered) })
 }
 
@@ -219,7 +225,7 @@
 		Leaving:     t.Leaving(),
 		Clock:       t.config.Log.Clock().Tick(),
 		Incarnation: t.config.Incarnation,
-		Losses:      uint8(min(a.losses, 1<<8-1)),
+		Losses:      a.losses,
 	}
 	if a.problem != nil {
 		r.Kind = a.problem.Kind.String()
--- /dev/null
+++ b/internal/traffic/losses.go
@@ -0,0 +1,51 @@
+package traffic
+
+import (
+	"sync"
+
+	"github.com/galenacart/galenacart/internal/call"
+)
+
+// lossesMax bounds the requests that a call's description tells of.
+const lossesMax = 8
+
+// losses are the endpoints lost to the calls of one request, as far as its
+// nodes know. They travel with its calls and answers, because its next attempt
+// may be faster than the news over peer links.
+type losses struct {
+	mu    sync.Mutex
+	known []call.Loss
+}
+
+func newLosses(known []call.Loss) *losses {
+	l := &losses{}
+	for _, one := range known {
+		l.add(one)
+	}
+	return l
+}
+
+// add takes in the endpoints lost to one call.
+func (l *losses) add(one call.Loss) {
+	if one.Count == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.known {
+		if l.known[i].Fingerprint == one.Fingerprint {
+			l.known[i].Count = max(l.known[i].Count, one.Count)
+			return
+		}
+	}
+	if len(l.known) < lossesMax {
+		l.known = append(l.known, one)
+	}
+}
+
+// list returns what is known.
+func (l *losses) list() []call.Loss {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]call.Loss(nil), l.known...)
+}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -136,6 +136,7 @@
 		request:     q,
 		deadline:    deadline,
 		pool:        p.pool,
+		losses:      p.losses,
 	})
 	return a.onClose(func() {
 		stop()
--- a/internal/traffic/parents.go
+++ b/internal/traffic/parents.go
@@ -23,6 +23,7 @@
 	idempotent  bool
 	abandon     context.CancelCauseFunc
 	pool        *budget
+	losses      *losses
 	children    *records
 
 	mu        sync.Mutex
--- a/internal/traffic/suspects.go
+++ b/internal/traffic/suspects.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/galenacart/galenacart/decision/suspect"
+	"github.com/galenacart/galenacart/internal/call"
 )
 
 // suspects guards the local endpoint against requests that break endpoints.
@@ -44,10 +45,9 @@
 }
 
 // enter lets a call to the endpoint. A suspect waits until no other one runs.
-// It returns nil when the call must not run. losses is the number of endpoints
-// lost to the request, as far as the sender knows.
-func (s *suspects) enter(ctx context.Context, fingerprint uint64, losses int) *run {
-	switch s.judge(fingerprint, losses) {
+// It returns nil when the call must not run.
+func (s *suspects) enter(ctx context.Context, fingerprint uint64) *run {
+	switch s.judge(fingerprint) {
 	case suspect.VerdictRefuse:
 		return nil
 	case suspect.VerdictClean:
@@ -59,18 +59,16 @@
 		return nil
 	}
 	// Another run of the same request may have broken the endpoint meanwhile.
-	if s.judge(fingerprint, losses) == suspect.VerdictRefuse {
+	if s.judge(fingerprint) == suspect.VerdictRefuse {
 		<-s.alone
 		return nil
 	}
 	return s.start(&run{fingerprint: fingerprint, suspect: true})
 }
 
-// judge learns what the sender knows and returns the verdict on a request.
-func (s *suspects) judge(fingerprint uint64, losses int) suspect.Verdict {
+func (s *suspects) judge(fingerprint uint64) suspect.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.Learn(s.now(), fingerprint, losses)
 	return s.book.Judge(s.now(), fingerprint, s.learned[fingerprint])
 }
 
@@ -97,17 +95,18 @@
 }
 
 // losses returns the endpoints lost to a request, as far as this node knows.
-func (s *suspects) losses(fingerprint uint64) int {
+func (s *suspects) losses(fingerprint uint64) call.Loss {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(s.book.Losses(s.now(), fingerprint), s.learned[fingerprint])
+	count := max(s.book.Losses(s.now(), fingerprint), s.learned[fingerprint])
+	return call.Loss{Fingerprint: fingerprint, Count: uint8(min(count, 1<<8-1))}
 }
 
-// lost counts an endpoint of another node that broke down on a request.
-func (s *suspects) lost(fingerprint uint64, losses int) {
+// lost takes in what a call or an answer tells of lost endpoints.
+func (s *suspects) lost(one call.Loss) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.Learn(s.now(), fingerprint, losses)
+	s.book.Learn(s.now(), one.Fingerprint, int(one.Count))
 }
 
 // crashed blames the calls that ran when the endpoint broke down. It returns
