--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -135,9 +135,10 @@
 
 // members is the membership controller's result.
 type members struct {
-	// byVM holds all VMs but those long gone. The map is shared; it changes only
-	// together with the entry's version.
+	// byVM holds all VMs but those long gone. The map is replaced, never changed.
 	byVM map[string]*member
+	// generation counts the replacements of byVM.
+	generation uint64
 	// fleet is the number of VMs in the list, others those that are not this one
 	// and not gone.
 	fleet  int
--- a/internal/control/membership_controller.go
+++ b/internal/control/membership_controller.go
@@ -59,7 +59,7 @@
 	listed    map[string]*vmlist.VM
 	seen      map[string]*seen
 	past      map[string][]uint64 // incarnations that were replaced, by VM
-	listAt    uint64
+	list      *vmlist.List        // the list behind listed
 	peersAt   uint64
 	sweptAt   time.Duration
 	refutedAt time.Duration
--- a/internal/control/membership_sweep.go
+++ b/internal/control/membership_sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"time"
 
 	"github.com/galenacart/galenacart/decision/membership"
@@ -31,14 +32,11 @@
 
 // readList takes the VM list in force.
 func (m *membershipController) readList() {
-	if m.listAt == m.board.documents.Version() {
-		return
-	}
-	m.listAt = m.board.documents.Version()
 	list := m.board.documents.Get().byKey[keyVMs].list
-	if list == nil {
+	if list == m.list {
 		return
 	}
+	m.list = list
 	clear(m.listed)
 	for i := range list.VMs {
 		if vm := &list.VMs[i]; vm.Name != "" {
@@ -62,44 +60,54 @@
 	}
 }
 
-// sweep finds the state of each VM and publishes the result if it changed.
+// sweep finds the state of each VM and publishes the result if it changed. In
+// the usual case, that nothing changed, it allocates nothing.
 func (m *membershipController) sweep() {
 	state := m.board.members.Get()
-	next := make(map[string]*member, len(m.listed)+1)
-	changed := state.fleet != len(m.listed)
-	others := 0
-	add := func(vm string) {
-		if next[vm] != nil {
-			return
-		}
+	found, others := 0, 0
+	var next map[string]*member
+	visit := func(vm string) {
 		one := m.find(vm)
-		if old := state.byVM[vm]; old != nil && *old == *one {
-			one = old
-		} else {
-			m.logChange(vm, old, one)
-			changed = true
-		}
-		next[vm] = one
+		found++
 		if vm != m.Settings.VM && one.finding.State != membership.Gone {
 			others++
 		}
+		old := state.byVM[vm]
+		if old != nil && *old == one {
+			return
+		}
+		m.logChange(vm, old, &one)
+		if next == nil {
+			next = maps.Clone(state.byVM)
+		}
+		if next == nil {
+			next = make(map[string]*member)
+		}
+		next[vm] = &one
 	}
 	for vm := range m.listed {
-		add(vm)
+		visit(vm)
 	}
 	for vm := range m.records {
-		add(vm)
+		if m.listed[vm] == nil {
+			visit(vm)
+		}
 	}
-	if !changed && len(next) == len(state.byVM) {
+	if next == nil && found == len(state.byVM) && state.fleet == len(m.listed) {
 		return
 	}
+	if next == nil {
+		next = maps.Clone(state.byVM)
+	}
+	maps.DeleteFunc(next, func(vm string, _ *member) bool { return m.listed[vm] == nil && m.records[vm] == nil })
 	state.byVM, state.fleet, state.others = next, len(m.listed), others
+	state.generation++
 	m.out.Set(state)
 }
 
 // find gathers the evidence of one VM and decides.
-func (m *membershipController) find(vm string) *member {
-	out := &member{identity: m.identity(vm)}
+func (m *membershipController) find(vm string) member {
+	out := member{identity: m.identity(vm)}
 	if vm == m.Settings.VM {
 		out.own = true
 		out.finding = membership.Finding{State: membership.Live, Reason: "this node"}
--- a/internal/control/peer_controller.go
+++ b/internal/control/peer_controller.go
@@ -55,7 +55,7 @@
 	dials       map[string]*dial
 	pulls       [keyCount]pull
 	refusal     [keyCount]adoption.Version // last state that could not be used
-	membersAt   uint64
+	membersAt   uint64                     // generation of the members for which targets were chosen
 	documentsAt uint64
 	lastRefused string
 	epoch       uint64
@@ -103,8 +103,8 @@
 	if life := p.board.life.Get(); life.epoch != p.epoch {
 		p.wake(life.epoch)
 	}
-	if p.membersAt != p.board.members.Version() {
-		p.membersAt = p.board.members.Version()
+	if p.membersAt != p.board.members.Get().generation {
+		p.membersAt = p.board.members.Get().generation
 		p.chooseTargets()
 	}
 	p.dialDue()
--- a/internal/control/platform_controller.go
+++ b/internal/control/platform_controller.go
@@ -41,16 +41,16 @@
 // platformController decides when to read the platform, and reads.
 type platformController struct {
 	*thread
-	contact  *blackboard.Writer[contact]
-	offers   *blackboard.Writer[offers]
-	client   *platform.Client
-	share    readers.Share
-	random   *rand.Rand
-	reading  [keyCount]reading
-	listedAt uint64 // version of the documents for which zone was computed
-	listed   bool
-	reader   bool
-	epoch    uint64
+	contact *blackboard.Writer[contact]
+	offers  *blackboard.Writer[offers]
+	client  *platform.Client
+	share   readers.Share
+	random  *rand.Rand
+	reading [keyCount]reading
+	list    *vmlist.List // the list behind listed and reader
+	listed  bool
+	reader  bool
+	epoch   uint64
 }
 
 func newPlatformController(t *thread) *platformController {
@@ -124,15 +124,11 @@
 
 // updateReader finds out whether the VM list makes this node a reader.
 func (p *platformController) updateReader() {
-	if p.listedAt == p.board.documents.Version() {
-		return
-	}
-	p.listedAt = p.board.documents.Version()
-	p.listed, p.reader = false, false
 	list := p.board.documents.Get().byKey[keyVMs].list
-	if list == nil {
+	if list == p.list || list == nil {
 		return
 	}
+	p.list, p.listed = list, false
 	var zone []uint64
 	for _, vm := range list.VMs {
 		if vm.AvailabilityZone != p.Settings.AvailabilityZone || vm.State != vmlist.Live {
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -15,12 +15,12 @@
 // publisher makes the views that traffic reads.
 type publisher struct {
 	*thread
-	versions [4]uint64 // of the entries in the last view
-	at       time.Duration
-	first    bool
-	byVM     map[string]*view.Member
-	byName   map[string][]*view.Member
-	membersV uint64
+	versions  [4]uint64 // of the entries, and the members' generation, in the last view
+	at        time.Duration
+	first     bool
+	byVM      map[string]*view.Member
+	byName    map[string][]*view.Member
+	membersAt uint64 // generation of the members in byVM
 }
 
 func newPublisher(t *thread) *publisher {
@@ -30,7 +30,7 @@
 // run publishes a view when something in it changed.
 func (p *publisher) run() {
 	versions := [4]uint64{
-		p.board.documents.Version(), p.board.members.Version(),
+		p.board.documents.Version(), p.board.members.Get().generation,
 		p.board.suspects.Version(), p.board.life.Version(),
 	}
 	if versions == p.versions {
@@ -55,10 +55,10 @@
 
 // updateMembers makes the members of the view, if they changed.
 func (p *publisher) updateMembers() {
-	if p.byVM != nil && p.membersV == p.board.members.Version() {
+	if p.byVM != nil && p.membersAt == p.board.members.Get().generation {
 		return
 	}
-	p.membersV = p.board.members.Version()
+	p.membersAt = p.board.members.Get().generation
 	all := p.board.members.Get().byVM
 	byVM := make(map[string]*view.Member, len(all))
 	byName := make(map[string][]*view.Member)
