--- a/internal/load/runner/request.go
+++ b/internal/load/runner/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"regexp"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,11 +12,9 @@
 	"github.com/galenacart/galenacart/caller"
 	"github.com/galenacart/galenacart/internal/load/arrival"
 	"github.com/galenacart/galenacart/internal/load/outcome"
+	"github.com/galenacart/galenacart/internal/standin/endpoint"
 )
 
-// headerRequest carries the unique ID of each request through the whole chain.
-const headerRequest = "X-Request-Id"
-
 // request sends one request and records what became of it.
 func (r *Runner) request(ctx context.Context, number int, a arrival.Arrival) {
 	k := r.kinds[a.Route]
@@ -53,7 +52,7 @@
 		Header:     http.Header{},
 		Idempotent: k.route.Idempotent,
 	}
-	request.Header.Set(headerRequest, id)
+	request.Header.Set(endpoint.HeaderRequest, id)
 	if k.route.Method != http.MethodGet && k.route.Method != http.MethodHead {
 		request.Body = fmt.Appendf(nil, `{"request":%q}`, id)
 		request.Header.Set("Content-Type", "application/json")
@@ -71,7 +70,7 @@
 	case !a.Own():
 		o.Result, o.Kind = outcome.Refused, a.Kind
 	case a.Status >= http.StatusBadRequest:
-		o.Result, o.Detail = outcome.Failed, shorten(string(a.Body))
+		o.Result, o.Kind, o.Detail = outcome.Failed, causeOf(a.Body), shorten(string(a.Body))
 	default:
 		o.Result = outcome.Whole
 		if err := k.tree.Check(a.Body, o.Request); err != nil {
@@ -94,8 +93,22 @@
 	}
 }
 
+// problemType matches the type of a node's refusal, also inside of the text by
+// which an endpoint passes on the failure of a call below it.
+var problemType = regexp.MustCompile(`urn:galenacart:problem:([a-z_]+)`)
+
+// causeOf returns the kind of the deepest refusal in the body of an endpoint's
+// own error, or nothing.
+func causeOf(body []byte) string {
+	all := problemType.FindAllSubmatch(body, -1)
+	if len(all) == 0 {
+		return ""
+	}
+	return string(all[len(all)-1][1])
+}
+
 // detailBytes bounds the detail kept of a failure.
-const detailBytes = 200
+const detailBytes = 1000
 
 func shorten(s string) string {
 	return s[:min(len(s), detailBytes)]
