--- a/internal/control/membership_sweep.go
+++ b/internal/control/membership_sweep.go
@@ -76,14 +76,15 @@
 		if old != nil && *old == one {
 			return
 		}
-		m.logChange(vm, old, &one)
+		changed := one // on the heap, unlike one
+		m.logChange(vm, old, &changed)
 		if next == nil {
 			next = maps.Clone(state.byVM)
 		}
 		if next == nil {
 			next = make(map[string]*member)
 		}
-		next[vm] = &one
+		next[vm] = &changed
 	}
 	for vm := range m.listed {
 		visit(vm)
