--- a/decision/capacity/knee.go
+++ b/decision/capacity/knee.go
@@ -14,6 +14,9 @@
 	// larger, a change of sign makes it smaller.
 	stepGrowth = 1.2
 	stepShrink = 0.5
+	// stepUnpinned is the step after the first comparison that asks for less than
+	// the ceiling.
+	stepUnpinned = 0.15
 	// stepSettled is the step up to which the limit counts as settled.
 	stepSettled = 0.1
 	// errorGain scales an error to the part of the step that is taken.
@@ -66,7 +69,8 @@
 	mean     float64 // mean elasticity
 	upwards  bool    // sign of the last error
 	compared bool
-	turn     int // counts the comparisons while the limit is settled
+	pinned   bool // the limit is the ceiling and would grow if it could
+	turn     int  // counts the comparisons while the limit is settled
 }
 
 func newKnee() knee {
@@ -118,6 +122,9 @@
 		k.turn = 0
 	}
 	err := elasticityTarget*scale - elasticity
+	if k.pin(err > 0) {
+		return true
+	}
 	k.adaptStep(err > 0)
 	k.move(k.step * max(-1, min(1, errorGain*err)))
 	k.mean += (max(-1, min(2, elasticity)) - k.mean) * elasticityWeight
@@ -129,6 +136,22 @@
 	return k.step <= stepSettled
 }
 
+// pin settles the limit at the ceiling as long as comparisons ask for more, so
+// that no wide comparison holds back calls for a limit that can't grow.
+func (k *knee) pin(upwards bool) bool {
+	was := k.pinned
+	k.pinned = upwards && k.logLimit >= k.logMost
+	switch {
+	case k.pinned:
+		k.step = stepMin
+		k.mean = elasticityTarget
+	case was:
+		k.step = stepUnpinned
+		k.compared = false
+	}
+	return k.pinned
+}
+
 // check reports whether the present comparison has gapCheck.
 func (k *knee) check() bool {
 	return k.turn%checkEvery == checkEvery-1
--- a/decision/capacity/limiter.go
+++ b/decision/capacity/limiter.go
@@ -18,6 +18,9 @@
 	patience = 4
 	// restShare is the time between two comparisons relative to the time of one.
 	restShare = 4
+	// restSharePinned is the same while the limit is the ceiling. A comparison
+	// costs calls and can only find that the endpoint has become smaller.
+	restSharePinned = 16
 	// restRoom is the room above the learned limit between comparisons, as a
 	// logarithm. It keeps all slots busy when the learned limit is a little low.
 	restRoom = 0.05
@@ -194,6 +197,9 @@
 // longest returns the time after which the phase ends in any case.
 func (l *Limiter) longest() time.Duration {
 	if l.phase == phaseRest {
+		if l.knee.pinned {
+			return restSharePinned * (l.started - l.opened)
+		}
 		return restShare * (l.started - l.opened)
 	}
 	batches := float64(l.low.size) / float64(l.low.level)
