--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenacart/galenacart/decision/boundary"
 	"github.com/galenacart/galenacart/decision/capacity"
 	"github.com/galenacart/galenacart/decision/priority"
 )
@@ -16,13 +17,17 @@
 	// waitAnswers is the time that a call may wait, in times to answer.
 	waitAnswers = 4
 	// waitMin and waitMax bound the time that a call may wait.
-	waitMin = 100 * time.Millisecond
+	waitMin = 200 * time.Millisecond
 	waitMax = 500 * time.Millisecond
 	// probeShare is the part of the slots, one in probeShare, that is filled
 	// whatever the estimates say. It shows when they are out of date.
 	probeShare = 16
 )
 
+// downstreamWeight is the weight of one call in the usual time that an endpoint
+// waits for its own calls.
+const downstreamWeight = 1.0 / 256
+
 // Gate decides about the calls for one endpoint. It is not safe for concurrent
 // use.
 //
@@ -35,8 +40,10 @@
 	queue     queue
 	flights   flights
 	answers   estimate
-	threshold threshold
-	now       time.Duration
+	threshold boundary.Boundary
+	// downstream is the usual time that the endpoint waits for its own calls.
+	downstream time.Duration
+	now        time.Duration
 }
 
 // NewGate returns a Gate with no calls.
@@ -109,7 +116,7 @@
 // Threshold returns the first priority that would be shed now, or
 // priority.Lowest if none would.
 func (g *Gate) Threshold(now time.Duration) priority.Priority {
-	return g.threshold.current(max(g.now, now))
+	return g.threshold.Current(max(g.now, now))
 }
 
 // Headroom returns the number of further calls that would run at once.
@@ -141,7 +148,7 @@
 	switch r.Outcome {
 	case OutcomeAnswered:
 		g.answers.add(r.Took)
-		g.limiter.End(now, call.mark, ownTime(r))
+		g.limiter.End(now, call.mark, g.slotTime(r))
 	case OutcomeRefused:
 		g.limiter.Refused(now, call.mark)
 	default:
@@ -150,14 +157,17 @@
 			return
 		}
 		g.answers.add(r.Took)
-		g.limiter.CutOff(now, call.mark, ownTime(r))
+		g.limiter.CutOff(now, call.mark, g.slotTime(r))
 	}
 }
 
-// ownTime returns the time that the endpoint itself needed. The time that it
-// waited for others tells nothing about its slots.
-func ownTime(r *Result) time.Duration {
-	return max(r.Took-r.DownstreamWait, r.Took/16, 1)
+// slotTime returns the time for which the call would have held a slot if the
+// endpoint's own calls had taken their usual time. How long they took just now
+// tells nothing about the endpoint's slots; that they are a part of the whole
+// keeps small changes of the endpoint's own time from looking like a full one.
+func (g *Gate) slotTime(r *Result) time.Duration {
+	g.downstream += time.Duration(float64(r.DownstreamWait-g.downstream) * downstreamWeight)
+	return max(r.Took-r.DownstreamWait+g.downstream, 1)
 }
 
 // settle sheds what no longer fits into the queue and starts what has a slot.
@@ -177,7 +187,7 @@
 }
 
 func (g *Gate) start(now time.Duration, e *entry) {
-	g.threshold.ran(e.priority)
+	g.threshold.Ran(e.priority)
 	g.flights.add(flight{
 		id:       e.id,
 		started:  now,
@@ -197,7 +207,7 @@
 		}
 	}
 	if ahead == g.queue.len() {
-		g.threshold.shed(now, e.priority)
+		g.threshold.Shed(now, e.priority)
 	}
 	return VerdictTooLate, out
 }
@@ -209,11 +219,11 @@
 		return VerdictQueued, out
 	}
 	if g.queue.len() == 0 || !e.before(g.queue.worst()) {
-		g.threshold.shed(now, e.priority)
+		g.threshold.Shed(now, e.priority)
 		return VerdictShed, out
 	}
 	evicted := g.queue.replaceWorst(*e)
-	g.threshold.shed(now, evicted.priority)
+	g.threshold.Shed(now, evicted.priority)
 	return VerdictQueued, append(out, Release{ID: evicted.id, Verdict: VerdictShed})
 }
 
@@ -227,7 +237,7 @@
 		out = append(out, Release{ID: e.id, Verdict: VerdictShed})
 	}
 	g.queue.popWorst(n)
-	g.threshold.shed(now, first)
+	g.threshold.Shed(now, first)
 	return out
 }
 
