Callers: take another token after a refusal, and pass over nodes that don't answer

Cause: nodes record a refusal of a token for ever, so a resend with the same token only repeated the refusal; and each request asked frozen nodes for a token again, up to its whole deadline. Change: after a refusal by the token's home the next send takes another token, also when an earlier send was lost, because the home's refusal covers it; a refusal by a node that is not the home still doesn't. Tokens must come within 300 ms; nodes that failed are passed over for a growing while.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -32,8 +32,16 @@
 // docs/ERRORS.md.
 const KindNone = "none"
 
-// kindTokenExpired is the kind of answers to a token that is too old.
-const kindTokenExpired = "token_expired"
+// The kinds by which the home of a token proves that the token starts nothing
+// any more.
+const (
+	kindTokenExpired         = "token_expired"
+	kindOverloaded           = "overloaded"
+	kindOverloadedEverywhere = "overloaded_everywhere"
+	kindUnreachable          = "unreachable"
+	kindDeadline             = "deadline"
+	kindRetryBudget          = "retry_budget"
+)
 
 // Answer is the final answer to a request.
 type Answer struct {
@@ -83,6 +91,17 @@
 	return a.Header.Get(headerRetryAfter) != "" || a.Kind == kindTokenExpired
 }
 
+// spent reports whether the answer comes from the home of the token and proves
+// that the token starts nothing any more, whatever became of earlier sends.
+func (a *Answer) spent() bool {
+	switch a.Kind {
+	case kindTokenExpired, kindOverloaded, kindOverloadedEverywhere, kindUnreachable, kindDeadline, kindRetryBudget:
+		return true
+	default:
+		return false
+	}
+}
+
 // retryAfter returns the wait that the answer asks for, or 0.
 func (a *Answer) retryAfter() time.Duration {
 	seconds, err := strconv.Atoi(a.Header.Get(headerRetryAfter))
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -18,6 +18,9 @@
 const (
 	// DefaultMaxSends is the number of times that one request is sent at most.
 	DefaultMaxSends = 3
+	// DefaultTokenTimeout bounds the wait for a token. Nodes issue tokens without
+	// asking anybody, so one that takes longer is frozen or cut off.
+	DefaultTokenTimeout = 300 * time.Millisecond
 	// DefaultMaxAnswerBytes is the largest answer that is read.
 	DefaultMaxAnswerBytes = 16 << 20
 
@@ -48,6 +51,8 @@
 	addresses      []string
 	http           *http.Client
 	next           atomic.Uint64
+	health         *health
+	tokenTimeout   time.Duration
 	maxSends       int
 	sendTimeout    time.Duration
 	maxAnswerBytes int64
@@ -65,6 +70,8 @@
 		maxSends:       DefaultMaxSends,
 		maxAnswerBytes: DefaultMaxAnswerBytes,
 		pause:          HonourRetryAfter(rand.Float64),
+		health:         newHealth(),
+		tokenTimeout:   DefaultTokenTimeout,
 	}
 	c.http = &http.Client{
 		Transport:     newTransport(),
@@ -94,8 +101,20 @@
 }
 
 // address returns the node for the next send. Consecutive sends of one request
-// go to different nodes.
+// go to different nodes. Nodes that failed a short time ago are passed over
+// while there are others.
 func (c *Client) address() string {
+	now := time.Now()
+	for range c.addresses {
+		address := c.following()
+		if c.health.usable(address, now) {
+			return address
+		}
+	}
+	return c.following()
+}
+
+func (c *Client) following() string {
 	n := c.next.Add(1)
 	return c.addresses[n%uint64(len(c.addresses))]
 }
--- a/caller/delivery.go
+++ b/caller/delivery.go
@@ -65,15 +65,19 @@
 	if answer.Ran == RanUnknown {
 		d.uncertain = true
 	}
-	fresh := answer.Kind == kindTokenExpired && answer.Ran == RanNo
-	if fresh && !d.uncertain && d.request.Key == "" {
+	if answer.Ran == RanNo && d.request.Key == "" && (!d.uncertain || answer.spent()) {
+		// A token that was told not run starts nothing more; another try needs
+		// another token.
 		d.key = ""
+		d.uncertain = false
 	}
 }
 
 // fetchToken gets a token. It returns nothing when it has one, and the node's
 // answer when the node refused.
 func (d *delivery) fetchToken(ctx context.Context) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.client.tokenTimeout)
+	defer cancel()
 	answer, err := d.send(ctx, http.MethodPost, tokenPath, http.Header{}, nil)
 	if err != nil {
 		return nil, err
@@ -100,7 +104,14 @@
 		defer cancel()
 	}
 	d.sends++
-	return c.exchange(ctx, d.address(), method, path, h, body)
+	address := d.address()
+	answer, err := c.exchange(ctx, address, method, path, h, body)
+	if err != nil {
+		c.health.failed(address, time.Now())
+		return nil, err
+	}
+	c.health.answered(address)
+	return answer, nil
 }
 
 // address returns the node for the next send: the one that just handed out the
