--- a/internal/control/peer_controller.go
+++ b/internal/control/peer_controller.go
@@ -55,7 +55,7 @@
 	dials       map[string]*dial
 	pulls       [keyCount]pull
 	refusal     [keyCount]adoption.Version // last state that could not be used
-	membersAt   uint64
+	membersAt   uint64                     // generation of the members for which targets were chosen
 	documentsAt uint64
 	lastRefused string
 	epoch       uint64
@@ -103,8 +103,8 @@
 	if life := p.board.life.Get(); life.epoch != p.epoch {
 		p.wake(life.epoch)
 	}
-	if p.membersAt != p.board.members.Version() {
-		p.membersAt = p.board.members.Version()
+	if p.membersAt != p.board.members.Get().generation {
+		p.membersAt = p.board.members.Get().generation
 		p.chooseTargets()
 	}
 	p.dialDue()
@@ -150,9 +150,10 @@
 		}
 		old.Close(nil)
 	}
-	p.links[l.Remote.VM] = &link{Link: l, since: p.now, ackedAt: p.now, confirmSeq: 1, compareAt: p.now + compareFirst, compareGap: compareFirst}
+	p.links[l.Remote.VM] = &link{Link: l, since: p.now, ackedAt: p.now, confirmSeq: 1, compareAt: p.spread.firstCompare(), compareGap: compareFirst}
 	p.dirty = true
 	p.Log.Emit(event.LinkUp, "", event.F("peer", l.Remote.VM), event.F("incarnation", l.Remote.Incarnation), event.F("dialled", l.Dialled))
+	p.membership.speak()
 	p.spread.greet(p.links[l.Remote.VM])
 }
 
