Tell hops from one machine, and links made from links held

Cause: the time of a change grew with the number of nodes that share one machine's processors, and fleets held more links than their design says.

Change: both readings of the time of a change stand in the table, links count as held, and a value counts as linear when the part that grows with the fleet matters.

--- a/internal/load/capacity/planning/derive.go
+++ b/internal/load/capacity/planning/derive.go
@@ -7,11 +7,6 @@
 )
 
 const (
-	// plannedLinks is the mean number of links of a node in a fleet of many zones:
-	// four made in its zone and one in each of three others, and as many accepted.
-	plannedLinks = 2 * (linksInZone + linksElsewhere)
-	// linksInZone and linksElsewhere are the links that a node makes.
-	linksInZone, linksElsewhere = 4, 3
 	// frameBytes is what a message takes on the network beyond its payload: the
 	// headers of WebSocket, TCP, IP and Ethernet, and an acknowledgement.
 	frameBytes = 150
@@ -116,6 +111,19 @@
 	return float64(d.target.Services)
 }
 
+// links returns the mean number of links of a node.
+func (d *derivation) links() float64 {
+	return linksByDesign(d.target.Zones) * max(1, d.model.LinksShare)
+}
+
+// growth tells whether a part of a value that grows with the fleet counts.
+func growth(part, value float64) Growth {
+	if part > flatShare*value {
+		return Linear
+	}
+	return Flat
+}
+
 // restartCPU is what one restart costs each other node: the records of the VM
 // and the changes of the list.
 func (d *derivation) restartCPU() float64 {
@@ -132,15 +140,15 @@
 func (d *derivation) messages() float64 {
 	day := d.target.ChangesPerDay*d.model.ChangeMessages +
 		d.target.RestartsPerDay*(d.model.RestartMessages+listChanges*d.model.ListMessages)
-	return plannedLinks*d.model.LinkMessages + day/secondsPerDay
+	return d.links()*d.model.LinkMessages + day/secondsPerDay
 }
 
 // bytes returns the rate of bytes with those of headers and of an ordinary day.
 func (d *derivation) bytes() float64 {
-	neighbour := plannedLinks / d.vms() * d.recordsBytes()
+	neighbour := d.links() / d.vms() * d.recordsBytes()
 	day := d.target.ChangesPerDay*d.model.ChangeBytes +
 		d.target.RestartsPerDay*(d.model.RestartBytes+listChanges*d.model.ListBytes+neighbour)
-	return plannedLinks*d.model.LinkBytes + day/secondsPerDay + d.messages()*frameBytes
+	return d.links()*d.model.LinkBytes + day/secondsPerDay + d.messages()*frameBytes
 }
 
 // recordsBytes is what goes to a VM that comes back on each of its links, as it
@@ -166,16 +174,16 @@
 
 // roles adds what a node of each role needs.
 func (d *derivation) roles() {
-	m, g := &d.model, d.model.Growth
-	idleCPU := m.IdleCPU.Value(plannedLinks, d.vms(), d.services()) + d.dayCPU()
+	m := &d.model
+	idleCPU := m.IdleCPU.Value(d.links(), d.vms(), d.services()) + d.dayCPU()
 	idleMemory := m.IdleMemory.Value(d.vms(), d.services())
 	const idle, reader, loaded = "idle node", "reader", "node with calls"
-	d.control(idle, idleCPU, idleMemory, d.bytes(), g)
-	readerCPU := m.ReaderCPU.Value(plannedLinks, d.vms(), d.services()) + d.dayCPU()
-	d.control(reader, readerCPU, m.ReaderMemory.Value(d.vms(), d.services()), d.bytes()+d.readerBytes(), g)
+	d.control(idle, idleCPU, m.IdleCPU, idleMemory, m.IdleMemory, d.bytes())
+	readerCPU := m.ReaderCPU.Value(d.links(), d.vms(), d.services()) + d.dayCPU()
+	d.control(reader, readerCPU, m.ReaderCPU, m.ReaderMemory.Value(d.vms(), d.services()), m.ReaderMemory, d.bytes()+d.readerBytes())
 	calls := d.target.CallsPerNode() * m.CallCPU
 	d.add(Row{loaded, "processor time of calls (no bound)", calls, "core", 0, Linear, "internal/traffic"})
-	d.add(Row{loaded, "memory with calls", idleMemory + max(0, m.CallMemory), "bytes", d.limits.MemoryBytes, g.Memory, "internal/traffic"})
+	d.add(Row{loaded, "memory with calls", idleMemory + max(0, m.CallMemory), "bytes", d.limits.MemoryBytes, growth(m.IdleMemory.Per[0]*d.vms(), idleMemory), "internal/traffic"})
 	for i, t := range d.measured.Traffic {
 		added := float64(t.AddedP99Micros)
 		name := fmt.Sprintf("added at p99, as measured with %.0f VMs", d.measured.Events[i].VMs())
@@ -184,11 +192,15 @@
 }
 
 // control adds what control costs in one role.
-func (d *derivation) control(role string, cpu, memory, bytes float64, g Growths) {
-	d.add(Row{role, "processor time of control", cpu, "core", d.limits.CPU, g.CPU, "internal/control"})
-	d.add(Row{role, "memory", memory, "bytes", d.limits.MemoryBytes, g.Memory, "internal/control"})
-	d.add(Row{role, "control messages", d.messages(), "1/s", 0, g.Messages, "internal/peer"})
-	d.add(Row{role, "control bytes with headers", bytes, "bytes/s", d.limits.BytesPerSecond, g.Bytes, "internal/peer"})
+func (d *derivation) control(role string, cpu float64, cpuSlopes Slopes, memory float64, memorySlopes Slopes, bytes float64) {
+	const perVM = 1 // place of the slope per VM of processor time
+	ofCPU := growth(cpuSlopes.Per[perVM]*d.vms()+d.dayCPU(), cpu)
+	ofMemory := growth(memorySlopes.Per[0]*d.vms(), memory)
+	ofBytes := growth(bytes-d.links()*(d.model.LinkBytes+frameBytes*d.model.LinkMessages), bytes)
+	d.add(Row{role, "processor time of control", cpu, "core", d.limits.CPU, ofCPU, "internal/control"})
+	d.add(Row{role, "memory", memory, "bytes", d.limits.MemoryBytes, ofMemory, "internal/control"})
+	d.add(Row{role, "control messages", d.messages(), "1/s", 0, d.model.Growth.Messages, "internal/peer"})
+	d.add(Row{role, "control bytes with headers", bytes, "bytes/s", d.limits.BytesPerSecond, ofBytes, "internal/peer"})
 }
 
 // fleet adds what the whole fleet needs.
@@ -196,7 +208,10 @@
 	m, t, l := &d.model, d.target, d.limits
 	const fleet = "fleet"
 	change := m.ChangeSeconds.Value(log2(d.vms()))
-	d.add(Row{fleet, "change in force everywhere", change, "s", l.ChangeSeconds, m.Growth.Change, "internal/control, internal/peer/delta"})
+	const carrier = "internal/control, internal/peer/delta"
+	d.add(Row{fleet, "change in force everywhere, by hops", change, "s", l.ChangeSeconds, Logarithmic, carrier})
+	linear := m.ChangeSecondsLinear.Value(d.vms())
+	d.add(Row{fleet, "change in force everywhere, all nodes on one machine", linear, "s", l.ChangeSeconds, Linear, carrier})
 	// Each reader is held to its share of what the whole fleet may read.
 	share := float64(readers.FleetLimit) / d.vms() * readers.PerZone * float64(t.Zones)
 	reads := min(m.ZoneReads*float64(t.Zones), share)
@@ -229,7 +244,7 @@
 	d.add(Row{event, "processor time", cpu / eventSeconds, "core", d.limits.CPU, Linear, "internal/control"})
 	d.add(Row{event, "control bytes with headers", bytes / eventSeconds, "bytes/s", d.limits.BytesPerSecond, Linear, "internal/peer"})
 	// Half of the messages come in, spread over the links.
-	d.add(Row{event, "messages on one link", messages / 2 / plannedLinks, "", linkBurst + linkRate*eventSeconds, Linear, "internal/peer"})
+	d.add(Row{event, "messages on one link", messages / 2 / d.links(), "", linkBurst + linkRate*eventSeconds, Linear, "internal/peer"})
 }
 
 // regions adds what two regions cost that lose each other and meet again.
--- a/internal/load/capacity/planning/derive_test.go
+++ b/internal/load/capacity/planning/derive_test.go
@@ -93,7 +93,7 @@
 		{"reader", "control bytes with headers", payload + 150*messages + (806*3*190*5900+2700*400*190)/day, false},
 		{"node with calls", "processor time of calls (no bound)", 2.3e6 / 5900 * 250e-6, true},
 		{"node with calls", "memory with calls", memoryAlone + 5900*memoryPerVM + 5e6, true},
-		{"fleet", "change in force everywhere", 0.1 * math.Log2(5900), true},
+		{"fleet", "change in force everywhere, by hops", 0.1 * math.Log2(5900), true},
 		{"fleet", "platform reads at rest", 1200.0 / 5900 * 30, true},
 		{"fleet", "platform reads, all start at once", 5900.0 / 4, true},
 		{"fleet", "VM list in one value", 190 * 5900, false},
--- a/internal/load/capacity/planning/model.go
+++ b/internal/load/capacity/planning/model.go
@@ -21,6 +21,12 @@
 	// ChangeSeconds is the time of a change, by the logarithm to base 2 of the
 	// number of nodes.
 	ChangeSeconds Slopes `json:"changeSeconds"`
+	// ChangeSecondsLinear is the time of a change by the number of nodes, as on one
+	// machine that all nodes share.
+	ChangeSecondsLinear Slopes `json:"changeSecondsLinear"`
+	// LinksShare is the largest mean number of links of a fleet, as a share of the
+	// number by design: links outlive the choice that made them.
+	LinksShare float64 `json:"linksShare"`
 	// ChangeCPU is the processor time of one change of the catalogue, by VMs and
 	// services.
 	ChangeCPU Slopes `json:"changeCPU"`
@@ -78,6 +84,17 @@
 // with it, where there are a few zones of one size: one made and one accepted.
 const linksLostWithAZone = 2
 
+// Links that a node makes: in its zone, and one in each of some other zones.
+const (
+	linksInZone    = 4
+	linksElsewhere = 3
+)
+
+// linksByDesign returns the mean number of links of a node, made and accepted.
+func linksByDesign(zones int) float64 {
+	return 2 * float64(linksInZone+min(linksElsewhere, zones-1))
+}
+
 // NewModel fits all slopes.
 func NewModel(m *Measured) Model {
 	out := Model{}
@@ -91,7 +108,7 @@
 
 // fitRest fits what fleets cost while nothing happens.
 func (o *Model) fitRest(m *Measured) {
-	var idleCPU, readerCPU, idleMemory, readerMemory, seconds, start []Point
+	var idleCPU, readerCPU, idleMemory, readerMemory, seconds, secondsLinear, start []Point
 	var links, messages, bytes, reads, zones float64
 	add := func(vms, services float64, idle, reader Role) {
 		idleCPU = append(idleCPU, Point{At: []float64{idle.Links, vms, services}, Value: idle.CPU})
@@ -108,6 +125,8 @@
 		reads += f.ReadsPerSecond
 		zones += float64(f.Zones)
 		seconds = append(seconds, Point{At: []float64{math.Log2(float64(f.Nodes))}, Value: f.ChangeSeconds})
+		secondsLinear = append(secondsLinear, Point{At: []float64{float64(f.Nodes)}, Value: f.ChangeSeconds})
+		o.LinksShare = max(o.LinksShare, f.Idle.Links/linksByDesign(f.Zones))
 		start = append(start, Point{At: []float64{float64(f.Nodes)}, Value: float64(f.StartPeakReads)})
 	}
 	for i := range m.Events {
@@ -118,7 +137,7 @@
 	o.IdleMemory, o.ReaderMemory = Fit(idleMemory), Fit(readerMemory)
 	o.LinkMessages, o.LinkBytes = ratio(messages, links), ratio(bytes, links)
 	o.ZoneReads = ratio(reads, zones)
-	o.ChangeSeconds, o.StartReads = Fit(seconds), Fit(start)
+	o.ChangeSeconds, o.ChangeSecondsLinear, o.StartReads = Fit(seconds), Fit(secondsLinear), Fit(start)
 }
 
 // fitChanges fits what a change of a document costs a node.
