--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -149,7 +149,7 @@
 func TestPlannedStopCutsOffNothing(t *testing.T) {
 	t.Cleanup(func() { goleak.VerifyNone(t) }) // runs last, after the stand-ins have ended
 	const calls = 2
-	entered, release := make(chan struct{}, 2*calls), make(chan struct{})
+	var entered, release = make(chan struct{}, 2*calls), make(chan struct{})
 	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			entered <- struct{}{}
