Honour an endpoint's word that it drains; take limits into force before the first call

Change: the health probe also reads whether the endpoint drains, and then the node takes no work and blames nobody; limits follow the view at the call that sees it; ticks come every 100 ms unless a call waits; unknown fields of the VM list are left out; a fenced token repeats the fence's answer; long own keys are refused at the edge; a lost answer can be asked for with the incarnation known over links.

--- a/decision/idempotency/table.go
+++ b/decision/idempotency/table.go
@@ -114,9 +114,14 @@
 	return VerdictRun, r
 }
 
+// AnyFingerprint stands for the content of a request that was fenced before it
+// was seen.
+const AnyFingerprint = 0
+
 func judge[A any](r *Record[A], fingerprint uint64) Verdict {
+	unseen := r.Fingerprint == AnyFingerprint
 	switch {
-	case r.Fingerprint != fingerprint:
+	case r.Fingerprint != fingerprint && !unseen:
 		return VerdictMismatch
 	case r.State == StateRunning:
 		return VerdictWait
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -34,6 +34,9 @@
   "idempotency": {"tokenLifetimeMs": 60000, "recordsMax": 1000, "answerBytesMax": 65536}
 }`
 
+// waitMax bounds every wait of the tests.
+const waitMax = 30 * time.Second
+
 // freeAddress returns an address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -138,8 +141,8 @@
 	select {
 	case value := <-from:
 		return value
-	case <-time.After(30 * time.Second):
-		require.FailNow(t, "nothing came in 30 s")
+	case <-time.After(waitMax):
+		require.FailNow(t, "nothing came in time")
 		panic("unreachable")
 	}
 }
@@ -175,7 +178,13 @@
 		}
 	}
 	for range 2 * calls {
-		receive(t, entered)
+		select {
+		case <-entered:
+		case early := <-answers:
+			require.Fail(t, "answered before it was released", early)
+		case <-time.After(waitMax):
+			require.FailNow(t, "a call never reached the endpoint")
+		}
 	}
 	leaving.stop()
 	time.Sleep(2 * drainGrace) // the listeners are closed by now
--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -48,7 +48,7 @@
 // carry brings a call to an endpoint of its service and returns the endpoint's
 // answer, or the problem once no further attempt is allowed.
 func (t *Traffic) carry(ctx context.Context, o *outgoing) *answer {
-	v := t.config.View.Load()
+	v := t.view()
 	s := t.targets.service(o.route.Service)
 	var last *answer
 	for {
@@ -178,6 +178,9 @@
 // attemptThere sends a call to another node.
 func (t *Traffic) attemptThere(ctx context.Context, s *service, m *view.Member, meta *call.Meta, o *outgoing) (try, routing.Finished) {
 	known := s.incarnation(m.VM)
+	if known == 0 {
+		known = m.Incarnation
+	}
 	ctx, cancel := context.WithTimeout(ctx, meta.Remaining())
 	a, reply, err := t.peers.send(ctx, m.PeerAddress, meta, o.request)
 	if err != nil {
--- a/internal/traffic/failure_test.go
+++ b/internal/traffic/failure_test.go
@@ -250,6 +250,25 @@
 	require.EqualValues(t, neighbours+1, second.runs.Load())
 }
 
+// An endpoint that says it drains gets no new calls, and its end is no crash.
+func TestDrainingEndpointIsLeftAlone(t *testing.T) {
+	f := newFleet(t)
+	draining := f.add("deep-1", "deep", "a", answerWith("one"))
+	f.add("deep-2", "deep", "b", answerWith("two"))
+	entry := f.add("front-1", "front", "a", answerWith(""))
+	f.start()
+	require.Equal(t, "one", entry.call(t, "GET", "/deep", "", "").body)
+	draining.draining.Store(true)
+	require.Eventually(t, draining.traffic.Leaving, 10*time.Second, time.Millisecond)
+	runs := draining.runs.Load()
+	require.Equal(t, "two", entry.call(t, "POST", "/deep", takeToken(t, entry), "").body)
+	require.Equal(t, runs, draining.runs.Load())
+	draining.draining.Store(false)
+	require.Eventually(t, func() bool {
+		return entry.call(t, "GET", "/deep", "", "").body == "one"
+	}, 10*time.Second, 10*time.Millisecond, "it gets calls again")
+}
+
 // A frozen endpoint keeps its connections. Lookups in flight on it are run
 // elsewhere, and no booking is handed to it once it is known.
 func TestFrozenEndpointGetsNoMoreCalls(t *testing.T) {
--- a/internal/traffic/fleet_test.go
+++ b/internal/traffic/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -44,6 +45,7 @@
 	address  string // the peer address in the view
 	runs     atomic.Int64
 	frozen   atomic.Bool // the endpoint answers no probe
+	draining atomic.Bool // the endpoint says that it drains
 }
 
 // testCatalogue has a chain of three services; only the last may be booked.
@@ -89,6 +91,7 @@
 			if n.frozen.Load() {
 				<-r.Context().Done()
 			}
+			_, _ = fmt.Fprintf(w, `{"draining":%t}`, n.draining.Load())
 			return
 		}
 		n.runs.Add(1)
--- a/internal/traffic/gatekeeper.go
+++ b/internal/traffic/gatekeeper.go
@@ -18,7 +18,8 @@
 
 // gatekeeper puts calls through admission and wakes those that waited.
 type gatekeeper struct {
-	now func() time.Duration
+	now    func() time.Duration
+	queued chan struct{} // holds a value when a call began to wait
 
 	mu      sync.Mutex
 	gate    *admission.Gate
@@ -37,6 +38,7 @@
 func newGatekeeper(now func() time.Duration) *gatekeeper {
 	return &gatekeeper{
 		now:     now,
+		queued:  make(chan struct{}, 1),
 		gate:    admission.NewGate(admission.Config{SlotsMax: slotsBefore, QueueMax: queueBefore}),
 		waiting: make(map[admission.ID]chan admission.Verdict),
 		cancels: make(map[admission.ID]context.CancelCauseFunc),
@@ -80,10 +82,21 @@
 		return id, verdict, nil
 	}
 	wait := make(chan admission.Verdict, 1)
+	if len(g.waiting) == 0 {
+		g.wake()
+	}
 	g.waiting[id] = wait
 	return id, verdict, wait
 }
 
+// wake makes Run look after the first call that waits.
+func (g *gatekeeper) wake() {
+	select {
+	case g.queued <- struct{}{}:
+	default:
+	}
+}
+
 // abandon takes back a call whose caller is gone. The gate may have released it
 // in the meantime; then its slot is given back.
 func (g *gatekeeper) abandon(id admission.ID, wait chan admission.Verdict) admission.Verdict {
--- a/internal/traffic/home.go
+++ b/internal/traffic/home.go
@@ -32,6 +32,9 @@
 	LifetimeMs int64 `json:"lifetimeMs"`
 }
 
+// ownKeyBytesMax bounds a key of the caller's own.
+const ownKeyBytesMax = 255
+
 // keyedCall is a non-idempotent request with an idempotency key.
 type keyedCall struct {
 	key         string
@@ -130,6 +133,9 @@
 // catalogue's list of homes and the key alone determine.
 func (t *Traffic) ownKey(ctx context.Context, k *keyedCall) *answer {
 	homes := t.config.View.Load().Index.Catalogue().KeyHomes
+	if len(k.key) > ownKeyBytesMax {
+		return failed(problem.New(problem.KindBadCall, problem.RanNo, "Idempotency-Key: want at most %d bytes", ownKeyBytesMax))
+	}
 	if len(homes) == 0 {
 		return failed(problem.New(problem.KindBadCall, problem.RanNo,
 			"Idempotency-Key: want a token from POST %s; the catalogue lists no keyHomes", PathToken))
@@ -245,14 +251,10 @@
 	case !idempotency.AbsenceProves(t.config.Now(), decoded.Minted(), decoded.Lifetime()):
 		return t.expired(ctx, decoded)
 	default:
-		return t.requests.ask(ctx, decoded.Key, anyFingerprint)
+		return t.requests.ask(ctx, decoded.Key, idempotency.AnyFingerprint)
 	}
 }
 
-// anyFingerprint marks the record of a request that was fenced before its
-// content was seen.
-const anyFingerprint = 0
-
 // homeOf returns the home of a caller's own key: the highest random weight over
 // the catalogue's list. It depends on nothing that two nodes may see otherwise
 // while they have the same catalogue.
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -36,7 +36,7 @@
 }
 
 func (t *Traffic) localRoute(m *call.Meta, q *request) (*catalogue.Route, *problem.Error) {
-	v := t.config.View.Load()
+	v := t.view()
 	switch {
 	case t.Leaving():
 		return nil, problem.New(problem.KindLeaving, problem.RanNo, "VM %s is leaving", t.config.Settings.VM)
@@ -190,7 +190,7 @@
 // which requests may be to blame.
 func (e *execution) lookForCrash() {
 	t := e.traffic
-	if !t.local.down() {
+	if t.watch.isDraining() || !t.local.down() {
 		return
 	}
 	for _, fingerprint := range t.suspects.crashed(e.guard) {
--- a/internal/traffic/path_test.go
+++ b/internal/traffic/path_test.go
@@ -181,9 +181,20 @@
 	require.Equal(t, "no", got.header.Get(problem.HeaderRan), got.body)
 	got = other.call(t, "POST", "/deep", key, "")
 	require.Equal(t, "no", got.header.Get(problem.HeaderRan), got.body)
+	require.Equal(t, problem.KindConnectionLost.String(), got.header.Get(problem.HeaderKind), "the fence's own answer")
 	require.Zero(t, deep.runs.Load())
 }
 
+func TestLongOwnKeyIsRefusedAtTheEdge(t *testing.T) {
+	f := newFleet(t)
+	deep := f.add("deep-1", "deep", "a", answerWith("booked"))
+	f.index.Catalogue().KeyHomes = []string{"deep-1"}
+	f.start()
+	got := deep.call(t, "POST", "/deep", strings.Repeat("k", ownKeyBytesMax+1), "")
+	require.Equal(t, problem.KindBadCall.String(), got.header.Get(problem.HeaderKind))
+	require.Equal(t, "no", got.header.Get(problem.HeaderRan))
+}
+
 func TestTokenOfAnEarlierProcessIsUnknown(t *testing.T) {
 	f := newFleet(t)
 	deep := f.add("deep-1", "deep", "a", answerWith("booked"))
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -24,8 +24,12 @@
 	"github.com/galenacart/galenacart/internal/view"
 )
 
-// tickInterval is the time between two looks at queued calls.
-const tickInterval = 10 * time.Millisecond
+const (
+	// tickInterval is the time between two looks at queued calls.
+	tickInterval = 10 * time.Millisecond
+	// idleInterval is the same while no call is queued.
+	idleInterval = 100 * time.Millisecond
+)
 
 // Config is what traffic needs from the node around it.
 type Config struct {
@@ -67,6 +71,8 @@
 	watch    *watch
 	probes   sync.WaitGroup
 	leaving  atomic.Bool
+	applied  atomic.Pointer[view.View]
+	applying sync.Mutex
 }
 
 // New returns the traffic side of a node.
@@ -94,25 +100,50 @@
 
 // Run looks after queued calls and sends probes until ctx ends.
 func (t *Traffic) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	defer t.probes.Wait()
-	var applied *view.View
 	for {
-		if v := t.config.View.Load(); v != applied {
-			t.apply(v)
-			applied = v
-		}
+		t.view()
 		t.gate.tick()
 		t.look(ctx)
-		select {
-		case <-ctx.Done():
+		if !t.pause(ctx) {
 			return
-		case <-ticker.C:
 		}
 	}
 }
 
+// pause waits until the next look at queued calls: shortly while calls wait,
+// longer while none does. It returns false when ctx has ended.
+func (t *Traffic) pause(ctx context.Context) bool {
+	interval := idleInterval
+	if t.gate.state().Queued > 0 {
+		interval = tickInterval
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.gate.queued:
+	case <-timer.C:
+	}
+	return true
+}
+
+// view returns the newest view, whose limits are in force when it returns.
+func (t *Traffic) view() *view.View {
+	v := t.config.View.Load()
+	if t.applied.Load() == v {
+		return v
+	}
+	t.applying.Lock()
+	defer t.applying.Unlock()
+	if t.applied.Load() != v {
+		t.apply(v)
+		t.applied.Store(v)
+	}
+	return v
+}
+
 // apply takes the limits of a new view into force.
 func (t *Traffic) apply(v *view.View) {
 	t.targets.retain(v)
@@ -134,9 +165,10 @@
 	t.leaving.Store(true)
 }
 
-// Leaving reports whether the node takes no new work.
+// Leaving reports whether the node takes no new work: it is stopping itself, the
+// platform lists it as leaving, or its endpoint says that it drains.
 func (t *Traffic) Leaving() bool {
-	return t.leaving.Load() || t.config.View.Load().Leaving
+	return t.leaving.Load() || t.watch.isDraining() || t.config.View.Load().Leaving
 }
 
 // Close drops idle connections.
--- a/internal/traffic/watch.go
+++ b/internal/traffic/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -19,13 +21,17 @@
 // content, proves that the endpoint works.
 const pathHealth = "/-/health"
 
+// healthBytesMax bounds what is read of the health page.
+const healthBytesMax = 4 << 10
+
 // watch follows the local endpoint's signs of life.
 type watch struct {
 	now func() time.Duration
 
-	mu      sync.Mutex
-	stall   stall.Watch
-	stalled bool
+	mu       sync.Mutex
+	stall    stall.Watch
+	stalled  bool
+	draining bool // by the endpoint's own word
 }
 
 func newWatch(now func() time.Duration) *watch {
@@ -46,10 +52,11 @@
 
 // probed takes in a probe's end. changed is true when the endpoint stalled or
 // came back.
-func (w *watch) probed(alive bool) (stalled, changed bool) {
+func (w *watch) probed(s sign) (stalled, changed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stall.Probed(alive)
+	w.stall.Probed(s.alive)
+	w.draining = s.draining
 	stalled = w.stall.Stalled()
 	changed = stalled != w.stalled
 	w.stalled = stalled
@@ -62,6 +69,12 @@
 	return w.stall.Stalled()
 }
 
+func (w *watch) isDraining() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.draining
+}
+
 // look sends the probes that are due: to the local endpoint, and to nodes that
 // were set aside. Probes run beside the caller and end by themselves.
 func (t *Traffic) look(ctx context.Context) {
@@ -86,7 +99,7 @@
 func (t *Traffic) probeEndpoint(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stall.ProbeTimeout)
 	defer cancel()
-	stalled, changed := t.watch.probed(t.local.alive(ctx))
+	stalled, changed := t.watch.probed(t.local.ask(ctx))
 	if !changed {
 		return
 	}
@@ -98,18 +111,36 @@
 	t.parents.abandonIdempotent()
 }
 
-// alive reports whether the endpoint gives any sign of life. A refused
-// connection is one: nothing hangs then.
-func (e *endpoint) alive(ctx context.Context) bool {
+// sign is what a probe of the endpoint showed.
+type sign struct {
+	alive    bool
+	draining bool
+}
+
+// health is the part of the endpoint's health page that is believed. It may lag
+// behind or be wrong about everything else, but an endpoint that says it drains
+// refuses work soon.
+type health struct {
+	Draining bool `json:"draining"`
+}
+
+// ask asks the endpoint for a sign of life. A refused connection is one: nothing
+// hangs then.
+func (e *endpoint) ask(ctx context.Context) sign {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address+pathHealth, nil)
 	if err != nil {
-		return true
+		return sign{alive: true}
 	}
 	response, err := e.probe.RoundTrip(r)
 	if err != nil {
-		return ctx.Err() == nil
+		return sign{alive: ctx.Err() == nil}
+	}
+	defer func() { _ = response.Body.Close() }() // read as far as it is of use
+	var h health
+	if err := json.NewDecoder(io.LimitReader(response.Body, healthBytesMax)).Decode(&h); err != nil {
+		return sign{alive: true}
 	}
-	return response.Body.Close() == nil
+	return sign{alive: true, draining: h.Draining}
 }
 
 // ping asks another node whether it would take calls.
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -2,7 +2,11 @@
 // behind what it describes.
 package vmlist
 
-import "github.com/galenacart/galenacart/internal/strictjson"
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
 
 // State is what the platform last knew of a VM.
 type State string
@@ -39,11 +43,12 @@
 	VMs []VM `json:"vms"`
 }
 
-// Decode reads a list. The error is a *strictjson.Faults.
+// Decode reads a list. Fields that it doesn't know are left out: the platform
+// may add some, and a list that every node refuses would stop all routing.
 func Decode(data []byte) (*List, error) {
 	l := &List{}
-	if err := strictjson.Decode("VM list", data, l); err != nil {
-		return nil, err
+	if err := json.Unmarshal(data, l); err != nil {
+		return nil, errors.Wrap(err, "VM list")
 	}
 	return l, nil
 }
