--- a/internal/traffic/fuzz_guard_test.go
+++ b/internal/traffic/fuzz_guard_test.go
@@ -83,3 +83,19 @@
 	require.Equal(t, "unknown", got.header.Get(problem.HeaderRan))
 	require.Zero(t, deep.runs.Load())
 }
+
+// The HTTP client resends a request with an idempotency key on its own when a
+// connection that it used before breaks. A node's requests must not allow it.
+func TestBookingIsNotResentByTheClient(t *testing.T) {
+	f := newFleet(t)
+	deep := f.add("deep-1", "deep", "a", func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	f.start()
+	require.Equal(t, http.StatusOK, deep.call(t, "GET", "/deep", "", "").status, "leaves an idle connection")
+	got := deep.call(t, "POST", "/deep", takeToken(t, deep), "")
+	require.Equal(t, "unknown", got.header.Get(problem.HeaderRan), got.body)
+	require.EqualValues(t, 2, deep.runs.Load(), "one lookup and one booking")
+}
