Let a shed call ask one more node freely

Cause: a call that one node shed stopped there once the brake was used up, although the other endpoint of the service had room.

--- a/decision/retry/next.go
+++ b/decision/retry/next.go
@@ -9,6 +9,9 @@
 	FateNotSent Fate = iota
 	// FateLeaving means that the other node refused because it is leaving.
 	FateLeaving
+	// FateShed means that the other node refused for lack of capacity. Its
+	// endpoint never saw the call.
+	FateShed
 	// FateRefused means that the other node or its endpoint refused before
 	// starting the call.
 	FateRefused
@@ -37,7 +40,7 @@
 	switch f {
 	case FateNotSent, FateLeaving:
 		return StepFree
-	case FateRefused:
+	case FateShed, FateRefused:
 		return StepCharge
 	default:
 		if idempotent {
--- a/decision/retry/retry_test.go
+++ b/decision/retry/retry_test.go
@@ -105,6 +105,7 @@
 	}{
 		{desc: "nothing sent", fate: FateNotSent, want: StepFree},
 		{desc: "node leaving", fate: FateLeaving, want: StepFree},
+		{desc: "shed by the node", fate: FateShed, want: StepCharge},
 		{desc: "refused before start", fate: FateRefused, want: StepCharge},
 		{desc: "booking with unknown fate", fate: FateUnknown, want: StepStop},
 		{desc: "booking that ran", fate: FateRan, want: StepStop},
--- a/internal/problem/kind.go
+++ b/internal/problem/kind.go
@@ -60,6 +60,9 @@
 	KindKeyReused
 	// KindInternal means that the node itself failed.
 	KindInternal
+	// KindEndpointRefused means that the endpoint itself refused the call before
+	// starting it.
+	KindEndpointRefused
 
 	kindCount
 )
--- a/internal/problem/table.go
+++ b/internal/problem/table.go
@@ -39,6 +39,7 @@
 	KindUnknownParent:        {Name: "unknown_parent", Status: http.StatusBadRequest, Title: "The parent call is not running on this node"},
 	KindBodyTooLarge:         {Name: "body_too_large", Status: http.StatusRequestEntityTooLarge, Title: "The body is over the route's limit"},
 	KindKeyReused:            {Name: "key_reused", Status: http.StatusUnprocessableEntity, Title: "The idempotency key belongs to another request"},
+	KindEndpointRefused:      {Name: "endpoint_refused", Status: http.StatusServiceUnavailable, Title: "The endpoint refused before starting", Retryable: true, RetryAfterSeconds: 1},
 	KindInternal:             {Name: "internal", Status: http.StatusInternalServerError, Title: "The node failed"},
 }
 
--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -95,7 +95,7 @@
 // missed returns the problem when no endpoint is left to try.
 func (t *Traffic) missed(miss routing.Miss, last *answer, o *outgoing) *answer {
 	switch {
-	case miss == routing.MissShedding, last != nil && last.problem.Kind == problem.KindOverloaded:
+	case miss == routing.MissShedding, last != nil && isShed(last.problem.Kind):
 		return failed(problem.New(problem.KindOverloadedEverywhere, problem.RanNo, "every endpoint of %s sheds calls of this importance", o.route.Service))
 	case last != nil:
 		return last
@@ -109,7 +109,7 @@
 	switch step := retry.Next(one.fate, o.route.Idempotent); {
 	case step == retry.StepStop:
 		return false
-	case step == retry.StepFree, one.fate == retry.FateRefused && o.priority.Rank() == 0:
+	case step == retry.StepFree, one.fate == retry.FateShed && o.mayAskFreely():
 		o.free++
 		return o.free <= freeMax
 	case one.silent:
@@ -119,6 +119,18 @@
 	}
 }
 
+// mayAskFreely reports whether a call that a node shed may ask another node
+// without a token. No endpoint saw the call. The most important class asks every
+// endpoint before it is refused, the others one more.
+func (o *outgoing) mayAskFreely() bool {
+	return o.priority.Rank() == 0 || o.free == 0
+}
+
+// isShed reports whether a call was refused for lack of capacity.
+func isShed(k problem.Kind) bool {
+	return k == problem.KindOverloaded || k == problem.KindOverloadedEverywhere || k == problem.KindEndpointRefused
+}
+
 // attempt sends a call to one endpoint.
 func (t *Traffic) attempt(ctx context.Context, s *service, m *view.Member, o *outgoing) try {
 	started := t.config.Now()
@@ -263,6 +275,8 @@
 	switch {
 	case e.Kind == problem.KindLeaving:
 		return retry.FateLeaving
+	case e.Kind == problem.KindOverloaded && e.Ran == problem.RanNo:
+		return retry.FateShed
 	case e.Ran == problem.RanNo:
 		return retry.FateRefused
 	case e.Ran == problem.RanYes:
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -122,7 +122,7 @@
 	if e.refusedByEndpoint(a.status) {
 		a.close()
 		e.end(admission.OutcomeRefused)
-		a = failed(problem.New(problem.KindOverloaded, problem.RanNo, "the endpoint refused with status %d", a.status))
+		a = failed(problem.New(problem.KindEndpointRefused, problem.RanNo, "the endpoint refused with status %d", a.status))
 		a.retries = e.parent.pool.left()
 		return a
 	}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -150,7 +150,7 @@
 	switch {
 	case a.problem == nil:
 		t.chain.ran(p.route, route.Name, p.priority)
-	case a.problem.Kind == problem.KindOverloaded || a.problem.Kind == problem.KindOverloadedEverywhere:
+	case isShed(a.problem.Kind):
 		t.chain.shed(p.route, route.Name, p.priority)
 	}
 }
