Compare levels that lie closer together while the limit is sought

Cause: with a step of 0.6 a comparison held the endpoint at half its limit for 32 calls; polled live, the nodes in the middle of a chain ran 8 calls while the service below stood half idle, for the first four seconds of an overload. Change: the levels of a comparison lie at most 30 % apart; the small batch of the wide comparison is gone.

--- a/decision/capacity/knee.go
+++ b/decision/capacity/knee.go
@@ -25,21 +25,18 @@
 	// gapMin and gapMax bound the distance between the two levels of a
 	// comparison, as a logarithm. A wide gap tells more and costs more.
 	gapMin = 0.18
-	gapMax = 0.7
+	gapMax = 0.36
 	// gapCheck is the gap of one comparison in checkEvery once the limit is
 	// settled. Far above the slots it tells more than the least one.
 	gapCheck   = 0.36
 	checkEvery = 2
 	// gapPerStep sets the gap from the step.
 	gapPerStep = 2
-	// gapWide is the gap from which on a small batch tells enough.
-	gapWide = 0.5
-	// batchWide and batchNarrow are the least numbers of calls at each level.
-	batchWide   = 32
-	batchNarrow = 64
-	// turnsNarrow is the least number of calls per slot in a narrow comparison.
+	// batchLeast is the least number of calls at each level.
+	batchLeast = 64
+	// turnsLeast is the least number of calls per slot in a comparison.
 	// Calls of equal length run in waves, and a part of a wave misleads.
-	turnsNarrow = 2
+	turnsLeast = 2
 
 	// elasticityTarget is the aim for the change of the time to answer relative
 	// to the change of the level: 0 below the endpoint's slots, 1 above.
@@ -101,10 +98,7 @@
 	}
 	high = max(2, k.level(0))
 	low = max(1, min(high-1, k.level(-gap)))
-	if gap > gapWide {
-		return high, low, max(batchWide, high)
-	}
-	return high, low, max(batchNarrow, turnsNarrow*high)
+	return high, low, max(batchLeast, turnsLeast*high)
 }
 
 // adapt takes in the elasticity of one comparison and reports whether the limit
