Doubt one comparison that asks for less; retreat when calls are cut off

Cause: polled live, endpoints of 20 slots were learned as 9 after a cold start, because one comparison saw the endpoint become faster between its two levels and took it for full slots; at two thirds of the capacity a third of the lookups was shed for seconds. Change: a comparison that asks for a large step down is made again first; after one in which most calls got no answer in time the limit goes down instead of staying.

--- a/decision/capacity/knee.go
+++ b/decision/capacity/knee.go
@@ -3,7 +3,8 @@
 import "math"
 
 const (
-	// initialLimit is the limit for an endpoint of which nothing is known.
+	// initialLimit is the most that is tried at first at an endpoint of which
+	// nothing is known.
 	initialLimit = 16
 	// stepInitial is the first change of the logarithm of the limit that one
 	// comparison can cause. It is the largest one too.
@@ -17,6 +18,8 @@
 	// stepUnpinned is the step after the first comparison that asks for less than
 	// the ceiling.
 	stepUnpinned = 0.15
+	// stepDoubted is the step up to which one comparison is enough to go down.
+	stepDoubted = 0.1
 	// stepSettled is the step up to which the limit counts as settled.
 	stepSettled = 0.1
 	// errorGain scales an error to the part of the step that is taken.
@@ -60,21 +63,21 @@
 // later but not more often.
 type knee struct {
 	// logLimit is the logarithm of the limit before rounding.
-	logLimit float64
-	logMost  float64
-	step     float64
-	mean     float64 // mean elasticity
-	upwards  bool    // sign of the last error
-	compared bool
-	pinned   bool // the limit is the ceiling and would grow if it could
-	turn     int  // counts the comparisons while the limit is settled
+	logLimit   float64
+	logMost    float64
+	step       float64
+	mean       float64 // mean elasticity
+	upwards    bool    // sign of the last error
+	compared   bool
+	lessBefore bool // the last comparison asked for less
+	pinned     bool // the limit is the ceiling and would grow if it could
+	turn       int  // counts the comparisons while the limit is settled
 }
 
 func newKnee() knee {
 	return knee{
-		logLimit: math.Log(initialLimit),
-		step:     stepInitial,
-		mean:     elasticityTarget,
+		step: stepInitial,
+		mean: elasticityTarget,
 	}
 }
 
@@ -82,6 +85,9 @@
 // the time when it is raised again.
 func (k *knee) setCeiling(ceiling int) {
 	k.logMost = math.Log(float64(ceiling))
+	if !k.compared && !k.pinned {
+		k.logLimit = min(k.logMost, math.Log(initialLimit))
+	}
 }
 
 // level returns the limit with some room above, as a logarithm.
@@ -119,6 +125,9 @@
 	if k.pin(err > 0) {
 		return true
 	}
+	if k.doubt(err < 0) {
+		return false
+	}
 	k.adaptStep(err > 0)
 	k.move(k.step * max(-1, min(1, errorGain*err)))
 	k.mean += (max(-1, min(2, elasticity)) - k.mean) * elasticityWeight
@@ -130,6 +139,15 @@
 	return k.step <= stepSettled
 }
 
+// doubt reports whether a comparison that asks for less is to be made again
+// first. An endpoint that grows faster between the two levels, as after a cold
+// start, looks like one without spare slots; two times in a row it hardly does.
+func (k *knee) doubt(less bool) bool {
+	first := less && !k.lessBefore && k.step > stepDoubted
+	k.lessBefore = less
+	return first
+}
+
 // pin settles the limit at the ceiling as long as comparisons ask for more, so
 // that no wide comparison holds back calls for a limit that can't grow.
 func (k *knee) pin(upwards bool) bool {
@@ -142,10 +160,19 @@
 	case was:
 		k.step = stepUnpinned
 		k.compared = false
+		k.lessBefore = true
 	}
 	return k.pinned
 }
 
+// retreat lowers the limit after a comparison in which most calls got no answer
+// in time.
+func (k *knee) retreat() {
+	k.pinned = false
+	k.adaptStep(false)
+	k.move(-k.step)
+}
+
 // check reports whether the present comparison has gapCheck.
 func (k *knee) check() bool {
 	return k.turn%checkEvery == checkEvery-1
--- a/decision/capacity/limiter.go
+++ b/decision/capacity/limiter.go
@@ -181,8 +181,8 @@
 // compare moves the limit by what the two batches tell.
 func (l *Limiter) compare(now time.Duration) {
 	if l.low.blind() {
-		l.phase = phaseRest
-		l.started = now
+		l.knee.retreat()
+		l.open(now)
 		return
 	}
 	gap := math.Log(float64(l.high.level) / float64(l.low.level))
