Ask a node whose answer was lost which endpoints the request broke

Change: a node remembers for a minute what a root request broke; before an idempotent call with unknown fate is repeated, the node that got it is asked, for at most connectionSilenceMs.

--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -200,6 +200,9 @@
 		if one.fate == retry.FateUnknown && !o.route.Idempotent {
 			one = t.resume(ctx, m, meta, o, known, one)
 		}
+		if one.fate == retry.FateUnknown && !one.final {
+			t.askNews(ctx, m, o)
+		}
 		cancel()
 		return one, end
 	}
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -113,9 +113,9 @@
 	a, err := t.local.send(ctx, e.meta.Attempt, e.request, e.deadline-t.config.Now(), e.cancel)
 	if err != nil {
 		a = failed(e.explain(ctx, err))
+		e.parent.losses.add(t.suspects.losses(e.request.fingerprint))
 		e.end(outcomeOf(a, ctx))
 		a.retries = e.parent.pool.left()
-		e.parent.losses.add(t.suspects.losses(e.request.fingerprint))
 		a.losses = e.parent.losses.list()
 		return a
 	}
@@ -137,6 +137,7 @@
 	t := e.traffic
 	now := t.config.Now()
 	t.parents.remove(e.meta.Attempt)
+	t.news.put(e.meta.Root, e.parent.losses.list())
 	e.cancel(errParentEnd)
 	t.suspects.leave(e.guard, o == admission.OutcomeAnswered)
 	t.gate.leave(e.pass, admission.Result{
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -69,6 +69,7 @@
 	chain    *chain
 	tokens   *token.Codec
 	watch    *watch
+	news     *news
 	probes   sync.WaitGroup
 	leaving  atomic.Bool
 	applied  atomic.Pointer[view.View]
@@ -92,6 +93,7 @@
 		suspects: newSuspects(c.Now),
 		chain:    newChain(c.Now),
 		watch:    newWatch(c.Now),
+		news:     newNews(c.Now),
 		tokens:   token.NewCodec(c.Settings.FleetKey),
 	}
 	t.registerGauges()
@@ -235,6 +237,7 @@
 func (t *Traffic) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathPing, t.servePing)
+	mux.HandleFunc("GET "+pathNews, t.serveNews)
 	mux.HandleFunc("/", t.servePeer)
 	return mux
 }
