Drop reports that nothing sends; tell control when a node answers again

Cause: traffic keeps leaving nodes itself and reports neither that nor draining; control still handled both, and never heard that an unreachable node answers again. Change: the two kinds of reports are gone; an answered ping is reported.

--- a/internal/control/membership_controller.go
+++ b/internal/control/membership_controller.go
@@ -48,7 +48,7 @@
 
 // seen holds the times at which traffic saw a VM.
 type seen struct {
-	answered, unreachable, leaving fresh
+	answered, unreachable fresh
 }
 
 // membershipController finds the state of each VM.
@@ -208,12 +208,6 @@
 
 // observe takes a report of traffic.
 func (m *membershipController) observe(r view.Report) {
-	if r.Kind == view.ReportEndpointDraining {
-		if m.records[m.Settings.VM].State == peer.Live {
-			m.announce(peer.Leaving)
-		}
-		return
-	}
 	if m.records[r.VM] == nil && m.listed[r.VM] == nil {
 		return
 	}
@@ -224,8 +218,6 @@
 	}
 	at := fresh{known: true, at: m.now}
 	switch r.Kind {
-	case view.ReportPeerLeaving:
-		s.leaving, s.answered = at, at
 	case view.ReportPeerUnreachable:
 		s.unreachable = at
 	case view.ReportPeerAnswered:
--- a/internal/control/membership_sweep.go
+++ b/internal/control/membership_sweep.go
@@ -146,7 +146,6 @@
 	if s := m.seen[vm]; s != nil {
 		e.AnsweredAge = m.since(s.answered)
 		e.UnreachableAge = m.since(s.unreachable)
-		e.LeavingAge = m.since(s.leaving)
 	}
 	return e
 }
--- a/internal/traffic/watch.go
+++ b/internal/traffic/watch.go
@@ -93,11 +93,20 @@
 				s.probed(vm, false)
 				continue
 			}
-			t.probes.Go(func() { s.probed(vm, t.ping(ctx, m)) })
+			t.probes.Go(func() { t.probePeer(ctx, s, m) })
 		}
 	}
 }
 
+// probePeer asks a node that was set aside whether it answers again.
+func (t *Traffic) probePeer(ctx context.Context, s *service, m *view.Member) {
+	answered := t.ping(ctx, m)
+	s.probed(m.VM, answered)
+	if answered {
+		t.config.Reports.Send(view.Report{Kind: view.ReportPeerAnswered, VM: m.VM})
+	}
+}
+
 // probeEndpoint asks the local endpoint for a sign of life.
 func (t *Traffic) probeEndpoint(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stall.ProbeTimeout)
--- a/internal/view/report.go
+++ b/internal/view/report.go
@@ -7,17 +7,13 @@
 
 // The kinds of reports.
 const (
-	// ReportPeerLeaving means that a node said on an answer that it is leaving.
-	ReportPeerLeaving ReportKind = iota + 1
 	// ReportPeerUnreachable means that no connection to a node could be made.
-	ReportPeerUnreachable
-	// ReportPeerAnswered means that a node answered after it was unreachable.
+	ReportPeerUnreachable ReportKind = iota + 1
+	// ReportPeerAnswered means that a node that was set aside answers again.
 	ReportPeerAnswered
 	// ReportEndpointCrashed means that an endpoint broke down while it ran the
 	// request with the given fingerprint.
 	ReportEndpointCrashed
-	// ReportEndpointDraining means that the local endpoint said it drains.
-	ReportEndpointDraining
 )
 
 // Report is one observation of traffic for the control thread.
