Make a home unsure of own keys after its list of homes changed

Cause: with a new keyHomes in force the new home could start a key that the old home had run; only the age of the process was looked at. Change: a change of the list counts like a start of the process: own keys without a record are unknown for two lifetimes.

--- a/internal/traffic/home.go
+++ b/internal/traffic/home.go
@@ -155,11 +155,11 @@
 	}
 	key := ownKeyID(k.key)
 	lifetime := v.Index.Catalogue().Idempotency.TokenLifetime()
-	if idempotency.JudgeOwnKey(t.config.Now(), lifetime) == idempotency.VerdictUnsure {
+	if idempotency.JudgeOwnKey(t.keyHomes.age(t.config.Now()), lifetime) == idempotency.VerdictUnsure {
 		if a := t.requests.recorded(ctx, key); a != nil {
 			return a
 		}
-		return failed(problem.New(problem.KindHomeGone, problem.RanUnknown, "the home of the key has started too short a time ago"))
+		return failed(problem.New(problem.KindHomeGone, problem.RanUnknown, "the home of the key has started, or the list of homes has changed, too short a time ago"))
 	}
 	return t.runOnce(ctx, key, k)
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -73,6 +73,7 @@
 	probes   sync.WaitGroup
 	leaving  atomic.Bool
 	applied  atomic.Pointer[view.View]
+	keyHomes keyHomes
 	applying sync.Mutex
 }
 
@@ -155,6 +156,7 @@
 		return
 	}
 	c := v.Index.Catalogue()
+	t.keyHomes.follow(t.config.Now(), c.KeyHomes)
 	t.requests.setBounds(c.Idempotency.RecordsMax, c.Idempotency.TokenLifetime(), c.Idempotency.AnswerBytesMax)
 	t.attempts.setBounds(c.Idempotency.RecordsMax, attemptLifetime, c.Idempotency.AnswerBytesMax)
 	if s := v.Index.Service(t.config.Settings.Service); s != nil {
