Count the bytes of kept answers as they are dropped

Cause: reading the change again, galenacart_record_bytes and answerBytes only grew; they were documented as the memory that records hold. Change: the table tells which answer it drops, and the count follows. In the same commit four twins of decode-and-check and of read-and-decode became strictjson.DecodeChecked and strictjson.Load; no behaviour changed, the tests of settings, catalogue and stand-ins pass untouched.

--- a/decision/idempotency/table.go
+++ b/decision/idempotency/table.go
@@ -74,6 +74,7 @@
 	config  Config
 	records map[Key]*Record[A]
 	oldest  []expiry // in the order of expires
+	dropped func(answer A)
 }
 
 type expiry struct {
@@ -83,7 +84,12 @@
 
 // NewTable returns an empty table.
 func NewTable[A any](c Config) *Table[A] {
-	return &Table[A]{config: c, records: make(map[Key]*Record[A])}
+	return &Table[A]{config: c, records: make(map[Key]*Record[A]), dropped: func(A) {}}
+}
+
+// OnDrop sets what is called with the answer of each record that is dropped.
+func (t *Table[A]) OnDrop(f func(answer A)) {
+	t.dropped = f
 }
 
 // SetConfig replaces the bounds. Records that exist keep the longer lifetime.
@@ -172,6 +178,7 @@
 			continue
 		}
 		delete(t.records, first.key)
+		t.dropped(r.Answer)
 	}
 }
 
--- a/internal/catalogue/decode.go
+++ b/internal/catalogue/decode.go
@@ -10,21 +10,10 @@
 	if len(data) > MaxBytes {
 		return nil, strictjson.TooLarge(file, MaxBytes)
 	}
-	c := &Catalogue{}
-	if err := strictjson.Decode(file, data, c); err != nil {
-		return nil, err
-	}
-	if faults := c.Check(); len(faults) > 0 {
-		return nil, &strictjson.Faults{File: file, List: faults}
-	}
-	return c, nil
+	return strictjson.DecodeChecked(file, data, (*Catalogue).Check)
 }
 
 // ReadFile reads and checks the catalogue in a file.
 func ReadFile(file string) (*Catalogue, error) {
-	data, err := strictjson.ReadFile(file, MaxBytes)
-	if err != nil {
-		return nil, err
-	}
-	return Decode(file, data)
+	return strictjson.Load(file, MaxBytes, Decode)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,23 +54,12 @@
 // Decode reads and checks settings. file is used in errors only. The error is a
 // *strictjson.Faults that lists every fault.
 func Decode(file string, data []byte) (*Node, error) {
-	n := &Node{}
-	if err := strictjson.Decode(file, data, n); err != nil {
-		return nil, err
-	}
-	if faults := n.check(); len(faults) > 0 {
-		return nil, &strictjson.Faults{File: file, List: faults}
-	}
-	return n, nil
+	return strictjson.DecodeChecked(file, data, (*Node).check)
 }
 
 // ReadFile reads and checks the settings in a file.
 func ReadFile(file string) (*Node, error) {
-	data, err := strictjson.ReadFile(file, maxBytes)
-	if err != nil {
-		return nil, err
-	}
-	return Decode(file, data)
+	return strictjson.Load(file, maxBytes, Decode)
 }
 
 // StopTimeout bounds a planned stop.
--- a/internal/standin/platform/settings.go
+++ b/internal/standin/platform/settings.go
@@ -51,23 +51,16 @@
 
 // ReadFile reads and checks the settings in a file.
 func ReadFile(file string) (*Settings, error) {
-	data, err := strictjson.ReadFile(file, maxSettingsBytes)
-	if err != nil {
-		return nil, err
-	}
-	return Decode(file, data)
+	return strictjson.Load(file, maxSettingsBytes, Decode)
 }
 
 // Decode reads and checks settings and fills in defaults. The error is a
 // *strictjson.Faults.
 func Decode(file string, data []byte) (*Settings, error) {
-	s := &Settings{}
-	if err := strictjson.Decode(file, data, s); err != nil {
+	s, err := strictjson.DecodeChecked(file, data, (*Settings).check)
+	if err != nil {
 		return nil, err
 	}
-	if faults := s.check(); len(faults) > 0 {
-		return nil, &strictjson.Faults{File: file, List: faults}
-	}
 	s.fillDefaults()
 	return s, nil
 }
--- a/internal/traffic/link.go
+++ b/internal/traffic/link.go
@@ -24,7 +24,7 @@
 	conn    atomic.Pointer[countingConn]
 	before  atomic.Int64
 	pending atomic.Bool
-	touched atomic.Int64 // time of the last sign of progress, in wall nanoseconds of a monotonic reading
+	touched atomic.Int64 // last sign of progress, in nanoseconds since start
 	start   time.Time
 }
 
--- a/internal/traffic/records.go
+++ b/internal/traffic/records.go
@@ -34,18 +34,28 @@
 type TableState struct {
 	// Records is the number of records.
 	Records int `json:"records"`
-	// AnswerBytes is the memory of answers that were kept since the start.
+	// AnswerBytes is the memory of the bodies of kept answers.
 	AnswerBytes int64 `json:"answerBytes"`
 }
 
 func newRecords(now func() time.Duration) *records {
 	c := idempotency.Config{RecordsMax: recordsBefore, Lifetime: attemptLifetime}
-	return &records{
+	r := &records{
 		now:       now,
 		table:     idempotency.NewTable[*answer](c),
 		waiting:   make(map[idempotency.Key]chan struct{}),
 		answerMax: answerBytesBefore,
 	}
+	r.table.OnDrop(r.dropped)
+	return r
+}
+
+// dropped takes a dropped answer out of the count. The table calls it while the
+// caller of the table holds the lock.
+func (r *records) dropped(a *answer) {
+	if a != nil {
+		r.answerBytes -= int64(len(a.body))
+	}
 }
 
 func (r *records) setBounds(count int, lifetime time.Duration, answerBytes int) {
