Give tests addresses that no other process can take

The tests took a port from the kernel, closed it and bound it later; in between another test's connection or listener can get the same port.

Change: internal/testaddress hands out 127.x.y.z with the process ID in the IP number and a port below the kernel's own range. It replaces two copies of freeAddress (internal/node, cmd/galenacart-standin).

The race itself was not reproduced on demand.

--- a/cmd/galenacart-standin/main_test.go
+++ b/cmd/galenacart-standin/main_test.go
@@ -18,6 +18,7 @@
 	"github.com/galenacart/galenacart/internal/standin/endpoint"
 	"github.com/galenacart/galenacart/internal/standin/platform"
 	"github.com/galenacart/galenacart/internal/standin/truth"
+	"github.com/galenacart/galenacart/internal/testaddress"
 )
 
 // runVariable makes the test binary act as the program.
@@ -49,15 +50,6 @@
 	return c.ProcessState.ExitCode(), out.String()
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	return l.Addr().String()
-}
-
 func writeSettings(t *testing.T, settings any) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "settings.json")
@@ -71,8 +63,8 @@
 	t.Helper()
 	return &endpoint.Settings{
 		VM: "vm-1", Service: "stock", Slots: 1,
-		EndpointAddress: freeAddress(t),
-		AdminAddress:    freeAddress(t),
+		EndpointAddress: testaddress.New(),
+		AdminAddress:    testaddress.New(),
 		TruthFile:       filepath.Join(t.TempDir(), "truth.jsonl"),
 		Routes:          []endpoint.Route{{Path: "/", ServiceTime: endpoint.ServiceTime{MeanMs: 1}}},
 	}
@@ -115,7 +107,7 @@
 	noSlots := endpointSettings(t)
 	noSlots.Slots = 0
 	noKey := &platform.Settings{
-		Address: freeAddress(t), AdminAddress: freeAddress(t),
+		Address: testaddress.New(), AdminAddress: testaddress.New(),
 		Keys: []platform.KeyFile{{Key: "catalogue", File: "none.json"}},
 	}
 	tests := []struct {
@@ -185,7 +177,7 @@
 	file := filepath.Join(t.TempDir(), "catalogue.json")
 	require.NoError(t, os.WriteFile(file, []byte("{}"), 0o600))
 	s := &platform.Settings{
-		Address: freeAddress(t), AdminAddress: freeAddress(t),
+		Address: testaddress.New(), AdminAddress: testaddress.New(),
 		Keys: []platform.KeyFile{{Key: "catalogue", File: file}},
 	}
 	url := "http://" + s.Address + "/v1/keys/catalogue"
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,7 @@
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/standin/platform"
+	"github.com/galenacart/galenacart/internal/testaddress"
 	"github.com/galenacart/galenacart/internal/vmlist"
 )
 
@@ -37,21 +38,12 @@
 // waitMax bounds every wait of the tests.
 const waitMax = 30 * time.Second
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func newSettings(t *testing.T, vm, platformAddress, endpointAddress string) *settings.Node {
 	t.Helper()
 	return &settings.Node{
 		VM: vm, AvailabilityZone: "a", Region: "r", Service: "deep",
-		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), OutboundAddress: freeAddress(t),
-		StatusAddress: freeAddress(t), EndpointAddress: endpointAddress,
+		CallerAddress: testaddress.New(), PeerAddress: testaddress.New(), OutboundAddress: testaddress.New(),
+		StatusAddress: testaddress.New(), EndpointAddress: endpointAddress,
 		PlatformAddresses: []string{platformAddress}, FleetKey: "a fleet key of some length",
 		StopTimeoutMs: 10000,
 	}
@@ -160,7 +152,7 @@
 		}
 		_, _ = io.WriteString(w, "done")
 	}))
-	platformAddress := freeAddress(t)
+	platformAddress := testaddress.New()
 	first := newSettings(t, "deep-1", platformAddress, endpoint.Listener.Addr().String())
 	second := newSettings(t, "deep-2", platformAddress, endpoint.Listener.Addr().String())
 	newPlatform(t, first, second)
@@ -206,7 +198,7 @@
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = taken.Close() }()
-	s := newSettings(t, "deep-1", freeAddress(t), freeAddress(t))
+	s := newSettings(t, "deep-1", testaddress.New(), testaddress.New())
 	s.PeerAddress = taken.Addr().String()
 	_, err = Start(t.Context(), s, "test", io.Discard)
 	require.ErrorContains(t, err, "peerAddress "+s.PeerAddress)
@@ -214,7 +206,7 @@
 
 // With no platform at its start a node lives, says so, and refuses as not run.
 func TestPlatformUnreachableAtStart(t *testing.T) {
-	s := newSettings(t, "deep-1", freeAddress(t), freeAddress(t))
+	s := newSettings(t, "deep-1", testaddress.New(), testaddress.New())
 	n := start(t, s)
 	status, body := n.send(t, http.MethodPost)
 	require.Equal(t, http.StatusServiceUnavailable, status)
