Carry thresholds up the chain; shed at once what a standing queue only keeps

Each endpoint's node learned the boundary below it only from its own calls that were shed, 200 ms and more after they were sent, and the boundary opened by itself in 400 ms: it was open again before the first refusal came back. At the deepest gate calls beyond the boundary waited 200 ms or more for a refusal that was certain, and held slots at every hop above them.

Change: a node derives what is shed below a route from the thresholds that its targets' answers report (the loosest of all endpoints of a service, the tightest of all calls of the route), and its own answers carry that on. A gate's threshold opens with the time for which slots were free instead of with time. A queue that stands for 300 ms refuses at once what is beyond the threshold.

--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -41,6 +41,10 @@
 	flights   flights
 	answers   estimate
 	threshold boundary.Boundary
+	standing  standing
+	// idle is the time for which slots were free. The threshold opens with it: a
+	// full endpoint has no reason to ask for more.
+	idle time.Duration
 	// downstream is the usual time that the endpoint waits for its own calls.
 	downstream time.Duration
 	now        time.Duration
@@ -77,7 +81,11 @@
 	if g.tooLate(now, &e, g.wait(&e)) {
 		return g.refuseWait(now, &e, out)
 	}
-	return g.enqueue(now, &e, out)
+	if g.hopeless(now, &e) {
+		g.threshold.Shed(g.idle, e.priority)
+		return VerdictShed, g.shedWorst(g.queue.len()-g.queue.ahead(&e), out)
+	}
+	return g.enqueue(&e, out)
 }
 
 // Done takes in the end of a running call. It ignores a call that isn't running.
@@ -109,14 +117,18 @@
 func (g *Gate) Tick(now time.Duration, out []Release) []Release {
 	now = g.advance(now)
 	out = g.dropLate(now, out)
-	out = g.shedWorst(now, g.queue.overstayed(now-g.longestWait()), out)
+	out = g.shedWorst(g.overstayed(now), out)
 	return g.settle(now, out)
 }
 
 // Threshold returns the first priority that would be shed now, or
 // priority.Lowest if none would.
 func (g *Gate) Threshold(now time.Duration) priority.Priority {
-	return g.threshold.Current(max(g.now, now))
+	idle := g.idle
+	if now > g.now && g.Headroom() > 0 {
+		idle += now - g.now
+	}
+	return g.threshold.Current(idle)
 }
 
 // Headroom returns the number of further calls that would run at once.
@@ -139,7 +151,18 @@
 // advance returns the later of now and the time of the last decision: callers
 // may read the clock before they take their lock.
 func (g *Gate) advance(now time.Duration) time.Duration {
-	g.now = max(g.now, now)
+	if now <= g.now {
+		return g.now
+	}
+	if g.Headroom() > 0 {
+		g.idle += now - g.now
+	}
+	g.now = now
+	if g.queue.len() == 0 {
+		g.standing.clear(now)
+	} else {
+		g.standing.observe(now, g.queue.best().priority.Rank())
+	}
 	return g.now
 }
 
@@ -172,7 +195,7 @@
 
 // settle sheds what no longer fits into the queue and starts what has a slot.
 func (g *Gate) settle(now time.Duration, out []Release) []Release {
-	out = g.shedWorst(now, g.queue.len()-g.queueLimit(), out)
+	out = g.shedWorst(g.queue.len()-g.queueLimit(), out)
 	for g.queue.len() > 0 && g.flights.len() < g.limiter.Limit() {
 		next := g.queue.popBest()
 		verdict := VerdictRun
@@ -203,32 +226,32 @@
 	if g.config.CancelRunning && ahead == 0 && g.queueLimit() > 0 {
 		cancelled, out := g.cancelFor(now, e, out)
 		if cancelled {
-			return g.enqueue(now, e, out)
+			return g.enqueue(e, out)
 		}
 	}
 	if ahead == g.queue.len() {
-		g.threshold.Shed(now, e.priority)
+		g.threshold.Shed(g.idle, e.priority)
 	}
 	return VerdictTooLate, out
 }
 
 // enqueue lets a call wait, in the place of a less important one if need be.
-func (g *Gate) enqueue(now time.Duration, e *entry, out []Release) (Verdict, []Release) {
+func (g *Gate) enqueue(e *entry, out []Release) (Verdict, []Release) {
 	if g.queue.len() < g.queueLimit() {
 		g.queue.insert(*e)
 		return VerdictQueued, out
 	}
 	if g.queue.len() == 0 || !e.before(g.queue.worst()) {
-		g.threshold.Shed(now, e.priority)
+		g.threshold.Shed(g.idle, e.priority)
 		return VerdictShed, out
 	}
 	evicted := g.queue.replaceWorst(*e)
-	g.threshold.Shed(now, evicted.priority)
+	g.threshold.Shed(g.idle, evicted.priority)
 	return VerdictQueued, append(out, Release{ID: evicted.id, Verdict: VerdictShed})
 }
 
 // shedWorst sheds the n least important calls that wait.
-func (g *Gate) shedWorst(now time.Duration, n int, out []Release) []Release {
+func (g *Gate) shedWorst(n int, out []Release) []Release {
 	if n <= 0 {
 		return out
 	}
@@ -237,7 +260,7 @@
 		out = append(out, Release{ID: e.id, Verdict: VerdictShed})
 	}
 	g.queue.popWorst(n)
-	g.threshold.Shed(now, first)
+	g.threshold.Shed(g.idle, first)
 	return out
 }
 
@@ -281,6 +304,25 @@
 	return min(g.config.QueueMax, queueMost, max(queueMin, g.limiter.Learned()))
 }
 
+// hopeless reports whether e is of a kind that is shed in the end, and the queue
+// stands, so that nothing is won by waiting.
+func (g *Gate) hopeless(now time.Duration, e *entry) bool {
+	return g.standing.holds(now, e.priority) && !e.priority.Before(g.threshold.Current(g.idle))
+}
+
+// overstayed returns how many of the least important calls are to go: the most
+// important one that waited too long and all below it.
+func (g *Gate) overstayed(now time.Duration) int {
+	usual := g.longestWait()
+	short := min(usual, max(standingWaitMin, g.answers.mean()))
+	return g.queue.overstayed(func(e *entry) bool {
+		if g.standing.holds(now, e.priority) {
+			return now-e.arrived > short
+		}
+		return now-e.arrived > usual
+	})
+}
+
 // longestWait returns how long a call may wait.
 func (g *Gate) longestWait() time.Duration {
 	return max(waitMin, min(waitMax, waitAnswers*g.answers.mean()))
--- a/decision/admission/queue.go
+++ b/decision/admission/queue.go
@@ -41,6 +41,11 @@
 	return &q.entries[0]
 }
 
+// best returns the call to run next. The queue must not be empty.
+func (q *queue) best() *entry {
+	return &q.entries[len(q.entries)-1]
+}
+
 func (q *queue) popBest() entry {
 	last := len(q.entries) - 1
 	e := q.entries[last]
@@ -97,10 +102,10 @@
 }
 
 // overstayed returns how many of the least important calls are to go: the most
-// important one that arrived before the given time and all below it.
-func (q *queue) overstayed(before time.Duration) int {
+// important one that waited too long and all below it.
+func (q *queue) overstayed(tooLong func(*entry) bool) int {
 	for i := len(q.entries) - 1; i >= 0; i-- {
-		if q.entries[i].arrived < before {
+		if tooLong(&q.entries[i]) {
 			return i + 1
 		}
 	}
--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -185,6 +185,12 @@
 	}
 }
 
+// Aside reports whether an endpoint is set aside after failures.
+func (r *Router) Aside(vm string) bool {
+	t, known := r.targets[vm]
+	return known && t.aside()
+}
+
 // Outstanding returns the calls that this node has in flight at an endpoint.
 func (r *Router) Outstanding(vm string) int {
 	t, known := r.targets[vm]
--- a/decision/shedding/chain.go
+++ b/decision/shedding/chain.go
@@ -1,66 +1,55 @@
 package shedding
 
 import (
+	"slices"
 	"time"
 
-	"github.com/galenacart/galenacart/decision/boundary"
 	"github.com/galenacart/galenacart/decision/priority"
 )
 
-// Chain remembers, at the node of an endpoint, which calls are shed below each
-// of the endpoint's routes, so that a whole request is refused at its first hop
-// instead of its last. It is not safe for concurrent use.
-type Chain struct {
-	routes map[string]route
+// Callee is a route of another service that the endpoint calls.
+type Callee struct {
+	// Service is the name of the service.
+	Service string
+	// Route is the name of the route.
+	Route string
 }
 
-// route holds the boundaries below one route of the endpoint, by the route of
-// the endpoint's own call.
-type route map[string]*boundary.Boundary
+// Chain knows, at the node of an endpoint, which calls each of the endpoint's
+// routes makes, so that a whole request is refused at its first hop instead of
+// its last. It is not safe for concurrent use.
+type Chain struct {
+	routes map[string][]Callee
+}
 
 // NewChain returns an empty Chain.
 func NewChain() *Chain {
-	return &Chain{routes: make(map[string]route)}
-}
-
-// Shed takes in that every endpoint below shed a call named child that the
-// endpoint made while it ran a call named parent.
-func (c *Chain) Shed(now time.Duration, parent, child string, p priority.Priority) {
-	c.follow(parent, child).Shed(now, p)
+	return &Chain{routes: make(map[string][]Callee)}
 }
 
-// Ran takes in that a call below was run.
-func (c *Chain) Ran(parent, child string, p priority.Priority) {
-	if b, known := c.routes[parent][child]; known {
-		b.Ran(p)
+// Called takes in that the endpoint made a call while it ran a call of the
+// route named parent.
+func (c *Chain) Called(parent string, callee Callee) {
+	if !slices.Contains(c.routes[parent], callee) {
+		c.routes[parent] = append(c.routes[parent], callee)
 	}
 }
 
-// Threshold returns the first priority that is shed below the route.
-func (c *Chain) Threshold(now time.Duration, parent string) priority.Priority {
+// Threshold returns the first priority that is shed below the route named
+// parent. below returns the first priority that every endpoint sheds of a callee.
+func (c *Chain) Threshold(parent string, below func(Callee) priority.Priority) priority.Priority {
 	tightest := priority.Lowest
-	for _, b := range c.routes[parent] {
-		tightest = min(tightest, b.Current(now))
+	for _, callee := range c.routes[parent] {
+		tightest = min(tightest, below(callee))
 	}
 	return tightest
 }
 
-// Refuse reports whether a call of priority p would be shed below the route. The
-// boundary opens by itself, so no call has to ask whether it still holds.
-func (c *Chain) Refuse(now time.Duration, parent string, p priority.Priority) bool {
-	return !p.Before(c.Threshold(now, parent)) && p != priority.Lowest
-}
-
-func (c *Chain) follow(parent, child string) *boundary.Boundary {
-	r, known := c.routes[parent]
-	if !known {
-		r = make(route)
-		c.routes[parent] = r
-	}
-	b, known := r[child]
-	if !known {
-		b = &boundary.Boundary{}
-		r[child] = b
+// Threshold returns the first priority that target sheds, as far as is known.
+func (m *Memory) Threshold(now time.Duration, target Target) priority.Priority {
+	r, known := m.targets[target]
+	if !known || now-r.at >= Expiry {
+		return priority.Lowest
 	}
-	return b
+	return r.threshold
 }
--- a/decision/shedding/chain_test.go
+++ b/decision/shedding/chain_test.go
@@ -11,24 +11,26 @@
 
 const second = priority.Priority(1 << 24)
 
-func TestChainRefusesWhatIsShedBelow(t *testing.T) {
+func TestChainThresholdIsTheTightestBelow(t *testing.T) {
 	c := NewChain()
-	now := time.Second
-	require.False(t, c.Refuse(now, "book", second))
-	c.Shed(now, "book", "reserve", second+50)
-	c.Shed(now, "book", "plan", second+90)
-	require.Equal(t, second+50, c.Threshold(now, "book"), "the tightest of all calls below counts")
-	require.False(t, c.Refuse(now, "book", second+49))
-	require.False(t, c.Refuse(now, "other", second+60))
-	require.True(t, c.Refuse(now, "book", second+60))
-	require.False(t, c.Refuse(now+time.Second, "book", priority.Lowest-1), "without further shedding it opens")
+	reserve := Callee{Service: "stock", Route: "reserve"}
+	plan := Callee{Service: "dispatch", Route: "plan"}
+	below := func(callee Callee) priority.Priority {
+		return map[Callee]priority.Priority{reserve: second + 50, plan: second + 90}[callee]
+	}
+	require.Equal(t, priority.Lowest, c.Threshold("book", below))
+	c.Called("book", plan)
+	require.Equal(t, second+90, c.Threshold("book", below))
+	c.Called("book", reserve)
+	c.Called("book", reserve)
+	require.Equal(t, second+50, c.Threshold("book", below))
+	require.Equal(t, priority.Lowest, c.Threshold("other", below))
 }
 
-func TestChainReopens(t *testing.T) {
-	c := NewChain()
-	c.Shed(0, "book", "reserve", second)
-	before := c.Threshold(0, "book")
-	c.Ran("book", "reserve", second+1000)
-	require.Greater(t, c.Threshold(0, "book"), before, "a call that ran beyond the threshold raises it")
-	require.Equal(t, priority.Lowest, c.Threshold(time.Second, "book"), "without further shedding it opens")
+func TestMemoryThresholdCountsForItsTime(t *testing.T) {
+	m := NewMemory()
+	require.Equal(t, priority.Lowest, m.Threshold(0, 1))
+	m.Report(time.Second, 1, second, 0)
+	require.Equal(t, second, m.Threshold(time.Second+Expiry-1, 1))
+	require.Equal(t, priority.Lowest, m.Threshold(time.Second+Expiry, 1))
 }
--- a/internal/traffic/chain.go
+++ b/internal/traffic/chain.go
@@ -2,44 +2,42 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/galenacart/galenacart/decision/priority"
 	"github.com/galenacart/galenacart/decision/shedding"
+	"github.com/galenacart/galenacart/internal/catalogue"
 )
 
 // chain guards shedding.Chain for use by many calls.
 type chain struct {
-	now func() time.Duration
-
 	mu    sync.Mutex
-	below *shedding.Chain
+	calls *shedding.Chain
 }
 
-func newChain(now func() time.Duration) *chain {
-	return &chain{now: now, below: shedding.NewChain()}
+func newChain() *chain {
+	return &chain{calls: shedding.NewChain()}
 }
 
-func (c *chain) shed(parent, child string, p priority.Priority) {
+// called notes that the endpoint makes calls of a route while it runs one of
+// the route named parent.
+func (c *chain) called(parent string, route *catalogue.Route) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.below.Shed(c.now(), parent, child, p)
+	c.calls.Called(parent, shedding.Callee{Service: route.Service, Route: route.Name})
 }
 
-func (c *chain) ran(parent, child string, p priority.Priority) {
+// threshold returns the first priority that is shed below a route.
+func (c *chain) threshold(route string, below func(shedding.Callee) priority.Priority) priority.Priority {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.below.Ran(parent, child, p)
+	return c.calls.Threshold(route, below)
 }
 
-func (c *chain) refuse(route string, p priority.Priority) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.below.Refuse(c.now(), route, p)
-}
-
-func (c *chain) threshold(route string) priority.Priority {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.below.Threshold(c.now(), route)
+// shedBelow returns the first priority that is shed below a route of the local
+// endpoint.
+func (t *Traffic) shedBelow(route string) priority.Priority {
+	v := t.config.View.Load()
+	return t.chain.threshold(route, func(c shedding.Callee) priority.Priority {
+		return t.targets.service(c.Service).threshold(v.ByService[c.Service], c.Route)
+	})
 }
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -57,7 +57,7 @@
 // admit puts a call through the guards in front of the endpoint and runs it.
 func (t *Traffic) admit(ctx context.Context, m *call.Meta, q *request, r *catalogue.Route) *answer {
 	deadline := t.config.Now() + m.Remaining()
-	if t.chain.refuse(r.Name, m.Priority) {
+	if !m.Priority.Before(t.shedBelow(r.Name)) {
 		return failed(problem.New(problem.KindOverloaded, problem.RanNo, "calls below route %s are shed", r.Name))
 	}
 	for _, loss := range m.Losses {
@@ -248,5 +248,5 @@
 	if r == nil {
 		return priority.Lowest
 	}
-	return t.chain.threshold(r.Name)
+	return t.shedBelow(r.Name)
 }
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -98,6 +98,7 @@
 func (t *Traffic) child(r *http.Request, p *parent, route *catalogue.Route, q *request) *answer {
 	key := childKey(q)
 	fingerprint := xxhash.Sum64(key[:])
+	t.chain.called(p.route, route)
 	resend := p.childStarts(t.config.Now(), fingerprint)
 	var a *answer
 	if route.Idempotent {
@@ -108,7 +109,6 @@
 		})
 	}
 	ok := a.problem == nil
-	t.learnBelow(p, route, a)
 	return a.onClose(func() { p.childEnds(t.config.Now(), fingerprint, ok) })
 }
 
@@ -144,17 +144,6 @@
 	})
 }
 
-// learnBelow notes which calls are shed further down, so that the next ones are
-// refused before any work.
-func (t *Traffic) learnBelow(p *parent, route *catalogue.Route, a *answer) {
-	switch {
-	case a.problem == nil:
-		t.chain.ran(p.route, route.Name, p.priority)
-	case isShed(a.problem.Kind):
-		t.chain.shed(p.route, route.Name, p.priority)
-	}
-}
-
 // childKey identifies a non-idempotent call of the endpoint within its parent:
 // by the endpoint's own key if it gives one, else by the call's content.
 func childKey(q *request) idempotency.Key {
--- a/internal/traffic/targets.go
+++ b/internal/traffic/targets.go
@@ -18,6 +18,10 @@
 // leaverPingInterval is the time between two pings of a VM that was leaving.
 const leaverPingInterval = 500 * time.Millisecond
 
+// shedAge is the time for which the threshold over all endpoints of a service is
+// kept. It bounds the cost of asking with every call.
+const shedAge = time.Millisecond
+
 // targets holds what this node knows of the endpoints that it sends calls to.
 type targets struct {
 	now func() time.Duration
@@ -37,6 +41,13 @@
 	incarnations map[string]uint64
 	leavers      map[string]time.Duration // the time of the next ping, by VM
 	candidates   []routing.Candidate
+	shed         map[string]shed // by route
+}
+
+// shed is the first priority that all endpoints shed of a route.
+type shed struct {
+	threshold priority.Priority
+	at        time.Duration
 }
 
 func newTargets(now func() time.Duration) *targets {
@@ -55,6 +66,7 @@
 			brake:        retry.NewBrake(),
 			incarnations: make(map[string]uint64),
 			leavers:      make(map[string]time.Duration),
+			shed:         make(map[string]shed),
 		}
 		t.services[name] = s
 	}
@@ -116,6 +128,32 @@
 	return members[at], miss
 }
 
+// threshold returns the first priority that all endpoints of the service shed of
+// a route, as far as is known.
+func (s *service) threshold(members []*view.Member, route string) priority.Priority {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	known, ok := s.shed[route]
+	if ok && now-known.at < shedAge {
+		return known.threshold
+	}
+	loosest := priority.Highest
+	left := 0
+	for _, m := range members {
+		if _, leaves := s.leavers[m.VM]; leaves || m.Leaving || s.router.Aside(m.VM) {
+			continue
+		}
+		left++
+		loosest = max(loosest, s.thresholds.Threshold(now, targetOf(m.VM, route)))
+	}
+	if left == 0 {
+		loosest = priority.Lowest
+	}
+	s.shed[route] = shed{threshold: loosest, at: now}
+	return loosest
+}
+
 // done takes an attempt back and learns from its end.
 func (s *service) done(vm string, f routing.Finished) {
 	s.mu.Lock()
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -92,7 +92,7 @@
 		requests: newRecords(c.Now),
 		attempts: newRecords(c.Now),
 		suspects: newSuspects(c.Now),
-		chain:    newChain(c.Now),
+		chain:    newChain(),
 		watch:    newWatch(c.Now),
 		news:     newNews(c.Now),
 		tokens:   token.NewCodec(c.Settings.FleetKey),
