Find the states of VMs from what changed, and patch the VM list by entry

Cause: with 5,900 VMs the control thread looked at every VM once a second and at each change, copied its map of VMs, made all lists of the view anew and sorted all names to choose links; a VM list that a peer sent as a difference was joined, decoded, encoded and hashed whole. /summary gathered the state of all VMs. Change: the membership controller keeps the VMs with new evidence and those whose evidence ages, and looks at these alone. The changes are named to the publisher, which replaces these VMs only, and links are chosen anew only when a VM came, went or moved. A difference is applied to the parsed list too, entry by entry; hashes of copied entries are kept. /summary asks for the catalogue alone. Names that many VMs share are held once. What remains of a change is the copy of the view's map.

--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -46,7 +46,7 @@
 		peers:          blackboard.NewEntry("peers", peers{}),
 		peerReads:      blackboard.NewEntry("peer reads", [keyCount]fresh{}),
 		documents:      blackboard.NewEntry("documents", documents{}),
-		members:        blackboard.NewEntry("members", members{}),
+		members:        blackboard.NewEntry("members", members{byVM: make(map[string]*member)}),
 		suspects:       blackboard.NewEntry("suspects", suspects{}),
 	}
 }
@@ -93,7 +93,7 @@
 	// history holds the states before, the newest first, as bases of deltas.
 	history []*delta.Document
 	index   *catalogue.Index
-	list    *vmlist.List
+	list    *vmlist.Table
 	refused *refusal
 	// candidate is the newest state heard of while nothing is in force yet.
 	candidate *offer
@@ -135,10 +135,13 @@
 
 // members is the membership controller's result.
 type members struct {
-	// byVM holds all VMs but those long gone. The map is replaced, never changed.
+	// byVM holds all VMs but those long gone. Only replace changes it.
 	byVM map[string]*member
-	// generation counts the replacements of byVM.
-	generation uint64
+	// generation counts the changes of byVM, placement those of them that change
+	// where a VM is, or whether it is there at all.
+	generation, placement uint64
+	// changes names the VMs of the last changes of byVM, the newest last.
+	changes []string
 	// fleet is the number of VMs in the list, others those that are not this one
 	// and not gone.
 	fleet  int
@@ -149,6 +152,43 @@
 	news []news
 }
 
+// maxChanges bounds the changes that are remembered.
+const maxChanges = 1024
+
+// replace changes the state of a VM, or forgets it if one is nil.
+func (m *members) replace(vm string, one *member) {
+	old := m.byVM[vm]
+	if old.there() {
+		m.others--
+	}
+	if one.there() {
+		m.others++
+	}
+	if old.there() != one.there() || old.there() && old.place() != one.place() {
+		m.placement++
+	}
+	if one == nil {
+		delete(m.byVM, vm)
+	} else {
+		m.byVM[vm] = one
+	}
+	m.generation++
+	if len(m.changes) == 2*maxChanges {
+		m.changes = append(m.changes[:0], m.changes[maxChanges:]...)
+	}
+	m.changes = append(m.changes, vm)
+}
+
+// since names the VMs that changed after a generation. ok is false if that is
+// too long ago to tell.
+func (m *members) since(generation uint64) (vms []string, ok bool) {
+	n := m.generation - generation
+	if n > uint64(len(m.changes)) {
+		return nil, false
+	}
+	return m.changes[uint64(len(m.changes))-n:], true
+}
+
 // news is a record to pass on.
 type news struct {
 	record peer.Record
@@ -162,6 +202,20 @@
 	own      bool
 }
 
+// there says that a VM is another one than this node's and not gone.
+func (m *member) there() bool {
+	return m != nil && !m.own && m.finding.State != membership.Gone
+}
+
+// memberPlace is where a VM is.
+type memberPlace struct {
+	zone, address string
+}
+
+func (m *member) place() memberPlace {
+	return memberPlace{zone: m.identity.AvailabilityZone, address: m.identity.PeerAddress}
+}
+
 // suspects is the suspect controller's result.
 type suspects struct {
 	// lost is the number of endpoints lost by fingerprint.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -53,6 +53,19 @@
 	}
 }
 
+// Catalogue returns the state of the catalogue. Unlike Status it costs the same
+// in a large fleet. ok is false if the control thread is too busy to answer.
+func (c *Control) Catalogue() (state DocumentStatus, ok bool) {
+	reply := make(chan DocumentStatus, 1)
+	c.thread.post(documentWanted{key: keyCatalogue, reply: reply})
+	select {
+	case state = <-reply:
+		return state, true
+	case <-time.After(statusTimeout):
+		return DocumentStatus{}, false
+	}
+}
+
 // Stop tells the peers that the process ends, closes all links and waits for
 // the goroutines until ctx ends.
 func (c *Control) Stop(ctx context.Context) error {
--- a/internal/control/membership_controller.go
+++ b/internal/control/membership_controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unique"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -59,11 +60,12 @@
 	listed    map[string]*vmlist.VM
 	seen      map[string]*seen
 	past      map[string][]uint64 // incarnations that were replaced, by VM
-	list      *vmlist.List        // the list behind listed
-	peersAt   uint64
+	list      *vmlist.Table       // the list behind listed
+	links     map[string]linkFact // the links behind the states found
+	dirty     map[string]struct{} // VMs with new evidence
+	timed     map[string]struct{} // VMs whose state can change by time alone
 	sweptAt   time.Duration
 	refutedAt time.Duration
-	dirty     bool
 	spoke     bool // the node spoke after it heard the logical time of a peer
 }
 
@@ -75,7 +77,8 @@
 		listed:  make(map[string]*vmlist.VM),
 		seen:    make(map[string]*seen),
 		past:    make(map[string][]uint64),
-		dirty:   true,
+		dirty:   make(map[string]struct{}),
+		timed:   make(map[string]struct{}),
 	}
 	m.announce(peer.Live)
 	return m
@@ -118,6 +121,7 @@
 
 // put takes a record in and queues it to be passed on.
 func (m *membershipController) put(r *record, from string) {
+	m.shareNames(r)
 	state := m.board.members.Get()
 	if old := m.records[r.VM]; old != nil {
 		state.digests[bucketOf(r.VM)] ^= digestOf(&old.Record)
@@ -129,7 +133,26 @@
 	state.news = append(state.news, news{record: r.Record, from: from})
 	m.records[r.VM] = r
 	m.out.Set(state)
-	m.dirty = true
+	m.mark(r.VM)
+}
+
+// mark has the state of a VM found again.
+func (m *membershipController) mark(vm string) {
+	m.dirty[vm] = struct{}{}
+}
+
+// shareNames keeps one copy of the text that a record has in common with the list
+// and with other records.
+func (m *membershipController) shareNames(r *record) {
+	if listed := m.listed[r.VM]; listed != nil {
+		r.VM = listed.Name
+		if r.PeerAddress == listed.PeerAddress {
+			r.PeerAddress = listed.PeerAddress
+		}
+	}
+	for _, name := range []*string{&r.AvailabilityZone, &r.Region, &r.Service} {
+		*name = unique.Make(*name).Value()
+	}
 }
 
 // clearNews ends the round in which records were passed on.
@@ -147,6 +170,7 @@
 	delete(m.records, vm)
 	delete(m.past, vm)
 	m.out.Set(state)
+	m.mark(vm)
 }
 
 // learn takes records that a peer told.
@@ -223,7 +247,7 @@
 	case view.ReportPeerAnswered:
 		s.answered = at
 	}
-	m.dirty = true
+	m.mark(r.VM)
 }
 
 func bucketOf(vm string) int {
--- a/internal/control/membership_sweep.go
+++ b/internal/control/membership_sweep.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"maps"
 	"time"
 
 	"github.com/galenacart/galenacart/decision/membership"
@@ -15,95 +14,152 @@
 	binary.LittleEndian.PutUint64(into, value)
 }
 
-// run finds the states again when evidence changed, and once a sweepInterval.
+// run finds the states again of the VMs with new evidence, and once a
+// sweepInterval of those whose evidence ages. All others stay as they are, so
+// that the work doesn't grow with the fleet.
 func (m *membershipController) run() {
 	m.readList()
-	if m.peersAt != m.board.peers.Version() {
-		m.peersAt = m.board.peers.Version()
-		m.dirty = true
+	m.readLinks()
+	if m.now-m.sweptAt >= sweepInterval {
+		m.sweptAt = m.now
+		m.forget()
+		for vm := range m.timed {
+			m.mark(vm)
+		}
 	}
-	if !m.dirty && m.now-m.sweptAt < sweepInterval {
-		return
+	if len(m.dirty) > 0 || m.board.members.Get().fleet != len(m.listed) {
+		m.update()
 	}
-	m.dirty, m.sweptAt = false, m.now
-	m.forget()
-	m.sweep()
 }
 
-// readList takes the VM list in force.
+// readList takes the VM list in force. Entries that both lists share are the
+// same pointers; only what lies between the first and the last other is read.
 func (m *membershipController) readList() {
 	list := m.board.documents.Get().byKey[keyVMs].list
 	if list == m.list {
 		return
 	}
+	var before []*vmlist.VM
+	if m.list != nil {
+		before = m.list.VMs
+	}
 	m.list = list
-	clear(m.listed)
-	for i := range list.VMs {
-		if vm := &list.VMs[i]; vm.Name != "" {
+	head, tail := commonEnds(before, list.VMs)
+	m.relist(before[head:len(before)-tail], list.VMs[head:len(list.VMs)-tail])
+	named := 0
+	for _, vm := range list.VMs {
+		if vm.Name != "" {
+			named++
+		}
+	}
+	if named != len(m.listed) { // a name stands twice in this list or the one before
+		m.relist(before, list.VMs)
+	}
+}
+
+// relist replaces entries of the list by others.
+func (m *membershipController) relist(before, now []*vmlist.VM) {
+	for _, vm := range before {
+		delete(m.listed, vm.Name)
+		m.mark(vm.Name)
+	}
+	for _, vm := range now {
+		if vm.Name != "" {
 			m.listed[vm.Name] = vm
+			m.mark(vm.Name)
+		}
+	}
+}
+
+// commonEnds returns the number of entries that two lists share at the start and
+// at the end.
+func commonEnds(a, b []*vmlist.VM) (head, tail int) {
+	shorter := min(len(a), len(b))
+	for head < shorter && a[head] == b[head] {
+		head++
+	}
+	for tail < shorter-head && a[len(a)-1-tail] == b[len(b)-1-tail] {
+		tail++
+	}
+	return head, tail
+}
+
+// readLinks marks the VMs whose link came, changed or ended.
+func (m *membershipController) readLinks() {
+	now := m.board.peers.Get().linked
+	for vm, link := range now {
+		if old, had := m.links[vm]; !had || old != link {
+			m.mark(vm)
 		}
 	}
-	m.dirty = true
+	for vm := range m.links {
+		if _, has := now[vm]; !has {
+			m.mark(vm)
+		}
+	}
+	m.links = now
 }
 
-// forget drops what is known of VMs that are long gone.
+// forget drops what is known of VMs that are long gone, and what traffic saw too
+// long ago to count.
 func (m *membershipController) forget() {
-	for vm, r := range m.records {
-		if vm != m.Settings.VM && m.listed[vm] == nil && r.age(m.now) >= forgetAfter {
+	for vm := range m.timed {
+		r := m.records[vm]
+		if r != nil && vm != m.Settings.VM && m.listed[vm] == nil && r.age(m.now) >= forgetAfter {
 			m.drop(vm)
 		}
 	}
-	for vm := range m.seen {
-		if m.records[vm] == nil && m.listed[vm] == nil {
+	for vm, s := range m.seen {
+		if m.since(s.answered) >= membership.AnswerWorth && m.since(s.unreachable) >= membership.AnswerWorth {
 			delete(m.seen, vm)
+			m.mark(vm)
 		}
 	}
 }
 
-// sweep finds the state of each VM and publishes the result if it changed. In
-// the usual case, that nothing changed, it allocates nothing.
-func (m *membershipController) sweep() {
+// ages says whether the state of a VM can change by time alone.
+func (m *membershipController) ages(vm string) bool {
+	r := m.records[vm]
+	return m.listed[vm] == nil || m.seen[vm] != nil || r != nil && r.State == peer.Stopped
+}
+
+// update finds the state of each marked VM and publishes what changed.
+func (m *membershipController) update() {
 	state := m.board.members.Get()
-	found, others := 0, 0
-	var next map[string]*member
-	visit := func(vm string) {
-		one := m.find(vm)
-		found++
-		if vm != m.Settings.VM && one.finding.State != membership.Gone {
-			others++
-		}
-		old := state.byVM[vm]
-		if old != nil && *old == one {
-			return
-		}
-		changed := one // on the heap, unlike one
-		m.logChange(vm, old, &changed)
-		if next == nil {
-			next = maps.Clone(state.byVM)
-		}
-		if next == nil {
-			next = make(map[string]*member)
-		}
-		next[vm] = &changed
+	before := state.generation
+	for vm := range m.dirty {
+		m.updateOne(&state, vm)
 	}
-	for vm := range m.listed {
-		visit(vm)
+	clear(m.dirty)
+	if state.generation == before && state.fleet == len(m.listed) {
+		return
 	}
-	for vm := range m.records {
-		if m.listed[vm] == nil {
-			visit(vm)
+	state.fleet = len(m.listed)
+	m.out.Set(state)
+}
+
+// updateOne finds the state of one VM.
+func (m *membershipController) updateOne(state *members, vm string) {
+	old := state.byVM[vm]
+	if m.listed[vm] == nil && m.records[vm] == nil {
+		delete(m.timed, vm)
+		if old != nil {
+			state.replace(vm, nil)
 		}
-	}
-	if next == nil && found == len(state.byVM) && state.fleet == len(m.listed) {
 		return
 	}
-	if next == nil {
-		next = maps.Clone(state.byVM)
+	if m.ages(vm) {
+		m.timed[vm] = struct{}{}
+	} else {
+		delete(m.timed, vm)
 	}
-	maps.DeleteFunc(next, func(vm string, _ *member) bool { return m.listed[vm] == nil && m.records[vm] == nil })
-	state.byVM, state.fleet, state.others = next, len(m.listed), others
-	state.generation++
-	m.out.Set(state)
+	one := m.find(vm)
+	if old != nil && *old == one {
+		return
+	}
+	changed := one // on the heap, unlike one
+	m.logChange(vm, old, &changed)
+	state.replace(vm, &changed)
 }
 
 // find gathers the evidence of one VM and decides.
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -67,6 +67,12 @@
 	statusWanted struct {
 		reply chan<- Status
 	}
+
+	// documentWanted asks for the state of one document.
+	documentWanted struct {
+		key   key
+		reply chan<- DocumentStatus
+	}
 )
 
 // envelope carries a message to the control thread.
--- a/internal/control/offer.go
+++ b/internal/control/offer.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,9 @@
 	return keyNames[k]
 }
 
+// listField is the field of a VM list that holds its VMs.
+const listField = "vms"
+
 // sourcePlatform is the source of an offer that the node read itself.
 const sourcePlatform = "platform"
 
@@ -39,7 +43,7 @@
 	source   string
 	document *delta.Document
 	index    *catalogue.Index // of a catalogue
-	list     *vmlist.List     // of a VM list
+	list     *vmlist.Table    // of a VM list
 	fault    error            // why the document can't be used, or nil
 }
 
@@ -65,7 +69,7 @@
 		if err != nil {
 			return err
 		}
-		o.list = l
+		o.list = vmlist.NewTable(l)
 		content = l
 	}
 	canonical, err := json.Marshal(content)
@@ -80,6 +84,61 @@
 	return nil
 }
 
+// decodeDelta builds a document from parts that a peer sent, and reads it. It
+// runs outside the control thread. known is the list of the base, or nil.
+func decodeDelta(k key, version adoption.Version, base *delta.Document, known *vmlist.Table, x *delta.Delta, source string) (*offer, error) {
+	d, err := delta.Apply(base, x)
+	if err != nil {
+		return nil, err
+	}
+	o := &offer{key: k, version: version, source: source, document: d}
+	if known != nil && len(known.VMs) == base.Len() {
+		if o.list = patchTable(known, x); o.list != nil {
+			return o, nil
+		}
+	}
+	return decodeDocument(k, version, d, source), nil
+}
+
+// patchTable builds the table of a document from the table of its base, which
+// holds one VM for each entry. It returns nil if an entry is not the canonical
+// form of a VM, so that the whole document has to be judged.
+func patchTable(known *vmlist.Table, x *delta.Delta) *vmlist.Table {
+	out := &vmlist.Table{VMs: make([]*vmlist.VM, 0, len(known.VMs)+len(x.Entries))}
+	added := 0
+	for _, s := range x.Steps {
+		if s.Count > 0 {
+			out.VMs = append(out.VMs, known.VMs[s.From:s.From+s.Count]...)
+			continue
+		}
+		vm := canonicalVM(x.Entries[added])
+		if vm == nil {
+			return nil
+		}
+		out.VMs = append(out.VMs, vm)
+		added++
+	}
+	return out
+}
+
+// canonicalVM reads an entry of a VM list. It returns nil if the entry is not
+// what this node would make of the VM.
+func canonicalVM(entry []byte) *vmlist.VM {
+	value, ok := delta.ListEntry(entry, listField)
+	if !ok {
+		return nil
+	}
+	vm, err := vmlist.DecodeVM(value)
+	if err != nil {
+		return nil
+	}
+	canonical, err := json.Marshal(vm)
+	if err != nil || !bytes.Equal(canonical, value) {
+		return nil
+	}
+	return vm
+}
+
 // decodeDocument reads a document that a peer sent in entries.
 func decodeDocument(k key, version adoption.Version, d *delta.Document, source string) *offer {
 	data, err := d.Join()
--- a/internal/control/peer_controller.go
+++ b/internal/control/peer_controller.go
@@ -55,7 +55,8 @@
 	dials       map[string]*dial
 	pulls       [keyCount]pull
 	refusal     [keyCount]adoption.Version // last state that could not be used
-	membersAt   uint64                     // generation of the members for which targets were chosen
+	placement   uint64                     // of the members for which targets were chosen
+	chosenAt    time.Duration
 	documentsAt uint64
 	lastRefused string
 	epoch       uint64
@@ -103,10 +104,7 @@
 	if life := p.board.life.Get(); life.epoch != p.epoch {
 		p.wake(life.epoch)
 	}
-	if p.membersAt != p.board.members.Get().generation {
-		p.membersAt = p.board.members.Get().generation
-		p.chooseTargets()
-	}
+	p.updateTargets()
 	p.dialDue()
 	for _, l := range p.links {
 		if p.now-l.ackedAt >= lostAfter {
--- a/internal/control/peer_dial.go
+++ b/internal/control/peer_dial.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +15,9 @@
 	// linksElsewhere is the number of other zones to which a node makes a link.
 	linksElsewhere = 3
 
+	// chooseGap is the shortest time between two choices of the targets.
+	chooseGap = 200 * time.Millisecond
+
 	dialBackoffStart = 100 * time.Millisecond
 	dialBackoffMax   = 600 * time.Millisecond
 )
@@ -33,6 +35,17 @@
 	return pause/2 + time.Duration(random*float64(pause)/2)
 }
 
+// updateTargets chooses the targets anew when VMs came or went. Of many that do
+// so together it makes few choices, as each looks at the whole fleet.
+func (p *peerController) updateTargets() {
+	placement := p.board.members.Get().placement
+	if p.placement == placement || len(p.dials) > 0 && p.now-p.chosenAt < chooseGap {
+		return
+	}
+	p.placement, p.chosenAt = placement, p.now
+	p.chooseTargets()
+}
+
 // chooseTargets picks the VMs with which this node makes links: some of its zone
 // and one in each of some other zones. The choice follows a hash of both names,
 // so that it is stable and spread evenly over the fleet.
@@ -59,7 +72,6 @@
 
 // topOf returns the n names that this node's hash ranks the highest.
 func (p *peerController) topOf(names []string, n int) []string {
-	sort.Strings(names)
 	hashes := make([]uint64, len(names))
 	for i, name := range names {
 		hashes[i] = xxhash.Sum64String(name)
--- a/internal/control/peer_receive.go
+++ b/internal/control/peer_receive.go
@@ -9,6 +9,7 @@
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/peer"
 	"github.com/galenacart/galenacart/internal/peer/delta"
+	"github.com/galenacart/galenacart/internal/vmlist"
 )
 
 const (
@@ -198,13 +199,13 @@
 		p.pulls[k] = pull{} // the base was replaced meanwhile; ask again
 		return
 	}
+	var known *vmlist.Table
+	if state := p.board.documents.Get().byKey[k]; base == state.document {
+		known = state.list
+	}
 	p.goDo(func() {
-		d, err := delta.Apply(base, &a.delta)
-		done := documentBuilt{link: l.Link, key: k, err: err}
-		if err == nil {
-			done.offer = decodeDocument(k, a.version, d, l.Remote.VM)
-		}
-		p.post(done)
+		o, err := decodeDelta(k, a.version, base, known, &a.delta, l.Remote.VM)
+		p.post(documentBuilt{link: l.Link, key: k, offer: o, err: err})
 	})
 }
 
--- a/internal/control/platform_controller.go
+++ b/internal/control/platform_controller.go
@@ -47,7 +47,7 @@
 	share   readers.Share
 	random  *rand.Rand
 	reading [keyCount]reading
-	list    *vmlist.List // the list behind listed and reader
+	list    *vmlist.Table // the list behind listed and reader
 	listed  bool
 	reader  bool
 	epoch   uint64
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -1,7 +1,9 @@
 package control
 
 import (
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/galenacart/galenacart/decision/membership"
@@ -55,29 +57,88 @@
 
 // updateMembers makes the members of the view, if they changed.
 func (p *publisher) updateMembers() {
-	if p.byVM != nil && p.membersAt == p.board.members.Get().generation {
-		return
+	all := p.board.members.Get()
+	changed, known := all.since(p.membersAt)
+	p.membersAt = all.generation
+	if p.byVM == nil || !known {
+		changed = slices.Collect(maps.Keys(all.byVM))
+		for vm := range p.byVM {
+			if all.byVM[vm] == nil {
+				changed = append(changed, vm)
+			}
+		}
 	}
-	p.membersAt = p.board.members.Get().generation
-	all := p.board.members.Get().byVM
-	byVM := make(map[string]*view.Member, len(all))
-	byName := make(map[string][]*view.Member)
-	for vm, m := range all {
-		if m.finding.State == membership.Gone {
+	p.replace(changed)
+}
+
+// replace makes the maps anew with some members replaced. A view that was
+// published is never changed; it shares the lists of services without a change.
+func (p *publisher) replace(changed []string) {
+	services := make(map[string]bool) // whose lists change
+	byVM := p.byVM
+	for _, vm := range changed {
+		old, one := byVM[vm], p.viewOf(vm)
+		if old == one {
 			continue
 		}
-		one := p.viewOf(vm, m)
-		byVM[vm] = one
-		byName[one.Service] = append(byName[one.Service], one)
+		if len(services) == 0 {
+			byVM = maps.Clone(p.byVM)
+		}
+		if byVM == nil {
+			byVM = make(map[string]*view.Member, len(changed))
+		}
+		delete(byVM, vm)
+		if old != nil {
+			services[old.Service] = true
+		}
+		if one != nil {
+			services[one.Service] = true
+			byVM[vm] = one
+		}
+	}
+	if len(services) == 0 {
+		return
+	}
+	p.byName = replaceLists(p.byName, services, changed, byVM)
+	p.byVM = byVM
+}
+
+// replaceLists makes the lists of some services anew: without the VMs that
+// changed, and with those of them that are there.
+func replaceLists(lists map[string][]*view.Member, services map[string]bool, changed []string, byVM map[string]*view.Member) map[string][]*view.Member {
+	out := maps.Clone(lists)
+	if out == nil {
+		out = make(map[string][]*view.Member, len(services))
+	}
+	isChanged := make(map[string]bool, len(changed))
+	for _, vm := range changed {
+		isChanged[vm] = true
+	}
+	for name := range services {
+		out[name] = slices.DeleteFunc(slices.Clone(lists[name]), func(m *view.Member) bool { return isChanged[m.VM] })
+	}
+	for vm := range isChanged {
+		if m := byVM[vm]; m != nil && services[m.Service] {
+			out[m.Service] = append(out[m.Service], m)
+		}
 	}
-	for _, list := range byName {
-		sort.Slice(list, func(i, j int) bool { return list[i].VM < list[j].VM })
+	for name := range services {
+		if len(out[name]) == 0 {
+			delete(out, name)
+			continue
+		}
+		slices.SortFunc(out[name], func(a, b *view.Member) int { return strings.Compare(a.VM, b.VM) })
 	}
-	p.byVM, p.byName = byVM, byName
+	return out
 }
 
-// viewOf returns the member as traffic sees it: the earlier one if it is equal.
-func (p *publisher) viewOf(vm string, m *member) *view.Member {
+// viewOf returns the member as traffic sees it, the earlier one if it is equal,
+// or nil if the VM is gone.
+func (p *publisher) viewOf(vm string) *view.Member {
+	m := p.board.members.Get().byVM[vm]
+	if m == nil || m.finding.State == membership.Gone {
+		return nil
+	}
 	one := view.Member{
 		VM:               vm,
 		AvailabilityZone: m.identity.AvailabilityZone,
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -88,20 +88,25 @@
 	t.group.Go(f)
 }
 
-// receive handles one message and then lets each controller act on what changed.
+// receive takes one message off the actor's queue.
 func (t *thread) receive(c actor.Context) {
 	posted, ok := c.Message().(envelope)
 	if !ok {
 		return // of the actor library itself
 	}
+	t.step(posted.message)
+}
+
+// step handles one message and then lets each controller act on what changed.
+func (t *thread) step(message any) {
 	if t.stopped {
-		t.discard(posted.message)
+		t.discard(message)
 		return
 	}
 	t.advance()
 	t.membership.clearNews()
 	t.suspects.clearNews()
-	t.handle(posted.message)
+	t.handle(message)
 	if t.stopped {
 		return
 	}
@@ -158,6 +163,8 @@
 		t.stop(m.done)
 	case statusWanted:
 		m.reply <- t.status()
+	case documentWanted:
+		m.reply <- t.documentStatus(m.key)
 	}
 }
 
@@ -192,6 +199,8 @@
 		t.checkFlushed()
 	case statusWanted:
 		m.reply <- t.status()
+	case documentWanted:
+		m.reply <- t.documentStatus(m.key)
 	case stop:
 		close(m.done)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,7 +140,7 @@
 			Version:          version,
 		},
 		View:      n.holder,
-		Catalogue: func() status.Catalogue { return catalogueState(n.control.Status()) },
+		Catalogue: n.catalogueState,
 		Gate:      n.traffic.GateState,
 		Records:   n.traffic.RecordsState,
 		Control:   func() any { return n.control.Status() },
@@ -151,9 +151,10 @@
 }
 
 // catalogueState says which catalogue is in force and what holds back a newer one.
-func catalogueState(s control.Status) status.Catalogue {
-	out := status.Catalogue{Revision: s.Catalogue.Revision}
-	if refused := s.Catalogue.Refused; refused != nil {
+func (n *Node) catalogueState() status.Catalogue {
+	state, _ := n.control.Catalogue()
+	out := status.Catalogue{Revision: state.Revision}
+	if refused := state.Refused; refused != nil {
 		out.Refused = refused.Revision
 		out.Reason = refused.Reason
 	}
--- a/internal/peer/delta/delta.go
+++ b/internal/peer/delta/delta.go
@@ -27,35 +27,50 @@
 // Empty is the document without entries.
 var Empty = &Document{}
 
-// Diff returns the delta from base to d.
+// Diff returns the delta from base to d. What both begin and end with is copied
+// without a look at each entry's place.
 func Diff(base, d *Document) *Delta {
-	place := make(map[Hash]uint32, len(base.hashes))
-	for i, h := range base.hashes {
-		place[h] = uint32(i)
+	head, tail := 0, 0
+	shorter := min(len(base.hashes), len(d.hashes))
+	for head < shorter && base.hashes[head] == d.hashes[head] {
+		head++
+	}
+	for tail < shorter-head && base.hashes[len(base.hashes)-1-tail] == d.hashes[len(d.hashes)-1-tail] {
+		tail++
+	}
+	place := make(map[Hash]uint32, len(base.hashes)-head-tail)
+	for i := head; i < len(base.hashes)-tail; i++ {
+		place[base.hashes[i]] = uint32(i)
 	}
 	out := &Delta{Base: base.hash, Hash: d.hash}
-	for i, h := range d.hashes {
-		at, known := place[h]
+	out.copyRun(0, head)
+	for i := head; i < len(d.hashes)-tail; i++ {
+		at, known := place[d.hashes[i]]
 		if !known {
 			out.Steps = append(out.Steps, Step{})
 			out.Entries = append(out.Entries, d.entries[i])
 			continue
 		}
-		out.copyEntry(at)
+		out.copyRun(int(at), 1)
 	}
+	out.copyRun(len(base.hashes)-tail, tail)
 	return out
 }
 
-// copyEntry adds one entry of the base, in the last step if it fits there.
-func (x *Delta) copyEntry(at uint32) {
+// copyRun adds count entries of the base from one on, in the last step if they
+// fit there.
+func (x *Delta) copyRun(from, count int) {
+	if count == 0 {
+		return
+	}
 	if n := len(x.Steps); n > 0 {
 		last := &x.Steps[n-1]
-		if last.Count > 0 && last.From+last.Count == at {
-			last.Count++
+		if last.Count > 0 && int(last.From+last.Count) == from {
+			last.Count += uint32(count)
 			return
 		}
 	}
-	x.Steps = append(x.Steps, Step{From: at, Count: 1})
+	x.Steps = append(x.Steps, Step{From: uint32(from), Count: uint32(count)})
 }
 
 // Apply builds the document of a delta. It trusts nothing in the delta.
@@ -63,7 +78,8 @@
 	if base.hash != x.Base {
 		return nil, errors.New("delta is for another base")
 	}
-	var entries [][]byte
+	entries := make([][]byte, 0, len(base.entries)+len(x.Entries))
+	hashes := make([]Hash, 0, cap(entries))
 	added := 0
 	for _, s := range x.Steps {
 		if s.Count == 0 {
@@ -71,6 +87,7 @@
 				return nil, errors.New("delta lacks an entry")
 			}
 			entries = append(entries, x.Entries[added])
+			hashes = append(hashes, HashOf(x.Entries[added]))
 			added++
 			continue
 		}
@@ -79,11 +96,12 @@
 			return nil, errors.New("delta copies entries that the base lacks")
 		}
 		entries = append(entries, base.entries[s.From:end]...)
+		hashes = append(hashes, base.hashes[s.From:end]...)
 	}
 	if added != len(x.Entries) {
 		return nil, errors.New("delta has an entry too many")
 	}
-	d, err := fromEntries(entries)
+	d, err := fromEntries(entries, hashes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/delta/document.go
+++ b/internal/peer/delta/document.go
@@ -64,7 +64,11 @@
 		}
 		entries = append(entries, more...)
 	}
-	return fromEntries(entries)
+	hashes := make([]Hash, len(entries))
+	for i, entry := range entries {
+		hashes[i] = HashOf(entry)
+	}
+	return fromEntries(entries, hashes)
 }
 
 // splitField reads one name and its value.
@@ -102,20 +106,19 @@
 	return append(entry, value...)
 }
 
-// fromEntries checks the bounds and computes the hashes.
-func fromEntries(entries [][]byte) (*Document, error) {
+// fromEntries checks the bounds and computes the hash of the whole.
+func fromEntries(entries [][]byte, hashes []Hash) (*Document, error) {
 	if len(entries) > MaxEntries {
 		return nil, errors.Errorf("document has %d entries, at most %d are allowed", len(entries), MaxEntries)
 	}
-	d := &Document{entries: entries, hashes: make([]Hash, len(entries))}
+	d := &Document{entries: entries, hashes: hashes}
 	all := sha256.New()
 	for i, entry := range entries {
 		if len(entry) > MaxEntryBytes {
 			return nil, errors.Errorf("entry %d has %d bytes, at most %d are allowed", i, len(entry), MaxEntryBytes)
 		}
 		d.bytes += len(entry)
-		d.hashes[i] = HashOf(entry)
-		all.Write(d.hashes[i][:])
+		all.Write(hashes[i][:])
 	}
 	if d.bytes > MaxDocumentBytes {
 		return nil, errors.Errorf("document has %d bytes, at most %d are allowed", d.bytes, MaxDocumentBytes)
@@ -129,6 +132,14 @@
 	return d.hash
 }
 
+// ListEntry returns the JSON value of an entry that is an element of the list
+// field. ok is false for an entry of another kind.
+func ListEntry(entry []byte, field string) (value []byte, ok bool) {
+	name, value, found := bytes.Cut(entry, []byte{separator})
+	ok = found && len(name) == len(field)+1 && name[0] == elementMark && string(name[1:]) == field
+	return value, ok
+}
+
 // Len returns the number of entries.
 func (d *Document) Len() int {
 	return len(d.entries)
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"unique"
 
 	"github.com/pkg/errors"
 )
@@ -52,3 +53,38 @@
 	}
 	return l, nil
 }
+
+// Table is a list in force. It and its entries are never changed, so that two
+// tables share the entries that an edit left as they were.
+type Table struct {
+	// VMs holds the entries in the order of the list.
+	VMs []*VM
+}
+
+// NewTable returns the table of a list.
+func NewTable(l *List) *Table {
+	t := &Table{VMs: make([]*VM, len(l.VMs))}
+	for i := range l.VMs {
+		vm := l.VMs[i]
+		vm.intern()
+		t.VMs[i] = &vm
+	}
+	return t
+}
+
+// DecodeVM reads one entry of a list, as Decode does.
+func DecodeVM(data []byte) (*VM, error) {
+	vm := &VM{}
+	if err := json.Unmarshal(data, vm); err != nil {
+		return nil, errors.Wrap(err, "entry of the VM list")
+	}
+	vm.intern()
+	return vm, nil
+}
+
+// intern keeps one copy of the names that many VMs share.
+func (vm *VM) intern() {
+	for _, name := range []*string{&vm.AvailabilityZone, &vm.Region, &vm.Service, (*string)(&vm.State)} {
+		*name = unique.Make(*name).Value()
+	}
+}
