Let all nodes read the platform in turn, and hold lists in groups

Cause: the same three nodes of a zone read every VM list whole, 33 KB/s as a mean at 5,900 VMs, and the list of 201 bytes for each VM doesn't fit into one value. Processes that start together had up to two reads in their share at once, and all began to look for a catalogue at the same moment, so that 5,900 could make more than 2,000 reads in a second. Change: readers are chosen by the revisions in force, so that each change is read by others. A list may name availability zone, region and service once for a group of VMs; nodes take it apart, so that nothing changes between them, and plain lists stay valid. Several keys were weighed: each needs its revision on every beat of each link, about 35 bytes for each key, and readers of all of them. A start spreads first reads over 5 s, shares fill up only from there, and patience counts from a node's own first read. Records are passed on at most every 50 ms, without those already replaced. The planned fleet's list fits into 1 MiB (go test ./internal/vmlist). Capacity has to be measured again.

--- a/decision/readers/readers.go
+++ b/decision/readers/readers.go
@@ -9,8 +9,15 @@
 	// PerZone is the number of readers in each availability zone.
 	PerZone = 3
 	// StartWindow is the time over which nodes that start at once spread their
-	// first read: UnknownFleet nodes stay under three quarters of PlatformLimit.
-	StartWindow = 4 * time.Second
+	// first read. It is the time in which a node of UnknownFleet has one read in
+	// its share, so that no node comes to its second read before the last one has
+	// come to its first, and the fleet makes FleetLimit reads in each second from
+	// the start. A node that hears from its first read that the fleet is smaller
+	// reads again sooner, and there are fewer of them: with n nodes that all read
+	// as often as they may, n/StartWindow first reads and at most FleetLimit others
+	// come in a second, and most together at the size where second reads begin
+	// just before the first ones end. TestStartOfAnyFleetKeepsTheLimit counts them.
+	StartWindow = UnknownFleet * time.Second / FleetLimit
 )
 
 // mixFactor is an odd constant with about as many one bits as zero bits, the
@@ -57,6 +64,13 @@
 	return a > b
 }
 
+// Round returns the salt by which readers are chosen while two revisions are in
+// force. Each change has other readers, so that what they read falls on all nodes
+// in turn.
+func Round(vmsRevision, catalogueRevision uint64) uint64 {
+	return Score(Score(vmsRevision, 0), catalogueRevision)
+}
+
 // IsReader reports whether the VM with the hash self is one of the readers of
 // its zone. zone holds the hashes of the zone's live VMs.
 func IsReader(zone []uint64, self, saltHash uint64) bool {
--- a/decision/readers/readers_test.go
+++ b/decision/readers/readers_test.go
@@ -78,7 +78,7 @@
 }
 
 func TestShareOfASmallFleetPaysForAWatchOnBothKeys(t *testing.T) {
-	share := NewShare(0, 0)
+	share := NewShare(0)
 	granted := 0
 	for at := time.Duration(0); at < time.Minute; at += time.Second {
 		granted += share.Take(at, 200, 10)
@@ -92,7 +92,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	shares := make([]Share, vms)
 	for i := range shares {
-		shares[i] = NewShare(0, random.Float64())
+		shares[i] = NewShare(0)
 		shares[i].Scatter(time.Hour, random.Float64())
 	}
 	for second := range 10 {
@@ -107,8 +107,51 @@
 	}
 }
 
-func TestStartOfTheLargestFleetKeepsTheLimit(t *testing.T) {
-	require.Less(t, UnknownFleet/StartWindow.Seconds(), 0.76*PlatformLimit)
+// All nodes of a fleet start at once, and read as often as they may, as no peer
+// ever tells them anything. They know the fleet's size from their first read on.
+func TestStartOfAnyFleetKeepsTheLimit(t *testing.T) {
+	const step, steps = 20 * time.Millisecond, 1000
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, vms := range []int{200, 1000, 2000, 3000, 4000, 4800, 5000, 5200, 5500, 5900, UnknownFleet} {
+		var counts [steps]int
+		for range vms {
+			first := time.Duration(random.Float64() * float64(StartWindow))
+			share, known := NewShare(first), 0
+			for i := range counts {
+				if at := time.Duration(i) * step; at >= first {
+					granted := share.Take(at, known, 1)
+					counts[i] += granted
+					known = max(known, granted*vms)
+				}
+			}
+		}
+		inSecond := 0
+		for i, count := range counts {
+			inSecond += count
+			if before := i - int(time.Second/step); before >= 0 {
+				inSecond -= counts[before]
+			}
+			require.Less(t, inSecond, PlatformLimit, "%d VMs, step %d", vms, i)
+		}
+	}
+}
+
+// Each revision is read by others, so that no node reads much more than another.
+func TestRoundsChooseAllNodesInTurn(t *testing.T) {
+	const vms, rounds = 100, 2000
+	var zone []uint64
+	for i := range uint64(vms) {
+		zone = append(zone, Score(i, 77))
+	}
+	var reads [vms]int
+	for revision := range uint64(rounds) {
+		for _, i := range Top(zone, Round(revision/2, revision), PerZone) {
+			reads[i]++
+		}
+	}
+	for _, n := range reads {
+		require.InDelta(t, rounds*PerZone/vms, n, rounds*PerZone/vms/2)
+	}
 }
 
 func TestChoose(t *testing.T) {
--- a/decision/readers/share.go
+++ b/decision/readers/share.go
@@ -26,10 +26,11 @@
 	filled time.Duration
 }
 
-// NewShare returns a share that allows one read at once. random is in [0, 1): the
-// nodes of a fleet that starts come to their second reads apart.
-func NewShare(now time.Duration, random float64) Share {
-	return Share{tokens: 1 + random, filled: now}
+// NewShare returns a share that allows one read at first, which is spread over
+// StartWindow by the caller, and fills up from then on: the nodes of a fleet that
+// starts come to their second reads as far apart as to their first.
+func NewShare(first time.Duration) Share {
+	return Share{tokens: 1, filled: first}
 }
 
 // Scatter gives up the reads that were saved. Nodes that scatter at the same time
--- a/internal/control/platform_controller.go
+++ b/internal/control/platform_controller.go
@@ -17,16 +17,13 @@
 )
 
 const (
-	// checkPatience is the time for which a started node leaves the catalogue
-	// to its peers before it reads it itself.
+	// checkPatience is the time after its first read for which a started node
+	// leaves the catalogue to its peers before it reads it itself.
 	checkPatience = 1500 * time.Millisecond
 	// checkWait is the wait of a read that is no watch.
 	checkWait = time.Millisecond
 )
 
-// readerSalt makes the choice of readers independent of other choices.
-var readerSalt = xxhash.Sum64String("readers")
-
 // reading is the state of the reads of one document.
 type reading struct {
 	busy     bool
@@ -47,9 +44,12 @@
 	share   readers.Share
 	random  *rand.Rand
 	reading [keyCount]reading
-	list    *vmlist.Table // the list behind listed and reader
+	list    *vmlist.Table // the list behind zone and listed
+	zone    []uint64      // hashes of the live VMs of the node's zone
 	listed  bool
+	salt    uint64 // for which reader was found
 	reader  bool
+	first   time.Duration // when the node begins to read
 	epoch   uint64
 }
 
@@ -63,10 +63,10 @@
 		random:  rand.New(rand.NewPCG(seed, t.Incarnation)),
 		epoch:   t.board.life.Get().epoch,
 	}
-	p.share = readers.NewShare(t.now, p.random.Float64())
-	first := t.now + time.Duration(p.random.Float64()*float64(t.StartWindow))
+	p.first = t.now + time.Duration(p.random.Float64()*float64(t.StartWindow))
+	p.share = readers.NewShare(p.first)
 	for k := range p.reading {
-		p.reading[k].next = first
+		p.reading[k].next = p.first
 	}
 	return p
 }
@@ -119,25 +119,39 @@
 		*r = reading{after: r.after, started: r.started}
 	}
 	p.share.Scatter(p.now, p.random.Float64()) // others may have been paused with this node
+	p.first = p.now
 	p.contact.Set(contact{})
 }
 
-// updateReader finds out whether the VM list makes this node a reader.
+// updateReader finds out whether the VM list and the revisions in force make this
+// node a reader.
 func (p *platformController) updateReader() {
-	list := p.board.documents.Get().byKey[keyVMs].list
-	if list == p.list || list == nil {
+	documents := p.board.documents.Get()
+	list := documents.byKey[keyVMs].list
+	if list == nil {
+		return
+	}
+	salt := readers.Round(documents.byKey[keyVMs].version.Revision, documents.byKey[keyCatalogue].version.Revision)
+	if list == p.list && salt == p.salt {
 		return
 	}
-	p.list, p.listed = list, false
-	var zone []uint64
+	if list != p.list {
+		p.readZone(list)
+	}
+	p.salt = salt
+	p.reader = p.listed && readers.IsReader(p.zone, xxhash.Sum64String(p.Settings.VM), salt)
+}
+
+// readZone finds the VMs of the node's zone in the list.
+func (p *platformController) readZone(list *vmlist.Table) {
+	p.list, p.listed, p.zone = list, false, p.zone[:0]
 	for _, vm := range list.VMs {
 		if vm.AvailabilityZone != p.Settings.AvailabilityZone || vm.State != vmlist.Live {
 			continue
 		}
-		zone = append(zone, xxhash.Sum64String(vm.Name))
+		p.zone = append(p.zone, xxhash.Sum64String(vm.Name))
 		p.listed = p.listed || vm.Name == p.Settings.VM
 	}
-	p.reader = p.listed && readers.IsReader(zone, xxhash.Sum64String(p.Settings.VM), readerSalt)
 }
 
 func (p *platformController) situation(k key) readers.Situation {
@@ -152,7 +166,7 @@
 		Age:     p.now - newest.at,
 	}
 	if k == keyCatalogue && p.fleet() != 1 {
-		s.Patience = checkPatience + p.StartWindow/2
+		s.Patience = checkPatience + p.first - life.since
 	}
 	return s
 }
@@ -184,6 +198,9 @@
 	r.busy, r.cancel, r.started = true, cancel, p.now
 	p.reads.Inc(1)
 	epoch, after := p.epoch, r.after
+	if after > 0 { // what the peers told since then need not be read again
+		after = max(after, p.board.documents.Get().byKey[k].version.Revision)
+	}
 	p.goDo(func() {
 		defer cancel()
 		p.post(p.fetch(ctx, k, epoch, after, wait))
--- a/internal/control/reads_test.go
+++ b/internal/control/reads_test.go
@@ -23,6 +23,15 @@
 		most := watches * (seconds + seconds*int(time.Second)/int(readers.WatchWait) + 2)
 		require.LessOrEqual(t, f.platform.readCount()-before, most)
 		require.Greater(t, f.platform.readCount()-before, watches*seconds/2)
+		// With each change others read, and it is everywhere as fast.
+		for i := range 40 {
+			revision := f.platform.put(platform.KeyCatalogue, catalogueWith(i))
+			require.True(t, waitUntil(2*time.Second, func() bool { return f.inForce(revision, "") }), "change %d", i)
+			time.Sleep(5 * time.Second)
+		}
+		for vm, n := range f.nodes {
+			require.Greater(t, n.Status().PlatformReads, int64(10), vm)
+		}
 	})
 }
 
--- a/internal/control/spread_controller.go
+++ b/internal/control/spread_controller.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/galenacart/galenacart/decision/adoption"
@@ -17,6 +18,10 @@
 	compareMax   = time.Minute
 	// compareGap is the shortest time between two comparisons that a node begins.
 	compareGap = time.Second
+	// passGap is the shortest time between two rounds in which records are passed
+	// on. What comes in between waits for the next, so that many VMs that come or
+	// go together cost few messages.
+	passGap = 50 * time.Millisecond
 	// youth is the time after its start in which a node compares at once.
 	youth = 10 * time.Second
 )
@@ -25,6 +30,10 @@
 type spreadController struct {
 	*thread
 	beatAt time.Duration
+	// waiting holds the records to pass on, the oldest first.
+	waiting  []news
+	passedAt time.Duration
+	later    bool // a goroutine waits to have them passed on
 	// comparedAt is the time of the last comparison that this node began.
 	comparedAt time.Duration
 	started    time.Duration
@@ -100,10 +109,16 @@
 }
 
 func (s *spreadController) passRecords() {
-	list := s.board.members.Get().news
-	if len(list) == 0 {
+	s.waiting = append(s.waiting, s.board.members.Get().news...)
+	if len(s.waiting) == 0 {
+		return
+	}
+	if wait := s.passedAt + passGap - s.now; wait > 0 && !s.stopping() {
+		s.passLater(wait)
 		return
 	}
+	list := s.latest()
+	s.waiting, s.passedAt, s.later = nil, s.now, false
 	for vm, l := range s.peers.links {
 		var out []peer.Record
 		for _, n := range list {
@@ -115,6 +130,34 @@
 	}
 }
 
+// passLater has the thread run again when the gap is over.
+func (s *spreadController) passLater(wait time.Duration) {
+	if s.later {
+		return
+	}
+	s.later = true
+	s.goDo(func() {
+		select {
+		case <-time.After(wait):
+			s.post(tick{})
+		case <-s.ctx.Done():
+		}
+	})
+}
+
+// stopping says that this node has word of itself to pass on that can't wait.
+func (s *spreadController) stopping() bool {
+	return s.membership.records[s.Settings.VM].State != peer.Live
+}
+
+// latest returns the waiting records without those that a later one replaced.
+func (s *spreadController) latest() []news {
+	return slices.DeleteFunc(s.waiting, func(n news) bool {
+		r := s.membership.records[n.record.VM]
+		return r == nil || r.Stamp != n.record.Stamp || r.State != n.record.State || r.Incarnation != n.record.Incarnation
+	})
+}
+
 func (s *spreadController) sendRecords(l *link, list []peer.Record) {
 	for len(list) > 0 {
 		n := min(len(list), peer.MaxRecords)
--- a/internal/load/layout/layout.go
+++ b/internal/load/layout/layout.go
@@ -12,6 +12,7 @@
 	"github.com/galenacart/galenacart/internal/load/deployment"
 	"github.com/galenacart/galenacart/internal/load/runner"
 	"github.com/galenacart/galenacart/internal/strictjson"
+	"github.com/galenacart/galenacart/internal/vmlist"
 )
 
 const (
@@ -56,7 +57,7 @@
 	if err := writeJSON(g.path("platform", "catalogue.json"), g.catalogue); err != nil {
 		return err
 	}
-	if err := writeJSON(g.path("platform", "vms.json"), g.vmList()); err != nil {
+	if err := writeJSON(g.path("platform", "vms.json"), vmlist.NewGrouped(g.vmList())); err != nil {
 		return err
 	}
 	return writeJSON(g.path("platform", "platform.json"), g.platform())
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -44,14 +44,15 @@
 	VMs []VM `json:"vms"`
 }
 
-// Decode reads a list. Fields that it doesn't know are left out: the platform
-// may add some, and a list that every node refuses would stop all routing.
+// Decode reads a list in either form: VM by VM, or in groups. Fields that it
+// doesn't know are left out: the platform may add some, and a list that every
+// node refuses would stop all routing.
 func Decode(data []byte) (*List, error) {
-	l := &List{}
-	if err := json.Unmarshal(data, l); err != nil {
+	g := &Grouped{}
+	if err := json.Unmarshal(data, g); err != nil {
 		return nil, errors.Wrap(err, "VM list")
 	}
-	return l, nil
+	return g.list(), nil
 }
 
 // Table is a list in force. It and its entries are never changed, so that two
--- a/internal/vmlist/vmlist_test.go
+++ b/internal/vmlist/vmlist_test.go
@@ -1,6 +1,8 @@
 package vmlist
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,6 +16,7 @@
 	}{
 		{desc: "one VM", text: `{"vms":[{"vm":"a","state":"live"}]}`, vms: 1},
 		{desc: "a field of a later platform", text: `{"vms":[{"vm":"a","rack":"r1"}],"epoch":3}`, vms: 1},
+		{desc: "groups", text: `{"groups":[{"service":"s","vms":[{"vm":"a"},{"vm":"b"}]}],"vms":[{"vm":"c"}]}`, vms: 3},
 		{desc: "cut off", text: `{"vms":[{"vm":"a"`, fails: true},
 		{desc: "wrong type", text: `{"vms":7}`, fails: true},
 	}
@@ -27,3 +30,30 @@
 		})
 	}
 }
+
+// The planned fleet fits into one value of the platform, and comes out as it went in.
+func TestGroupedListOfThePlannedFleetFitsIntoOneValue(t *testing.T) {
+	const vms, zones, services, valueBytes = 5900, 10, 190, 1 << 20
+	l := &List{}
+	for i := range vms {
+		service, zone := fmt.Sprintf("dispatch-archive-%03d", i%services), i/services%zones
+		l.VMs = append(l.VMs, VM{
+			Name: fmt.Sprintf("%s-%04d", service, i), AvailabilityZone: fmt.Sprintf("vestland-%d", zone), Region: "vestland",
+			Service: service, PeerAddress: "10.123.123.123:7001", CallerAddress: "10.123.123.123:7000", State: Live,
+		})
+	}
+	l.VMs[1].State = Leaving
+	data, err := json.Marshal(NewGrouped(l))
+	require.NoError(t, err)
+	require.Less(t, len(data), valueBytes)
+	back, err := Decode(data)
+	require.NoError(t, err)
+	require.Len(t, back.VMs, vms)
+	came := make(map[string]VM, vms)
+	for _, vm := range back.VMs {
+		came[vm.Name] = vm
+	}
+	for _, vm := range l.VMs {
+		require.Equal(t, vm, came[vm.Name])
+	}
+}
