Read the whole VM list against the one in force, and await the peers' content

Cause: a reader decoded, encoded, compacted and split the list that it read, each of all VMs. Change: entries that are as in the list in force are taken from it with their hash, and others are encoded one by one. The gate waits for the content that the node is to prefer, as it waits for a newer revision, within the same bound.

--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -120,7 +120,9 @@
 	linked map[string]linkFact // by VM
 	// answered is the number of peers that told their versions in this epoch.
 	answered int
-	// newer says that a peer named a newer catalogue that has not come yet.
+	// newer says that a peer named a catalogue that has not come yet and is to be
+	// preferred: a newer one, or the fleet's content of the revision that this
+	// node has only read.
 	newer bool
 	// conflicts holds states that peers have in force under the revision that
 	// this node has in force with other content.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -174,7 +174,7 @@
 		require.True(t, waitUntil(time.Second, func() bool { return n.Status().Epoch == 2 }))
 		require.Contains(t, n.events.String(), "woke_late")
 		// The result of a read that was begun before the pause is void.
-		n.thread.post(readDone{key: keyCatalogue, epoch: 1, offer: decodeOffer(keyCatalogue, 99, catalogueWith(9), sourcePlatform)})
+		n.thread.post(readDone{key: keyCatalogue, epoch: 1, offer: decodeOffer(keyCatalogue, 99, catalogueWith(9), basis{}, sourcePlatform)})
 		time.Sleep(time.Second)
 		require.Equal(t, uint64(2), n.holder.Load().Revision)
 		require.True(t, waitUntil(5*time.Second, func() bool { return n.Status().Opening == "confirmed" }))
--- a/internal/control/offer.go
+++ b/internal/control/offer.go
@@ -47,57 +47,100 @@
 	fault    error            // why the document can't be used, or nil
 }
 
+// basis is a document in force with its list, of which the next one may have
+// much in common.
+type basis struct {
+	document *delta.Document
+	list     *vmlist.Table // of a VM list: one VM for each entry
+}
+
+// basisOf returns the basis of a state in force.
+func basisOf(d document) basis {
+	if d.document == nil || d.list == nil || len(d.list.VMs) != d.document.Len() {
+		return basis{document: delta.Empty, list: &vmlist.Table{}}
+	}
+	return basis{document: d.document, list: d.list}
+}
+
 // decodeOffer reads a document. It runs outside the control thread.
-func decodeOffer(k key, revision uint64, data []byte, source string) *offer {
+func decodeOffer(k key, revision uint64, data []byte, on basis, source string) *offer {
 	o := &offer{key: k, version: adoption.Version{Revision: revision}, source: source}
-	o.fault = o.decode(data)
+	o.fault = o.decode(data, on)
 	return o
 }
 
-func (o *offer) decode(data []byte) error {
-	var content any
+func (o *offer) decode(data []byte, on basis) error {
+	var err error
 	switch o.key {
 	case keyCatalogue:
-		c, err := catalogue.Decode(o.key.String(), data)
-		if err != nil {
-			return err
-		}
-		o.index = catalogue.NewIndex(c)
-		content = c
+		err = o.decodeCatalogue(data)
 	default:
-		l, err := vmlist.Decode(data)
-		if err != nil {
-			return err
-		}
-		o.list = vmlist.NewTable(l)
-		content = l
+		err = o.decodeList(data, on)
+	}
+	if err == nil {
+		o.version.Hash = o.document.Hash()
+	}
+	return err
+}
+
+func (o *offer) decodeCatalogue(data []byte) error {
+	c, err := catalogue.Decode(o.key.String(), data)
+	if err != nil {
+		return err
 	}
-	canonical, err := json.Marshal(content)
+	o.index = catalogue.NewIndex(c)
+	canonical, err := json.Marshal(c)
 	if err != nil {
 		return errors.Wrap(err, "encode document")
 	}
 	o.document, err = delta.Split(canonical)
+	return err
+}
+
+// decodeList reads a VM list. VMs that are as in the basis share its entries.
+func (o *offer) decodeList(data []byte, on basis) error {
+	l, err := vmlist.Decode(data)
 	if err != nil {
 		return err
 	}
-	o.version.Hash = o.document.Hash()
-	return nil
+	places := make(map[string]int, len(on.list.VMs))
+	for i, vm := range on.list.VMs {
+		places[vm.Name] = i
+	}
+	x := &delta.Delta{}
+	o.list = vmlist.NewTable(l)
+	for i, vm := range o.list.VMs {
+		at, known := places[vm.Name]
+		if known && *on.list.VMs[at] == *vm {
+			o.list.VMs[i] = on.list.VMs[at]
+			x.Copy(at, 1)
+			continue
+		}
+		value, err := json.Marshal(vm)
+		if err != nil {
+			return errors.Wrap(err, "encode VM")
+		}
+		x.Add(delta.NewListEntry(listField, value))
+	}
+	o.document, err = delta.Build(on.document, x)
+	return err
 }
 
 // decodeDelta builds a document from parts that a peer sent, and reads it. It
-// runs outside the control thread. known is the list of the base, or nil.
-func decodeDelta(k key, version adoption.Version, base *delta.Document, known *vmlist.Table, x *delta.Delta, source string) (*offer, error) {
+// runs outside the control thread. on is the state in force, base the one on
+// which the delta builds.
+func decodeDelta(k key, version adoption.Version, on basis, base *delta.Document, x *delta.Delta, source string) (*offer, error) {
 	d, err := delta.Apply(base, x)
 	if err != nil {
 		return nil, err
 	}
 	o := &offer{key: k, version: version, source: source, document: d}
-	if known != nil && len(known.VMs) == base.Len() {
-		if o.list = patchTable(known, x); o.list != nil {
+	if k == keyVMs && base == on.document {
+		if o.list = patchTable(on.list, x); o.list != nil {
 			return o, nil
 		}
 	}
-	return decodeDocument(k, version, d, source), nil
+	return decodeDocument(k, version, d, on, source), nil
 }
 
 // patchTable builds the table of a document from the table of its base, which
@@ -140,12 +183,12 @@
 }
 
 // decodeDocument reads a document that a peer sent in entries.
-func decodeDocument(k key, version adoption.Version, d *delta.Document, source string) *offer {
+func decodeDocument(k key, version adoption.Version, d *delta.Document, on basis, source string) *offer {
 	data, err := d.Join()
 	if err != nil {
 		return &offer{key: k, version: version, source: source, fault: err}
 	}
-	o := decodeOffer(k, version.Revision, data, source)
+	o := decodeOffer(k, version.Revision, data, on, source)
 	if o.fault == nil && o.version.Hash != version.Hash {
 		o.fault = errors.New("the document is not in its canonical form")
 	}
--- a/internal/control/peer_controller.go
+++ b/internal/control/peer_controller.go
@@ -266,14 +266,10 @@
 // compareState notes a state of a peer that is newer, or in conflict.
 func (p *peerController) compareState(state *peers, k key, v adoption.Version, vm string) {
 	best := p.adoption.best(k)
-	switch adoption.Judge(best, v) {
-	case adoption.Adopt:
-		if k == keyCatalogue && v != p.refusal[k] {
-			state.newer = true
-		}
-	case adoption.Conflict:
-		if v.Revision > 0 {
-			state.conflicts[k] = &offer{key: k, version: v, source: vm}
-		}
+	if k == keyCatalogue && v != p.refusal[k] && p.wants(k, best, v) {
+		state.newer = true
+	}
+	if adoption.Judge(best, v) == adoption.Conflict && v.Revision > 0 {
+		state.conflicts[k] = &offer{key: k, version: v, source: vm}
 	}
 }
--- a/internal/control/peer_receive.go
+++ b/internal/control/peer_receive.go
@@ -9,7 +9,6 @@
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/peer"
 	"github.com/galenacart/galenacart/internal/peer/delta"
-	"github.com/galenacart/galenacart/internal/vmlist"
 )
 
 const (
@@ -199,12 +198,9 @@
 		p.pulls[k] = pull{} // the base was replaced meanwhile; ask again
 		return
 	}
-	var known *vmlist.Table
-	if state := p.board.documents.Get().byKey[k]; base == state.document {
-		known = state.list
-	}
+	on := basisOf(p.board.documents.Get().byKey[k])
 	p.goDo(func() {
-		o, err := decodeDelta(k, a.version, base, known, &a.delta, l.Remote.VM)
+		o, err := decodeDelta(k, a.version, on, base, &a.delta, l.Remote.VM)
 		p.post(documentBuilt{link: l.Link, key: k, offer: o, err: err})
 	})
 }
--- a/internal/control/platform_controller.go
+++ b/internal/control/platform_controller.go
@@ -201,14 +201,15 @@
 	if after > 0 { // what the peers told since then need not be read again
 		after = max(after, p.board.documents.Get().byKey[k].version.Revision)
 	}
+	on := basisOf(p.board.documents.Get().byKey[k])
 	p.goDo(func() {
 		defer cancel()
-		p.post(p.fetch(ctx, k, epoch, after, wait))
+		p.post(p.fetch(ctx, k, epoch, after, wait, on))
 	})
 }
 
 // fetch runs outside the control thread.
-func (p *platformController) fetch(ctx context.Context, k key, epoch, after uint64, wait time.Duration) readDone {
+func (p *platformController) fetch(ctx context.Context, k key, epoch, after uint64, wait time.Duration, on basis) readDone {
 	done := readDone{key: k, epoch: epoch}
 	var value *platform.Value
 	var err error
@@ -218,7 +219,7 @@
 		value, err = p.client.Watch(ctx, k.String(), after, wait)
 	}
 	if err == nil {
-		done.offer = decodeOffer(k, value.Revision, value.Data, sourcePlatform)
+		done.offer = decodeOffer(k, value.Revision, value.Data, on, sourcePlatform)
 		return done
 	}
 	if !errors.As(err, &done.failure) {
--- a/internal/control/sweep_test.go
+++ b/internal/control/sweep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"testing"
@@ -29,6 +30,7 @@
 type planned struct {
 	*thread
 	vms   []vmlist.VM
+	text  []byte             // of the list in groups
 	edits [2]*delta.Document // the list and the list with one entry changed
 }
 
@@ -50,10 +52,13 @@
 		p.vms[i].AvailabilityZone = fmt.Sprintf("absent-%d", i%10)
 		p.vms[i].Service = fmt.Sprintf("stock-%d", i%190)
 	}
-	first := decodeOffer(keyVMs, 1, listOf(p.vms), sourcePlatform)
+	first := decodeOffer(keyVMs, 1, listOf(p.vms), basisOf(document{}), sourcePlatform)
 	require.NoError(tb, first.fault)
 	p.vms[plannedFleet/2].State = vmlist.Leaving
-	p.edits = [2]*delta.Document{first.document, decodeOffer(keyVMs, 2, listOf(p.vms), sourcePlatform).document}
+	var err error
+	p.text, err = json.Marshal(vmlist.NewGrouped(&vmlist.List{VMs: p.vms}))
+	require.NoError(tb, err)
+	p.edits = [2]*delta.Document{first.document, decodeOffer(keyVMs, 2, listOf(p.vms), basisOf(document{}), sourcePlatform).document}
 	p.adoption.adopt(first)
 	p.second()
 	require.Len(tb, p.board.members.Get().byVM, plannedFleet)
@@ -85,11 +90,17 @@
 		}}, "absent-1")
 		return nil
 	}},
+	{"read of the list", 5 * plannedFleet, func(p *planned, round uint64) error {
+		on := basisOf(p.board.documents.Get().byKey[keyVMs])
+		o := decodeOffer(keyVMs, 1+round, p.text, on, sourcePlatform)
+		p.adoption.judge(o)
+		return o.fault
+	}},
 	{"change of one entry", plannedFleet / 10, func(p *planned, round uint64) error {
 		state := p.board.documents.Get().byKey[keyVMs]
 		target := p.edits[round%2]
 		version := adoption.Version{Revision: 1 + round, Hash: target.Hash()}
-		o, err := decodeDelta(keyVMs, version, state.document, state.list, delta.Diff(state.document, target), "absent-1")
+		o, err := decodeDelta(keyVMs, version, basisOf(state), state.document, delta.Diff(state.document, target), "absent-1")
 		if err == nil {
 			p.adoption.judge(o)
 			err = o.fault
@@ -126,6 +137,16 @@
 	}
 }
 
+// A node that has only read a revision waits for what its peers have in force under it.
+func TestContentOfThePeersIsAwaited(t *testing.T) {
+	p := newPlanned(t)
+	p.adoption.setCandidate(&offer{key: keyCatalogue, version: adoption.Version{Revision: 3}, source: sourcePlatform})
+	theirs := adoption.Version{Revision: 3, Hash: adoption.Hash{1}}
+	p.peers.links["absent-1"] = &link{Link: &peer.Link{}, told: true, states: [keyCount]adoption.Version{keyCatalogue: theirs}}
+	p.peers.publish()
+	require.True(t, p.adoption.knowledge().NewerNamed)
+}
+
 // The states found by what changed are those that a look at all VMs finds, and
 // the view holds them; a list made from a delta is the one read whole.
 func TestWhatChangedIsAllThatChanges(t *testing.T) {
@@ -151,10 +172,11 @@
 		list := append([]vmlist.VM{}, p.vms[:rapid.IntRange(1, 10).Draw(t, "length")]...)
 		list = append(list, list[rapid.IntRange(0, len(list)-1).Draw(t, "twice")])
 		list[rapid.IntRange(0, len(list)-1).Draw(t, "edited")].State = vmlist.Leaving
-		whole := decodeOffer(keyVMs, state.version.Revision+1, listOf(list), sourcePlatform)
-		o, err := decodeDelta(keyVMs, whole.version, state.document, state.list, delta.Diff(state.document, whole.document), "absent-1")
+		whole := decodeOffer(keyVMs, state.version.Revision+1, listOf(list), basisOf(document{}), sourcePlatform)
+		o, err := decodeDelta(keyVMs, whole.version, basisOf(state), state.document, delta.Diff(state.document, whole.document), "absent-1")
 		require.NoError(t, err)
 		require.Equal(t, whole.list, o.list)
+		require.Equal(t, whole.version, decodeOffer(keyVMs, whole.version.Revision, listOf(list), basisOf(state), sourcePlatform).version)
 		p.adoption.judge(o)
 	case 1:
 		said := peer.Lifecycle(rapid.IntRange(0, 2).Draw(t, "said"))
@@ -171,9 +193,14 @@
 func requireAllFound(t require.TestingT, p *planned) {
 	all := p.board.members.Get()
 	present := 0
+	listed := make(map[string]*vmlist.VM)
+	for _, vm := range p.board.documents.Get().byKey[keyVMs].list.VMs {
+		listed[vm.Name] = vm
+	}
+	require.Equal(t, listed, p.membership.listed)
 	for _, vm := range p.vms {
 		one := all.byVM[vm.Name]
-		known := p.membership.listed[vm.Name] != nil || p.membership.records[vm.Name] != nil
+		known := listed[vm.Name] != nil || p.membership.records[vm.Name] != nil
 		require.Equal(t, known, one != nil, vm.Name)
 		if !known {
 			continue
@@ -186,10 +213,10 @@
 		}
 	}
 	require.Len(t, p.Holder.Load().ByVM, present)
-	listed := 0
+	served := 0
 	for _, list := range p.Holder.Load().ByService {
-		listed += len(list)
+		served += len(list)
 	}
-	require.Equal(t, present, listed)
+	require.Equal(t, present, served)
 	require.Equal(t, present-1, all.others, "all but this node")
 }
--- a/internal/peer/delta/delta.go
+++ b/internal/peer/delta/delta.go
@@ -43,23 +43,28 @@
 		place[base.hashes[i]] = uint32(i)
 	}
 	out := &Delta{Base: base.hash, Hash: d.hash}
-	out.copyRun(0, head)
+	out.Copy(0, head)
 	for i := head; i < len(d.hashes)-tail; i++ {
 		at, known := place[d.hashes[i]]
 		if !known {
-			out.Steps = append(out.Steps, Step{})
-			out.Entries = append(out.Entries, d.entries[i])
+			out.Add(d.entries[i])
 			continue
 		}
-		out.copyRun(int(at), 1)
+		out.Copy(int(at), 1)
 	}
-	out.copyRun(len(base.hashes)-tail, tail)
+	out.Copy(len(base.hashes)-tail, tail)
 	return out
 }
 
-// copyRun adds count entries of the base from one on, in the last step if they
-// fit there.
-func (x *Delta) copyRun(from, count int) {
+// Add adds a new entry.
+func (x *Delta) Add(entry []byte) {
+	x.Steps = append(x.Steps, Step{})
+	x.Entries = append(x.Entries, entry)
+}
+
+// Copy adds count entries of the base from one on, in the last step if they fit
+// there.
+func (x *Delta) Copy(from, count int) {
 	if count == 0 {
 		return
 	}
@@ -78,6 +83,18 @@
 	if base.hash != x.Base {
 		return nil, errors.New("delta is for another base")
 	}
+	d, err := Build(base, x)
+	if err != nil {
+		return nil, err
+	}
+	if d.hash != x.Hash {
+		return nil, errors.New("delta gives other content than it names")
+	}
+	return d, nil
+}
+
+// Build makes the document of a delta whose hashes are not known yet.
+func Build(base *Document, x *Delta) (*Document, error) {
 	entries := make([][]byte, 0, len(base.entries)+len(x.Entries))
 	hashes := make([]Hash, 0, cap(entries))
 	added := 0
@@ -101,12 +118,5 @@
 	if added != len(x.Entries) {
 		return nil, errors.New("delta has an entry too many")
 	}
-	d, err := fromEntries(entries, hashes)
-	if err != nil {
-		return nil, err
-	}
-	if d.hash != x.Hash {
-		return nil, errors.New("delta gives other content than it names")
-	}
-	return d, nil
+	return fromEntries(entries, hashes)
 }
--- a/internal/peer/delta/document.go
+++ b/internal/peer/delta/document.go
@@ -132,6 +132,11 @@
 	return d.hash
 }
 
+// NewListEntry returns the entry of an element of the list field.
+func NewListEntry(field string, value []byte) []byte {
+	return newEntry(string(elementMark)+field, value)
+}
+
 // ListEntry returns the JSON value of an entry that is an element of the list
 // field. ok is false for an entry of another kind.
 func ListEntry(entry []byte, field string) (value []byte, ok bool) {
