--- a/decision/membership/membership.go
+++ b/decision/membership/membership.go
@@ -129,10 +129,8 @@
 
 // findListed decides for a VM that the list calls live.
 func findListed(e Evidence) Finding {
-	switch {
-	case e.Said == SaidLeaving:
+	if e.Said == SaidLeaving {
 		return Finding{Leaving, "said it leaves"}
-	default:
-		return Finding{Live, "listed as live"}
 	}
+	return Finding{Live, "listed as live"}
 }
