Give back the memory of a set that held the whole VM list

Cause: the set of VMs with new evidence holds all VMs once, when the list is read first, and a cleared map keeps its size. Change: an empty one takes its place.

--- a/internal/control/membership_sweep.go
+++ b/internal/control/membership_sweep.go
@@ -130,7 +130,7 @@
 	for vm := range m.dirty {
 		m.updateOne(&state, vm)
 	}
-	clear(m.dirty)
+	m.dirty = make(map[string]struct{}) // one that held a whole list stays large
 	if state.generation == before && state.fleet == len(m.listed) {
 		return
 	}
