Don't tell a record to peers that told it while it waited

Cause: a record that waits for the next round went to all peers but the one that told it first, although others tell it in the meantime when many VMs come back at once. Change: those who told it are kept with it, and a later record of the VM takes its place.

--- a/internal/control/membership_controller.go
+++ b/internal/control/membership_controller.go
@@ -187,6 +187,8 @@
 	}
 	old := m.records[r.VM]
 	switch {
+	case old != nil && r.claim() == old.claim():
+		m.spread.heard(r.VM, from)
 	case old != nil && !r.claim().Newer(old.claim()):
 	case m.listed[r.VM] == nil && r.age(m.now) >= forgetAfter:
 	case old == nil && len(m.records) >= maxRecords:
--- a/internal/control/spread_controller.go
+++ b/internal/control/spread_controller.go
@@ -30,8 +30,8 @@
 type spreadController struct {
 	*thread
 	beatAt time.Duration
-	// waiting holds the records to pass on, the oldest first.
-	waiting  []news
+	// waiting holds the records to pass on, by VM.
+	waiting  map[string]*waitingRecord
 	passedAt time.Duration
 	later    bool // a goroutine waits to have them passed on
 	// comparedAt is the time of the last comparison that this node began.
@@ -40,8 +40,14 @@
 	told       [keyCount]adoption.Version // states in the last beats
 }
 
+// waitingRecord is a record that waits to be passed on.
+type waitingRecord struct {
+	record peer.Record
+	from   []string // the VMs that told it
+}
+
 func newSpreadController(t *thread) *spreadController {
-	return &spreadController{thread: t, started: t.now}
+	return &spreadController{thread: t, started: t.now, waiting: make(map[string]*waitingRecord)}
 }
 
 // run passes news on at once, and the rest at the pace of the beats.
@@ -109,7 +115,9 @@
 }
 
 func (s *spreadController) passRecords() {
-	s.waiting = append(s.waiting, s.board.members.Get().news...)
+	for _, n := range s.board.members.Get().news {
+		s.waiting[n.record.VM] = &waitingRecord{record: n.record, from: []string{n.from}}
+	}
 	if len(s.waiting) == 0 {
 		return
 	}
@@ -117,17 +125,16 @@
 		s.passLater(wait)
 		return
 	}
-	list := s.latest()
-	s.waiting, s.passedAt, s.later = nil, s.now, false
 	for vm, l := range s.peers.links {
 		var out []peer.Record
-		for _, n := range list {
-			if n.from != vm {
-				out = append(out, n.record)
+		for _, w := range s.waiting {
+			if !slices.Contains(w.from, vm) {
+				out = append(out, w.record)
 			}
 		}
 		s.sendRecords(l, out)
 	}
+	s.waiting, s.passedAt, s.later = make(map[string]*waitingRecord), s.now, false
 }
 
 // passLater has the thread run again when the gap is over.
@@ -150,12 +157,12 @@
 	return s.membership.records[s.Settings.VM].State != peer.Live
 }
 
-// latest returns the waiting records without those that a later one replaced.
-func (s *spreadController) latest() []news {
-	return slices.DeleteFunc(s.waiting, func(n news) bool {
-		r := s.membership.records[n.record.VM]
-		return r == nil || r.Stamp != n.record.Stamp || r.State != n.record.State || r.Incarnation != n.record.Incarnation
-	})
+// heard notes that a peer told a record that waits to be passed on, so that it
+// need not be told.
+func (s *spreadController) heard(vm, from string) {
+	if w := s.waiting[vm]; w != nil {
+		w.from = append(w.from, from)
+	}
 }
 
 func (s *spreadController) sendRecords(l *link, list []peer.Record) {
--- a/internal/control/sweep_test.go
+++ b/internal/control/sweep_test.go
@@ -147,6 +147,16 @@
 	require.True(t, p.adoption.knowledge().NewerNamed)
 }
 
+func TestRecordIsNotToldToThoseWhoToldIt(t *testing.T) {
+	p := newPlanned(t)
+	p.spread.passedAt, p.spread.later = p.now, true
+	list := []peer.Record{{VM: "absent-7", Stamp: 10, Incarnation: 1}}
+	p.membership.learn(list, "absent-1")
+	p.spread.passRecords()
+	p.membership.learn(list, "absent-2")
+	require.Equal(t, []string{"absent-1", "absent-2"}, p.spread.waiting["absent-7"].from)
+}
+
 // The states found by what changed are those that a look at all VMs finds, and
 // the view holds them; a list made from a delta is the one read whole.
 func TestWhatChangedIsAllThatChanges(t *testing.T) {
