Compare lists of VMs by name in the test of groups

Cause: the test compared VM by VM through a map, in more lines than it needs. Change: both lists are sorted and compared whole, which is as strict. Conclusion: the same check.

--- a/internal/vmlist/vmlist_test.go
+++ b/internal/vmlist/vmlist_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -48,12 +50,8 @@
 	require.Less(t, len(data), valueBytes)
 	back, err := Decode(data)
 	require.NoError(t, err)
-	require.Len(t, back.VMs, vms)
-	came := make(map[string]VM, vms)
-	for _, vm := range back.VMs {
-		came[vm.Name] = vm
-	}
-	for _, vm := range l.VMs {
-		require.Equal(t, vm, came[vm.Name])
-	}
+	byName := func(a, b VM) int { return strings.Compare(a.Name, b.Name) }
+	slices.SortFunc(l.VMs, byName)
+	slices.SortFunc(back.VMs, byName)
+	require.Equal(t, l.VMs, back.VMs)
 }
