Grant further runs of a request that may break endpoints at its origin

Cause: a request that had broken two endpoints below a node broke a third one when that node's answer was lost and the node couldn't be asked: the retry through another node was a first attempt there. Asking the node that got the call depends on that node.

Change: the node where a root request entered is its origin and travels with each call. Once an attempt may have broken an endpoint, each call of the root request, at whatever depth, runs only with a grant of the origin, which gives one for each content. An ordinary call asks nothing. It replaces the question for news. TestNewsOfLossesSurvivesALostAnswer becomes TestCrashLimitSurvivesALostAnswer and is stricter: the node can't be asked at all any more. chain-crashes comes back into make test and make fuzz-histories.

Conclusion: within one root request two is a bound by construction.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 # Property tests draw the same cases on every run.
 export RAPID_SEED := 1
 
-# Tests that KNOWN-RED.txt lists.
-KNOWN_RED := ^TestHistories$$/^chain-crashes$$
+# Tests that KNOWN-RED.txt lists, as a regular expression; empty when none is part of make test.
+KNOWN_RED :=
 
 .PHONY: build test fuzz-histories lint format bench demo capacity clean
 
--- a/decision/suspect/suspect_test.go
+++ b/decision/suspect/suspect_test.go
@@ -65,7 +65,22 @@
 	})
 }
 
+func TestOneFurtherRunIsGranted(t *testing.T) {
+	g := NewGrants()
+	c := Call{Root: ID{1}, Fingerprint: 2}
+	require.True(t, g.Ask(0, c, ID{3}))
+	require.True(t, g.Ask(lifetime-1, c, ID{3}), "the answer was lost")
+	require.False(t, g.Ask(lifetime-1, c, ID{4}))
+	require.True(t, g.Ask(0, Call{Root: ID{1}, Fingerprint: 5}, ID{4}))
+}
+
 func TestMemoryIsBounded(t *testing.T) {
+	g := NewGrants()
+	for i := range uint64(entriesMax) {
+		require.True(t, g.Ask(0, Call{Fingerprint: i}, ID{}))
+	}
+	require.False(t, g.Ask(0, Call{Fingerprint: entriesMax}, ID{}))
+	require.True(t, g.Ask(lifetime, Call{Fingerprint: entriesMax}, ID{}))
 	b := NewBook()
 	for i := range uint64(2 * entriesMax) {
 		b.Learn(0, i, 1)
--- a/internal/call/meta.go
+++ b/internal/call/meta.go
@@ -92,6 +92,13 @@
 	// Fence asks the home named by Token to make sure that the request is never
 	// started any more, and to say whether it was.
 	Fence bool `cbor:"15,keyasint,omitempty"`
+	// Doubt says that an earlier attempt of the root request may have broken an
+	// endpoint. Each call below needs a grant of the origin before it runs.
+	Doubt bool `cbor:"17,keyasint,omitempty"`
+	// Origin is the VM of the node where the root request entered.
+	Origin string `cbor:"18,keyasint,omitempty"`
+	// OriginIncarnation is the run of the origin's process.
+	OriginIncarnation uint64 `cbor:"19,keyasint,omitempty"`
 }
 
 // Reply describes an answer to the node that made the call.
@@ -124,6 +131,9 @@
 	Incarnation uint64 `cbor:"13,keyasint"`
 	// DeclaredLength is the Content-Length of an answer to HEAD.
 	DeclaredLength int64 `cbor:"12,keyasint,omitempty"`
+	// Doubt says that a call below may have broken an endpoint of which nobody
+	// can tell.
+	Doubt bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Remaining returns the time left for the answer.
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -27,6 +27,7 @@
 	declared int64          // Content-Length of an answer to HEAD
 	retries  int            // unspent part of the retry budget
 	losses   []call.Loss    // endpoints lost to calls of the same root request
+	doubt    bool           // a call below may have broken an endpoint
 }
 
 // failed returns an answer that is a problem.
--- a/internal/traffic/caller.go
+++ b/internal/traffic/caller.go
@@ -86,7 +86,8 @@
 		request:     q,
 		deadline:    t.config.Now() + timeout,
 		pool:        newBudget(v.Index.Catalogue().Retry.BudgetPerRequest),
-		losses:      newLosses(nil),
+		losses:      newLosses(nil, false),
+		origin:      t.self(),
 	}
 }
 
--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -31,6 +31,8 @@
 	deadline    time.Duration
 	pool        *budget
 	losses      *losses
+	origin      origin
+	permit      permit
 
 	tried []string
 	free  int
@@ -52,6 +54,9 @@
 	s := t.targets.service(o.route.Service)
 	var last *answer
 	for {
+		if !t.mayRun(ctx, o) {
+			return o.settle(held(last))
+		}
 		m, miss := s.pick(t.place(), v.ByService[o.route.Service], o.route.Name, o.priority, o.tried)
 		if m == nil {
 			return o.settle(t.missed(miss, last, o))
@@ -62,7 +67,7 @@
 			return one.answer
 		}
 		last = one.answer
-		o.remember(m.VM, last.problem.Ran)
+		o.remember(m.VM, last.problem)
 		if one.final || ctx.Err() != nil || !t.again(s, o, &one) {
 			return o.settle(last)
 		}
@@ -76,11 +81,23 @@
 	return place{vm: s.VM, zone: s.AvailabilityZone, region: s.Region}
 }
 
+// held returns the problem of a call that may not run once more.
+func held(last *answer) *answer {
+	if last != nil {
+		return last
+	}
+	return failed(problem.New(problem.KindSuspect, problem.RanNo, "an earlier attempt may have broken an endpoint"))
+}
+
 // remember notes an attempt that failed.
-func (o *outgoing) remember(vm string, ran problem.Ran) {
+func (o *outgoing) remember(vm string, e *problem.Error) {
 	o.tried = append(o.tried, vm)
-	if ran != problem.RanNo {
-		o.worst = ran
+	if e.Ran != problem.RanNo {
+		o.worst = e.Ran
+		o.losses.suspectAttempt()
+	}
+	if o.permit == permitHeld && (e.Ran != problem.RanNo || e.Kind == problem.KindEndpointRefused) {
+		o.permit = permitSpent
 	}
 }
 
@@ -168,6 +185,10 @@
 		Correlation: o.correlation,
 		Service:     o.route.Service,
 		Losses:      t.lossesFor(o),
+		Doubt:       o.losses.inDoubt(),
+		Origin:      o.origin.vm,
+
+		OriginIncarnation: o.origin.incarnation,
 	}
 }
 
@@ -200,9 +221,6 @@
 		if one.fate == retry.FateUnknown && !o.route.Idempotent {
 			one = t.resume(ctx, m, meta, o, known, one)
 		}
-		if one.fate == retry.FateUnknown && !one.final {
-			t.askNews(ctx, m, o)
-		}
 		cancel()
 		return one, end
 	}
@@ -214,10 +232,7 @@
 // judge learns from the answer of a node.
 func (t *Traffic) judge(s *service, vm string, o *outgoing, a *answer, reply *call.Reply) (try, routing.Finished) {
 	s.report(vm, o.route.Name, reply)
-	for _, loss := range reply.Losses {
-		t.suspects.lost(loss)
-		o.losses.add(loss)
-	}
+	t.hear(o, reply)
 	end := routing.Finished{Outcome: routing.OutcomeAnswered, Headroom: int(reply.Headroom), Refused: a.problem != nil}
 	if a.problem == nil {
 		return try{answer: a}, end
@@ -226,6 +241,17 @@
 	return try{answer: a, fate: fateOf(a.problem), final: isFinal(a.problem.Kind)}, end
 }
 
+// hear takes in what an answer tells of lost endpoints.
+func (t *Traffic) hear(o *outgoing, reply *call.Reply) {
+	for _, loss := range reply.Losses {
+		t.suspects.lost(loss)
+		o.losses.add(loss)
+	}
+	if reply.Doubt {
+		o.losses.suspectAttempt()
+	}
+}
+
 // lost turns a failed exchange with another node into the outcome of a try.
 func (t *Traffic) lost(ctx context.Context, m *view.Member, err error) (try, routing.Finished) {
 	var unsent *unsentError
@@ -267,6 +293,7 @@
 	if err != nil || reply.Incarnation != incarnation {
 		return lost
 	}
+	t.hear(o, reply)
 	if a.problem == nil {
 		return try{answer: a}
 	}
--- a/internal/traffic/failure_test.go
+++ b/internal/traffic/failure_test.go
@@ -300,14 +300,15 @@
 	}, 10*time.Second, 10*time.Millisecond, "it gets calls again")
 }
 
-// Two endpoints are lost below a node whose answer is lost as well. The node
-// that repeats the call asks for the news first, so no third one is lost.
-func TestNewsOfLossesSurvivesALostAnswer(t *testing.T) {
+// Two endpoints are lost below a node of which no answer arrives any more. The
+// call is repeated elsewhere and gets no further run below, so no third one is
+// lost.
+func TestCrashLimitSurvivesALostAnswer(t *testing.T) {
 	f := newFleet(t)
 	lost := atomic.Int32{}
-	for i := range 4 {
+	for i := range 12 { // a fresh one is likely to be picked
 		var n *testNode
-		n = f.add("deep-"+string(rune('1'+i)), "deep", "a", func(http.ResponseWriter, *http.Request) {
+		n = f.add("deep-"+string(rune('a'+i)), "deep", "a", func(http.ResponseWriter, *http.Request) {
 			lost.Add(1)
 			_ = n.endpoint.Listener.Close()
 			panic(http.ErrAbortHandler)
@@ -319,12 +320,9 @@
 	entry := f.add("front-1", "front", "a", answerWith(""))
 	f.start()
 	r := f.through(first)
-	var cut atomic.Int32
-	r.loseAnswers(func(piece []byte) bool {
-		return !bytes.Contains(piece, []byte("HTTP/1.1 200")) || cut.Add(1) > 1
-	})
+	r.loseAnswers(func(piece []byte) bool { return !bytes.Contains(piece, []byte("HTTP/1.1 20")) })
 	entry.call(t, "GET", "/middle", "", "")
-	require.EqualValues(t, 1, cut.Load(), "the answer of the first node was lost")
+	require.EqualValues(t, 1, first.runs.Load())
 	require.EqualValues(t, 1, second.runs.Load(), "the call was repeated")
 	require.EqualValues(t, 2, lost.Load())
 }
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -105,7 +105,8 @@
 		idempotent:  e.route.Idempotent,
 		abandon:     e.cancel,
 		pool:        newBudget(int(e.meta.Retries)),
-		losses:      newLosses(e.meta.Losses),
+		losses:      newLosses(e.meta.Losses, e.meta.Doubt),
+		origin:      origin{vm: e.meta.Origin, incarnation: e.meta.OriginIncarnation},
 		children:    newRecords(t.config.Now),
 		seen:        make(map[uint64]*childState),
 	}
@@ -114,22 +115,27 @@
 	if err != nil {
 		a = failed(e.explain(ctx, err))
 		e.parent.losses.add(t.suspects.losses(e.request.fingerprint))
+		e.tell(a)
 		e.end(outcomeOf(a, ctx))
-		a.retries = e.parent.pool.left()
-		a.losses = e.parent.losses.list()
 		return a
 	}
 	if e.refusedByEndpoint(a.status) {
 		a.close()
-		e.end(admission.OutcomeRefused)
 		a = failed(problem.New(problem.KindEndpointRefused, problem.RanNo, "the endpoint refused with status %d", a.status))
-		a.retries = e.parent.pool.left()
+		e.tell(a)
+		e.end(admission.OutcomeRefused)
 		return a
 	}
 	t.watch.answered()
+	e.tell(a)
+	return a.onClose(func() { e.end(admission.OutcomeAnswered) })
+}
+
+// tell puts into the answer what the call's own calls came to.
+func (e *execution) tell(a *answer) {
 	a.retries = e.parent.pool.left()
 	a.losses = e.parent.losses.list()
-	return a.onClose(func() { e.end(admission.OutcomeAnswered) })
+	a.doubt = e.parent.doubt()
 }
 
 // end gives back everything that the call held.
@@ -137,7 +143,6 @@
 	t := e.traffic
 	now := t.config.Now()
 	t.parents.remove(e.meta.Attempt)
-	t.news.put(e.meta.Root, e.parent.losses.list())
 	e.cancel(errParentEnd)
 	t.suspects.leave(e.guard, o == admission.OutcomeAnswered)
 	t.gate.leave(e.pass, admission.Result{
@@ -227,6 +232,7 @@
 		Clock:       t.config.Log.Clock().Tick(),
 		Incarnation: t.config.Incarnation,
 		Losses:      a.losses,
+		Doubt:       a.doubt,
 	}
 	if a.problem != nil {
 		r.Kind = a.problem.Kind.String()
--- a/internal/traffic/losses.go
+++ b/internal/traffic/losses.go
@@ -13,12 +13,15 @@
 // nodes know. They travel with its calls and answers, because its next attempt
 // may be faster than the news over peer links.
 type losses struct {
+	inherited bool // an attempt further up may have broken an endpoint
+
 	mu    sync.Mutex
+	doubt bool // an attempt from here on down may have broken an endpoint
 	known []call.Loss
 }
 
-func newLosses(known []call.Loss) *losses {
-	l := &losses{}
+func newLosses(known []call.Loss, inherited bool) *losses {
+	l := &losses{inherited: inherited}
 	for _, one := range known {
 		l.add(one)
 	}
@@ -43,6 +46,29 @@
 	}
 }
 
+// suspectAttempt notes that an attempt may have broken an endpoint.
+func (l *losses) suspectAttempt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubt = true
+}
+
+// doubtHere reports whether an attempt from here on down may have broken an
+// endpoint that nobody can tell of.
+func (l *losses) doubtHere() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.doubt
+}
+
+// inDoubt reports whether any attempt of the root request may have broken an
+// endpoint, as far as is known here.
+func (l *losses) inDoubt() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inherited || l.doubt || len(l.known) > 0
+}
+
 // list returns what is known.
 func (l *losses) list() []call.Loss {
 	l.mu.Lock()
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -98,9 +98,12 @@
 func (t *Traffic) child(r *http.Request, p *parent, route *catalogue.Route, q *request) *answer {
 	key := childKey(q)
 	fingerprint := xxhash.Sum64(key[:])
-	resend := p.childStarts(t.config.Now(), fingerprint)
+	resend, beside := p.childStarts(t.config.Now(), fingerprint)
 	var a *answer
 	if route.Idempotent {
+		if beside {
+			p.losses.suspectAttempt()
+		}
 		a = t.idempotentChild(r.Context(), p, route, q, resend)
 	} else {
 		a = p.children.do(r.Context(), key, q.fingerprint, func() *answer {
@@ -137,6 +140,7 @@
 		deadline:    deadline,
 		pool:        p.pool,
 		losses:      p.losses,
+		origin:      p.origin,
 	})
 	return a.onClose(func() {
 		stop()
--- a/internal/traffic/parents.go
+++ b/internal/traffic/parents.go
@@ -24,6 +24,7 @@
 	abandon     context.CancelCauseFunc
 	pool        *budget
 	losses      *losses
+	origin      origin
 	children    *records
 
 	mu        sync.Mutex
@@ -80,8 +81,8 @@
 }
 
 // childStarts counts a call of the endpoint. resend is true when the same call
-// is in flight or failed before.
-func (p *parent) childStarts(now time.Duration, fingerprint uint64) (resend bool) {
+// is in flight or failed before, beside when it is in flight.
+func (p *parent) childStarts(now time.Duration, fingerprint uint64) (resend, beside bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.flying == 0 {
@@ -93,9 +94,10 @@
 		s = &childState{}
 		p.seen[fingerprint] = s
 	}
-	resend = known && (s.flying > 0 || !s.answered)
+	beside = s.flying > 0
+	resend = known && (beside || !s.answered)
 	s.flying++
-	return resend
+	return resend, beside
 }
 
 // childEnds takes back a call of the endpoint.
@@ -122,6 +124,14 @@
 	return p.waited
 }
 
+// doubt reports whether a call of the endpoint may have broken another endpoint.
+func (p *parent) doubt() bool {
+	p.mu.Lock()
+	flying := p.flying > 0
+	p.mu.Unlock()
+	return flying || p.losses.doubtHere()
+}
+
 // budget is a retry pool that calls in flight side by side share.
 type budget struct {
 	mu   sync.Mutex
--- a/internal/traffic/records.go
+++ b/internal/traffic/records.go
@@ -138,7 +138,7 @@
 func (r *records) keep(a *answer) *answer {
 	switch {
 	case a.problem != nil:
-		return failed(a.problem)
+		return &answer{problem: a.problem, losses: a.losses, doubt: a.doubt}
 	case !a.whole() || len(a.body) > r.answerMax:
 		return failed(problem.New(problem.KindAnswerBroken, problem.RanYes, "the call ran; its answer was too large to be kept"))
 	default:
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -69,7 +69,7 @@
 	chain    *chain
 	tokens   *token.Codec
 	watch    *watch
-	news     *news
+	grants   *grants
 	probes   sync.WaitGroup
 	leaving  atomic.Bool
 	applied  atomic.Pointer[view.View]
@@ -94,7 +94,7 @@
 		suspects: newSuspects(c.Now),
 		chain:    newChain(c.Now),
 		watch:    newWatch(c.Now),
-		news:     newNews(c.Now),
+		grants:   newGrants(c.Now),
 		tokens:   token.NewCodec(c.Settings.FleetKey),
 	}
 	t.registerGauges()
@@ -239,7 +239,7 @@
 func (t *Traffic) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathPing, t.servePing)
-	mux.HandleFunc("GET "+pathNews, t.serveNews)
+	mux.HandleFunc("GET "+pathGrant, t.serveGrant)
 	mux.HandleFunc("/", t.servePeer)
 	return mux
 }
--- a/internal/traffic/watch.go
+++ b/internal/traffic/watch.go
@@ -17,9 +17,6 @@
 // pathPing is asked by other nodes before they send calls again.
 const pathPing = "/galenacart/ping"
 
-// pathNews is asked by a node whose call's answer was lost.
-const pathNews = "/galenacart/losses"
-
 // pathHealth is the endpoint's health page. Any answer, of whatever status and
 // content, proves that the endpoint works.
 const pathHealth = "/-/health"
