Bound the bytes of all kept answers of a node

Cause: recordsMax times answerBytesMax was the only bound on kept answers, 6.1 GiB with Dørvakt's catalogue, and the check only warned of it. Headers weren't counted.

Change: idempotency.answersTotalBytesMax, 16 MiB unless given, bounds the answers of both tables together, headers included. Past it a record keeps the outcome without the answer; no record is dropped. The warning looks at this bound, since the product of the other two is none any more; its test asks for 97 MiB as before. BenchmarkRecord joins make bench.

Conclusion: kept answers are bounded by what an operator states.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(LINT) fmt ./...
 
 bench:
-	go test -run '^$$' -bench . -benchtime 1000x -benchmem ./decision/...
+	go test -run '^$$' -bench . -benchtime 1000x -benchmem ./decision/... ./internal/traffic
 
 demo: build
 	demo/run.sh
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -142,7 +142,7 @@
 		{"timeout longer than that of any caller", `"timeoutMs": 1000`, `"timeoutMs": 1501`, "/routes/1/limits/timeoutMs: 1501 ms; its callers have at most 1500 ms"},
 		{"token shorter than timeout", `"tokenLifetimeMs": 60000`, `"tokenLifetimeMs": 1999`, "/routes/0/limits/timeoutMs: longer than /idempotency/tokenLifetimeMs"},
 		{"internal without callers", `"service": "contracts", "method"`, `"service": "contracts", "internal": true, "method"`, `/routes/0/internal: no service has "contracts"`},
-		{"much memory", `"answerBytesMax": 1024`, `"answerBytesMax": 10240`, "/idempotency/answerBytesMax: kept answers may take 97 MiB"},
+		{"much memory", `"answerBytesMax": 1024`, `"answerBytesMax": 1024, "answersTotalBytesMax": 102400000`, "/idempotency/answersTotalBytesMax: kept answers may take 97 MiB"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
--- a/internal/catalogue/index.go
+++ b/internal/catalogue/index.go
@@ -10,6 +10,10 @@
 // defaultBodyBytes is the request body limit of a route that names none.
 const defaultBodyBytes = 1 << 20
 
+// defaultAnswersTotalBytes bounds the kept answers of a node unless the
+// catalogue does.
+const defaultAnswersTotalBytes = 16 << 20
+
 // Index answers the lookups that traffic makes. It is immutable.
 type Index struct {
 	catalogue *Catalogue
@@ -100,6 +104,14 @@
 	return r.Limits.BodyBytes
 }
 
+// AnswersTotal returns the bound on the kept answers of one node, in bytes.
+func (i Idempotency) AnswersTotal() int64 {
+	if i.AnswersTotalBytesMax == 0 {
+		return defaultAnswersTotalBytes
+	}
+	return i.AnswersTotalBytesMax
+}
+
 // TokenLifetime returns the time for which a token may be used.
 func (i Idempotency) TokenLifetime() time.Duration {
 	return time.Duration(i.TokenLifetimeMs) * time.Millisecond
--- a/internal/catalogue/types.go
+++ b/internal/catalogue/types.go
@@ -107,4 +107,8 @@
 	RecordsMax int `json:"recordsMax" validate:"gte=1,lte=1000000"`
 	// AnswerBytesMax is the largest answer that a record keeps whole, in bytes.
 	AnswerBytesMax int `json:"answerBytesMax" validate:"gte=0,lte=1048576"`
+	// AnswersTotalBytesMax bounds the kept answers of one node together, in
+	// bytes. Past it a record keeps the outcome without the answer. 0 stands for
+	// 16 MiB.
+	AnswersTotalBytesMax int64 `json:"answersTotalBytesMax,omitempty" validate:"gte=0,lte=1073741824"`
 }
--- a/internal/catalogue/warn.go
+++ b/internal/catalogue/warn.go
@@ -137,9 +137,8 @@
 }
 
 func (w *warner) warnRecords() {
-	i := w.catalogue.Idempotency
-	bytes := int64(i.RecordsMax) * int64(i.AnswerBytesMax)
+	bytes := w.catalogue.Idempotency.AnswersTotal()
 	if bytes > recordsBytesWarn {
-		w.warn("/idempotency/answerBytesMax", "kept answers may take %d MiB on each node", bytes>>20)
+		w.warn("/idempotency/answersTotalBytesMax", "kept answers may take %d MiB on each node", bytes>>20)
 	}
 }
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -40,6 +40,19 @@
 	return a.rest == nil
 }
 
+// bytes counts the answer's own content, headers included. That of a problem is
+// nothing.
+func (a *answer) bytes() int64 {
+	total := len(a.body)
+	for name, values := range a.header {
+		total += len(name)
+		for _, value := range values {
+			total += len(value)
+		}
+	}
+	return int64(total)
+}
+
 // trailer returns the endpoint's trailers. They are there once the body was
 // read to its end.
 func (a *answer) trailer() http.Header {
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -107,7 +107,7 @@
 		pool:        newBudget(int(e.meta.Retries)),
 		losses:      newLosses(e.meta.Losses, e.meta.Doubt),
 		origin:      origin{vm: e.meta.Origin, incarnation: e.meta.OriginIncarnation},
-		children:    newRecords(t.config.Now),
+		children:    newRecords(t.config.Now, newRoom(roomBefore)),
 		seen:        make(map[uint64]*childState),
 	}
 	t.parents.add(e.meta.Attempt, e.parent)
--- a/internal/traffic/records.go
+++ b/internal/traffic/records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenacart/galenacart/decision/idempotency"
@@ -16,6 +17,7 @@
 const (
 	recordsBefore     = 1024
 	answerBytesBefore = 64 << 10
+	roomBefore        = 1 << 20
 )
 
 // records makes sure that a non-idempotent call runs at most once, and keeps
@@ -23,6 +25,8 @@
 type records struct {
 	now func() time.Duration
 
+	room *room
+
 	mu          sync.Mutex
 	table       *idempotency.Table[*answer]
 	waiting     map[idempotency.Key]chan struct{}
@@ -34,17 +38,39 @@
 type TableState struct {
 	// Records is the number of records.
 	Records int `json:"records"`
-	// AnswerBytes is the memory of the bodies of kept answers.
+	// AnswerBytes counts the bytes of kept answers, headers included.
 	AnswerBytes int64 `json:"answerBytes"`
 }
 
-func newRecords(now func() time.Duration) *records {
+// room is the memory for the kept answers of several tables.
+type room struct {
+	used atomic.Int64
+	max  atomic.Int64
+}
+
+func newRoom(bytes int64) *room {
+	r := &room{}
+	r.max.Store(bytes)
+	return r
+}
+
+// take reports whether there is room for an answer, and takes it.
+func (r *room) take(bytes int64) bool {
+	if r.used.Add(bytes) <= r.max.Load() {
+		return true
+	}
+	r.used.Add(-bytes)
+	return false
+}
+
+func newRecords(now func() time.Duration, shared *room) *records {
 	c := idempotency.Config{RecordsMax: recordsBefore, Lifetime: attemptLifetime}
 	r := &records{
 		now:       now,
 		table:     idempotency.NewTable[*answer](c),
 		waiting:   make(map[idempotency.Key]chan struct{}),
 		answerMax: answerBytesBefore,
+		room:      shared,
 	}
 	r.table.OnDrop(r.dropped)
 	return r
@@ -54,7 +80,8 @@
 // caller of the table holds the lock.
 func (r *records) dropped(a *answer) {
 	if a != nil {
-		r.answerBytes -= int64(len(a.body))
+		r.answerBytes -= a.bytes()
+		r.room.used.Add(-a.bytes())
 	}
 }
 
@@ -141,8 +168,10 @@
 		return &answer{problem: a.problem, losses: a.losses, doubt: a.doubt}
 	case !a.whole() || len(a.body) > r.answerMax:
 		return failed(problem.New(problem.KindAnswerBroken, problem.RanYes, "the call ran; its answer was too large to be kept"))
+	case !r.room.take(a.bytes()):
+		return failed(problem.New(problem.KindAnswerBroken, problem.RanYes, "the call ran; there was no room left to keep its answer"))
 	default:
-		r.answerBytes += int64(len(a.body))
+		r.answerBytes += a.bytes()
 		return &answer{status: a.status, header: a.header, body: a.body, declared: a.declared}
 	}
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -63,6 +63,7 @@
 	peers    *peers
 	targets  *targets
 	parents  *parents
+	answers  *room // of the kept answers of both tables below
 	requests *records
 	attempts *records
 	suspects *suspects
@@ -82,15 +83,17 @@
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
+	shared := newRoom(roomBefore)
 	t := &Traffic{
+		answers:  shared,
 		config:   c,
 		gate:     newGatekeeper(c.Now),
 		local:    newEndpoint(c.Settings, c.Dial),
 		peers:    newPeers(c.Settings, c.Dial),
 		targets:  newTargets(c.Now),
 		parents:  newParents(),
-		requests: newRecords(c.Now),
-		attempts: newRecords(c.Now),
+		requests: newRecords(c.Now, shared),
+		attempts: newRecords(c.Now, shared),
 		suspects: newSuspects(c.Now),
 		chain:    newChain(c.Now),
 		watch:    newWatch(c.Now),
@@ -157,6 +160,7 @@
 	}
 	c := v.Index.Catalogue()
 	t.keyHomes.follow(t.config.Now(), c.KeyHomes)
+	t.answers.max.Store(c.Idempotency.AnswersTotal())
 	t.requests.setBounds(c.Idempotency.RecordsMax, c.Idempotency.TokenLifetime(), c.Idempotency.AnswerBytesMax)
 	t.attempts.setBounds(c.Idempotency.RecordsMax, attemptLifetime, c.Idempotency.AnswerBytesMax)
 	if s := v.Index.Service(t.config.Settings.Service); s != nil {
