Leave connections to the local endpoint that have gone silent

Cause: a node saw silence on connections to other nodes by their signs of progress, and nothing of the kind on those to its endpoint, which gives none.

Change: the probe of the endpoint, now every 250 ms, goes out on a fresh connection as well when the kept one gives no answer within 150 ms. If only the fresh one answers, idle connections are dropped, and lookups in flight are run elsewhere unless any older connection brought something. Both are asked before the verdict, so that a pause of the endpoint isn't taken for silence. Bookings in flight wait, because they may still end.

Conclusion: found within 0.7 s at most (250 + 100 + 150 + 100 ms, and the fresh answer).

--- a/decision/stall/stall.go
+++ b/decision/stall/stall.go
@@ -6,7 +6,7 @@
 
 const (
 	// probeInterval is the time between two probes of an endpoint.
-	probeInterval = 500 * time.Millisecond
+	probeInterval = 250 * time.Millisecond
 	// stalledInterval is the time between two probes of a stalled endpoint.
 	stalledInterval = 100 * time.Millisecond
 	// ProbeTimeout is the time in which a probe must be answered.
--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -76,6 +76,9 @@
 	// Slow lists the services whose endpoints are slowed down. The others run
 	// at their own speed.
 	Slow []Slow `json:"slow,omitempty" validate:"max=100,dive"`
+	// Silence lists the services all of whose open connections go silent for
+	// good at the start of the phase.
+	Silence []string `json:"silence,omitempty" validate:"max=100,dive,required"`
 }
 
 // Rate is a Poisson stream of arrivals.
@@ -184,12 +187,18 @@
 		}
 	}
 	for i, s := range p.Slow {
-		if !services[s.Service] {
-			faults = append(faults, strictjson.Fault{
-				Pointer: fmt.Sprintf("%s/slow/%d/service", pointer, i),
-				Reason:  fmt.Sprintf("no such service: %q", s.Service),
-			})
-		}
+		faults = appendUnknown(faults, services, s.Service, fmt.Sprintf("%s/slow/%d/service", pointer, i))
+	}
+	for i, s := range p.Silence {
+		faults = appendUnknown(faults, services, s, fmt.Sprintf("%s/silence/%d", pointer, i))
 	}
 	return faults
 }
+
+// appendUnknown adds a fault when there is no such service.
+func appendUnknown(faults []strictjson.Fault, services map[string]bool, service, pointer string) []strictjson.Fault {
+	if services[service] {
+		return faults
+	}
+	return append(faults, strictjson.Fault{Pointer: pointer, Reason: fmt.Sprintf("no such service: %q", service)})
+}
--- a/internal/load/runner/admin.go
+++ b/internal/load/runner/admin.go
@@ -25,24 +25,34 @@
 
 // Slow multiplies the service time of all endpoints of a service.
 func (a *Admin) Slow(ctx context.Context, service string, factor float64) error {
-	s := a.targets.service(service)
-	if s == nil {
-		return errors.Errorf("no endpoints of service %q in the targets", service)
-	}
 	body, err := json.Marshal(endpoint.BehaviourChange{SlowFactor: &factor})
 	if err != nil {
 		return errors.Wrap(err, "encode behaviour")
 	}
+	return a.each(ctx, service, http.MethodPut, "/admin/behaviour", body)
+}
+
+// Silence makes all open connections of a service's endpoints go silent.
+func (a *Admin) Silence(ctx context.Context, service string) error {
+	return a.each(ctx, service, http.MethodPost, "/admin/silence", nil)
+}
+
+// each asks all endpoints of a service.
+func (a *Admin) each(ctx context.Context, service, method, path string, body []byte) error {
+	s := a.targets.service(service)
+	if s == nil {
+		return errors.Errorf("no endpoints of service %q in the targets", service)
+	}
 	for _, address := range s.Admins {
-		if err := a.put(ctx, address, body); err != nil {
+		if err := a.ask(ctx, method, address, path, body); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (a *Admin) put(ctx context.Context, address string, body []byte) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/admin/behaviour", bytes.NewReader(body))
+func (a *Admin) ask(ctx context.Context, method, address, path string, body []byte) error {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrapf(err, "admin address %s", address)
 	}
--- a/internal/load/runner/runner.go
+++ b/internal/load/runner/runner.go
@@ -23,6 +23,8 @@
 	// Slow multiplies the service time of all endpoints of a service. A factor
 	// of 1 is their own speed.
 	Slow(ctx context.Context, service string, factor float64) error
+	// Silence makes all open connections of a service's endpoints go silent.
+	Silence(ctx context.Context, service string) error
 }
 
 // Config says what to run and where.
@@ -66,8 +68,8 @@
 	r := &Runner{config: config, kinds: map[string]*kind{}, clients: map[clientKey]*caller.Client{}}
 	for p := range config.Experiment.Phases {
 		phase := &config.Experiment.Phases[p]
-		if len(phase.Slow) > 0 && config.Slower == nil {
-			return nil, errors.Errorf("phase %q slows services down, but the targets name no endpoint admin addresses", phase.Name)
+		if len(phase.Slow)+len(phase.Silence) > 0 && config.Slower == nil {
+			return nil, errors.Errorf("phase %q changes endpoints, but the targets name no endpoint admin addresses", phase.Name)
 		}
 		for _, rate := range phase.Rates {
 			if err := r.prepare(p, rate.Route); err != nil {
@@ -158,6 +160,9 @@
 		if err := s.set(ctx, phase.Slow); err != nil {
 			return err
 		}
+		if err := s.silence(ctx, phase.Silence); err != nil {
+			return err
+		}
 		at += phase.Duration()
 	}
 	waitUntil(ctx, r.start.Add(at))
--- a/internal/load/runner/runner_test.go
+++ b/internal/load/runner/runner_test.go
@@ -52,7 +52,7 @@
 				{Name: "steady", Kind: experiment.Steady, DurationMs: 200, Rates: []experiment.Rate{{Route: "spare-part", PerSecond: 200}}},
 				{
 					Name: "slow", Kind: experiment.Overload, DurationMs: 200, Rates: []experiment.Rate{{Route: "spare-part", PerSecond: 200}},
-					Slow: []experiment.Slow{{Service: "stock", Factor: 5}},
+					Slow: []experiment.Slow{{Service: "stock", Factor: 5}}, Silence: []string{"stock"},
 				},
 			},
 		},
@@ -89,6 +89,7 @@
 type speedLog struct {
 	mu      sync.Mutex
 	changes []experiment.Slow
+	silent  []string
 }
 
 func (s *speedLog) Slow(_ context.Context, service string, factor float64) error {
@@ -98,6 +99,13 @@
 	return nil
 }
 
+func (s *speedLog) Silence(_ context.Context, service string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = append(s.silent, service)
+	return nil
+}
+
 func TestRunRecordsHowEachRequestEnds(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(serve))
 	defer server.Close()
@@ -125,6 +133,7 @@
 	require.Len(t, ids, len(all), "each request has an ID of its own")
 	require.Equal(t, []string{"steady", "slow"}, phases)
 	require.Equal(t, []experiment.Slow{{Service: "stock", Factor: 5}, {Service: "stock", Factor: 1}}, speeds.changes)
+	require.Equal(t, []string{"stock"}, speeds.silent)
 }
 
 func TestCauseOf(t *testing.T) {
--- a/internal/load/runner/speeds.go
+++ b/internal/load/runner/speeds.go
@@ -42,6 +42,18 @@
 	return nil
 }
 
+// silence makes the connections of the named services go silent.
+func (s *speeds) silence(ctx context.Context, services []string) error {
+	ctx, cancel := context.WithTimeout(ctx, speedTimeout)
+	defer cancel()
+	for _, service := range services {
+		if err := s.slower.Silence(ctx, service); err != nil {
+			return errors.Wrapf(err, "silence the connections of service %s", service)
+		}
+	}
+	return nil
+}
+
 func named(slow []experiment.Slow, service string) bool {
 	for _, s := range slow {
 		if s.Service == service {
--- a/internal/traffic/endpoint.go
+++ b/internal/traffic/endpoint.go
@@ -25,14 +25,21 @@
 	link    *link
 	dial    DialFunc
 	probe   *http.Transport // for probes alone, so that calls don't hold them up
+	fresh   *http.Transport // for probes that each take a new connection
+	ear     *ear
 }
 
 func newEndpoint(s *settings.Node, dial DialFunc) *endpoint {
+	listening := &ear{}
+	fresh := newTransport(s.EndpointAddress, 1, dial)
+	fresh.DisableKeepAlives = true
 	return &endpoint{
 		address: s.EndpointAddress,
 		dial:    dial,
 		probe:   newTransport(s.EndpointAddress, 1, dial),
-		link:    &link{transport: newTransport(s.EndpointAddress, endpointIdleMax, dial)},
+		fresh:   fresh,
+		ear:     listening,
+		link:    &link{transport: newTransport(s.EndpointAddress, endpointIdleMax, listening.on(dial))},
 	}
 }
 
--- a/internal/traffic/failure_test.go
+++ b/internal/traffic/failure_test.go
@@ -300,6 +300,27 @@
 	}, 10*time.Second, 10*time.Millisecond, "it gets calls again")
 }
 
+// All connections to an endpoint go silent while new ones work. The lookup in
+// flight is run elsewhere, and bookings find no silent connection any more.
+func TestSilentEndpointConnectionsAreLeft(t *testing.T) {
+	f := newFleet(t)
+	silent := f.add("deep-1", "deep", "a", answerWith("one"))
+	f.add("deep-2", "deep", "b", answerWith("two"))
+	entry := f.add("front-1", "front", "a", answerWith(""))
+	f.start()
+	var group sync.WaitGroup
+	for range 8 { // several connections are idle then
+		group.Go(func() { entry.call(t, "GET", "/deep", "", "") })
+	}
+	group.Wait()
+	silent.silences.Add(1)
+	require.Equal(t, "two", entry.call(t, "GET", "/deep", "", "").body)
+	for range 8 {
+		require.Equal(t, http.StatusOK, entry.call(t, "POST", "/deep", takeToken(t, entry), "").status)
+	}
+	require.False(t, silent.traffic.watch.isStalled())
+}
+
 // Two endpoints are lost below a node of which no answer arrives any more. The
 // call is repeated elsewhere and gets no further run below, so no third one is
 // lost.
--- a/internal/traffic/fleet_test.go
+++ b/internal/traffic/fleet_test.go
@@ -44,8 +44,9 @@
 	endpoint *httptest.Server
 	address  string // the peer address in the view
 	runs     atomic.Int64
-	frozen   atomic.Bool // the endpoint answers no probe
-	draining atomic.Bool // the endpoint says that it drains
+	frozen   atomic.Bool  // the endpoint answers no probe
+	silences atomic.Int64 // each makes the open connections to the endpoint silent
+	draining atomic.Bool  // the endpoint says that it drains
 }
 
 // testCatalogue has a chain of three services; only the last may be booked.
@@ -113,6 +114,7 @@
 		Metrics:     metrics.NewSet(),
 		Refusals:    status.NewRefusals(),
 		Now:         func() time.Duration { return time.Since(started) },
+		Dial:        n.dial,
 	})
 	n.peer = httptest.NewUnstartedServer(n.traffic.PeerHandler())
 	require.NoError(f.t, n.peer.Listener.Close())
@@ -125,6 +127,32 @@
 	return n
 }
 
+// dial opens a connection that deafen can make silent when it leads to the
+// endpoint.
+func (n *testNode) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := dialTCP(ctx, network, address)
+	if err != nil || address != n.endpoint.Listener.Addr().String() {
+		return conn, err
+	}
+	return &deafConn{Conn: conn, node: n, opened: n.silences.Load()}, nil
+}
+
+// deafConn is a connection that brings nothing any more after a silence.
+type deafConn struct {
+	net.Conn
+	node   *testNode
+	opened int64
+}
+
+func (c *deafConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || c.opened == c.node.silences.Load() {
+			return n, err
+		}
+	}
+}
+
 // publish gives all nodes the view of all nodes.
 func (f *fleet) publish() {
 	f.t.Helper()
--- a/internal/traffic/watch.go
+++ b/internal/traffic/watch.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -17,13 +15,6 @@
 // pathPing is asked by other nodes before they send calls again.
 const pathPing = "/galenacart/ping"
 
-// pathHealth is the endpoint's health page. Any answer, of whatever status and
-// content, proves that the endpoint works.
-const pathHealth = "/-/health"
-
-// healthBytesMax bounds what is read of the health page.
-const healthBytesMax = 4 << 10
-
 // watch follows the local endpoint's signs of life.
 type watch struct {
 	now func() time.Duration
@@ -108,7 +99,11 @@
 func (t *Traffic) probeEndpoint(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stall.ProbeTimeout)
 	defer cancel()
-	stalled, changed := t.watch.probed(t.local.ask(ctx))
+	one := t.local.ask(ctx)
+	if one.silent {
+		t.leaveSilent()
+	}
+	stalled, changed := t.watch.probed(one)
 	if !changed {
 		return
 	}
@@ -120,38 +115,6 @@
 	t.parents.abandonIdempotent()
 }
 
-// sign is what a probe of the endpoint showed.
-type sign struct {
-	alive    bool
-	draining bool
-}
-
-// health is the part of the endpoint's health page that is believed. It may lag
-// behind or be wrong about everything else, but an endpoint that says it drains
-// refuses work soon.
-type health struct {
-	Draining bool `json:"draining"`
-}
-
-// ask asks the endpoint for a sign of life. A refused connection is one: nothing
-// hangs then.
-func (e *endpoint) ask(ctx context.Context) sign {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address+pathHealth, nil)
-	if err != nil {
-		return sign{alive: true}
-	}
-	response, err := e.probe.RoundTrip(r)
-	if err != nil {
-		return sign{alive: ctx.Err() == nil}
-	}
-	defer func() { _ = response.Body.Close() }() // read as far as it is of use
-	var h health
-	if err := json.NewDecoder(io.LimitReader(response.Body, healthBytesMax)).Decode(&h); err != nil {
-		return sign{alive: true}
-	}
-	return sign{alive: true, draining: h.Draining}
-}
-
 // ping asks another node whether it would take calls.
 func (t *Traffic) ping(ctx context.Context, m *view.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, t.peers.silence)
