Tell a service of a lost endpoint before the failure is given back

Cause: the nodes that could run a crashing request learned of a loss by the peer links alone, so a resend through another node could be faster. And a suspect that had run to its end was one again as soon as the news of the same loss came by another way.

Cleared suspects stay cleared on that node until the next loss. TestCrashingRequestLosesAtMostTwoEndpoints sends through two nodes and no longer spreads the news between sends, which is stricter.

--- a/decision/suspect/suspect.go
+++ b/decision/suspect/suspect.go
@@ -33,6 +33,7 @@
 
 type entry struct {
 	losses  int
+	cleared int // losses after which the request ran to its end here
 	expires time.Duration
 }
 
@@ -50,10 +51,14 @@
 // Judge returns the verdict on a request. losses is the number of endpoints
 // lost to it that other nodes reported.
 func (b *Book) Judge(now time.Duration, fingerprint uint64, losses int) Verdict {
+	cleared := 0
 	if e, ok := b.entries[fingerprint]; ok && now < e.expires {
 		losses = max(losses, e.losses)
+		cleared = e.cleared
 	}
 	switch {
+	case losses <= cleared:
+		return VerdictClean
 	case losses >= lossesMax:
 		return VerdictRefuse
 	case losses > 0:
@@ -84,13 +89,16 @@
 		e.losses = 0
 	}
 	if losses > e.losses {
-		b.put(now, fingerprint, losses)
+		b.put(now, fingerprint, entry{losses: losses})
 	}
 }
 
-// Cleared forgets a suspect that ran to its end without breaking anything.
-func (b *Book) Cleared(fingerprint uint64) {
-	delete(b.entries, fingerprint)
+// Cleared takes in that a suspect ran to its end without breaking anything. It
+// is none any more here until another endpoint is lost to it. losses is the
+// number of endpoints lost to it that other nodes reported.
+func (b *Book) Cleared(now time.Duration, fingerprint uint64, losses int) {
+	losses = max(losses, b.Losses(now, fingerprint))
+	b.put(now, fingerprint, entry{losses: losses, cleared: min(losses, lossesMax-1)})
 }
 
 // Losses returns the endpoints lost to a request, as far as this node knows.
@@ -103,17 +111,18 @@
 }
 
 func (b *Book) blame(now time.Duration, fingerprint uint64) {
-	b.put(now, fingerprint, b.Losses(now, fingerprint)+1)
+	b.put(now, fingerprint, entry{losses: b.Losses(now, fingerprint) + 1})
 }
 
-func (b *Book) put(now time.Duration, fingerprint uint64, losses int) {
+func (b *Book) put(now time.Duration, fingerprint uint64, e entry) {
 	if _, known := b.entries[fingerprint]; !known && len(b.entries) >= entriesMax {
 		b.sweep(now)
 	}
 	if len(b.entries) >= entriesMax {
 		return
 	}
-	b.entries[fingerprint] = entry{losses: losses, expires: now + lifetime}
+	e.expires = now + lifetime
+	b.entries[fingerprint] = e
 }
 
 func (b *Book) sweep(now time.Duration) {
--- a/decision/suspect/suspect_test.go
+++ b/decision/suspect/suspect_test.go
@@ -15,8 +15,11 @@
 	require.Equal(t, []uint64{culprit, neighbour}, blamed)
 	require.Equal(t, VerdictAlone, b.Judge(0, neighbour, 0))
 
-	b.Cleared(neighbour)
-	require.Equal(t, VerdictClean, b.Judge(0, neighbour, 0))
+	b.Cleared(0, neighbour, 1)
+	b.Learn(0, neighbour, 1)
+	require.Equal(t, VerdictClean, b.Judge(0, neighbour, 1), "the news of the same loss comes late")
+	b.Cleared(0, neighbour, 2)
+	require.Equal(t, VerdictRefuse, b.Judge(0, neighbour, 2))
 
 	blamed = b.Crashed(0, []uint64{culprit, 3, 4}, []uint64{culprit})
 	require.Equal(t, []uint64{culprit}, blamed)
--- a/internal/traffic/failure_test.go
+++ b/internal/traffic/failure_test.go
@@ -187,11 +187,12 @@
 	}
 	entry := f.add("front-1", "front", "a", answerWith(""))
 	f.start()
-	for range 20 {
+	for range 20 { // through nodes that the news over peer links doesn't reach
 		entry.call(t, "GET", "/deep?crash=1", "", "")
-		f.spread(deeps)
+		deeps[0].call(t, "GET", "/deep?crash=1", "", "")
 	}
 	require.EqualValues(t, 2, lost.Load())
+	f.spread(deeps)
 	require.Equal(t, http.StatusOK, entry.call(t, "GET", "/deep", "", "").status)
 }
 
--- a/internal/traffic/grants.go
+++ b/internal/traffic/grants.go
@@ -88,7 +88,7 @@
 		OriginIncarnation: o.origin.incarnation,
 	}
 	for range grantTries {
-		granted, err := t.peers.grant(ctx, m.PeerAddress, meta)
+		granted, err := t.peers.ask(ctx, m.PeerAddress, pathGrant, meta)
 		if err == nil {
 			return granted
 		}
@@ -101,11 +101,11 @@
 	return origin{vm: t.config.Settings.VM, incarnation: t.config.Incarnation}
 }
 
-// grant asks the node at an address for a further run.
-func (p *peers) grant(ctx context.Context, address string, m *call.Meta) (bool, error) {
+// ask asks the node at an address something that it affirms or not.
+func (p *peers) ask(ctx context.Context, address, path string, m *call.Meta) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathGrant, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return false, errors.Wrap(err, "build request")
 	}
@@ -118,7 +118,7 @@
 		return false, err
 	}
 	if err := response.Body.Close(); err != nil {
-		return false, errors.Wrap(err, "ask for a grant")
+		return false, errors.Wrap(err, "ask node")
 	}
 	return response.StatusCode == http.StatusNoContent, nil
 }
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -193,16 +193,24 @@
 }
 
 // lookForCrash finds out whether the endpoint broke down and tells the fleet
-// which requests may be to blame.
+// which requests may be to blame. The nodes that could run them know of it when
+// it returns, so that no resend after the answer is faster than the news.
 func (e *execution) lookForCrash() {
 	t := e.traffic
 	if t.watch.isDraining() || !t.local.down() {
 		return
 	}
-	for _, fingerprint := range t.suspects.crashed(e.guard) {
+	blamed, told := t.suspects.crashed(e.guard)
+	if blamed == nil {
+		<-told
+		return
+	}
+	defer close(told)
+	for _, fingerprint := range blamed {
 		t.config.Log.Emit(event.EndpointCrashed, e.meta.Correlation, event.F("fingerprint", fingerprint))
 		t.config.Reports.Send(view.Report{Kind: view.ReportEndpointCrashed, VM: t.config.Settings.VM, Fingerprint: fingerprint})
 	}
+	t.tellLosses(blamed)
 }
 
 func outcomeOf(a *answer, ctx context.Context) admission.Outcome {
--- a/internal/traffic/suspects.go
+++ b/internal/traffic/suspects.go
@@ -19,6 +19,7 @@
 	running map[*run]struct{}
 	epoch   int           // counts the breakdowns of the endpoint
 	alone   chan struct{} // holds a value while a suspect runs
+	told    chan struct{} // closed when the service's nodes know of the last breakdown
 }
 
 // run is one call at the endpoint, from the suspects' point of view.
@@ -90,7 +91,7 @@
 	}
 	<-s.alone
 	if answered {
-		s.book.Cleared(r.fingerprint)
+		s.book.Cleared(s.now(), r.fingerprint, s.learned[r.fingerprint])
 	}
 }
 
@@ -110,14 +111,16 @@
 }
 
 // crashed blames the calls that ran when the endpoint broke down. It returns
-// the blamed fingerprints, and none when the breakdown was dealt with already.
-func (s *suspects) crashed(r *run) []uint64 {
+// the blamed fingerprints, and none when another call deals with the breakdown.
+// told is closed when the other nodes know of it.
+func (s *suspects) crashed(r *run) (blamed []uint64, told chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.epoch != s.epoch {
-		return nil
+		return nil, s.told
 	}
 	s.epoch++
+	s.told = make(chan struct{})
 	var all, known []uint64
 	for one := range s.running {
 		all = append(all, one.fingerprint)
@@ -125,5 +128,5 @@
 			known = append(known, one.fingerprint)
 		}
 	}
-	return s.book.Crashed(s.now(), all, known)
+	return s.book.Crashed(s.now(), all, known), s.told
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -244,6 +244,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathPing, t.servePing)
 	mux.HandleFunc("GET "+pathGrant, t.serveGrant)
+	mux.HandleFunc("GET "+pathLosses, t.serveLosses)
 	mux.HandleFunc("/", t.servePeer)
 	return mux
 }
