Move the fates of attempts out of carry.go; let a drill's supervisor stop

In demo/crash.sh a supervisor that was told to stop while it waited to start a crashed process started it again, and the crashing request was sent before the phase in which its effect is counted.

The supervisor remembers that it was told to stop, and sends begin 2 s later.

Conclusion: no change in what nodes do.

--- a/demo/crash.sh
+++ b/demo/crash.sh
@@ -14,7 +14,7 @@
 readonly CRASHED_SERVICE=${CRASHED_SERVICE:-stock}
 readonly SENDS=100
 readonly SEND_SECONDS=3
-readonly QUIET_SECONDS=14 # until the phase "during" begins
+readonly QUIET_SECONDS=16 # the phase "during" has begun then
 readonly RESTART_SECONDS=1
 readonly CRASHED=70 # exit code of a stand-in that crashed
 # shellcheck source=demo/drill.sh
@@ -22,9 +22,9 @@
 
 # supervise runs a process and starts it again whenever it crashes.
 supervise() {
-	local name=$1 command=$2 pid status
-	trap 'kill -TERM "$pid" 2>/dev/null' TERM
-	while true; do
+	local name=$1 command=$2 pid='' status stopping=0
+	trap 'stopping=1; [[ -z $pid ]] || kill -TERM "$pid" 2>/dev/null' TERM
+	while ((!stopping)); do
 		# The words of a command hold no white space.
 		# shellcheck disable=SC2086
 		$BIN/$command 2>>"$OUT/events/$name.jsonl" >/dev/null </dev/null &
--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/galenacart/galenacart/decision/priority"
 	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/decision/routing"
@@ -173,21 +170,20 @@
 
 func (t *Traffic) meta(o *outgoing, remaining time.Duration, handed int) *call.Meta {
 	return &call.Meta{
-		Attempt:     newID(),
-		Root:        o.root,
-		Priority:    o.priority,
-		RemainingMs: uint32(max(remaining.Milliseconds(), 1)),
-		Retries:     uint16(handed),
-		Method:      o.request.method,
-		Fingerprint: o.request.fingerprint,
-		Depth:       o.depth,
-		Clock:       t.config.Log.Clock().Tick(),
-		Correlation: o.correlation,
-		Service:     o.route.Service,
-		Losses:      t.lossesFor(o),
-		Doubt:       o.losses.inDoubt(),
-		Origin:      o.origin.vm,
-
+		Attempt:           newID(),
+		Root:              o.root,
+		Priority:          o.priority,
+		RemainingMs:       uint32(max(remaining.Milliseconds(), 1)),
+		Retries:           uint16(handed),
+		Method:            o.request.method,
+		Fingerprint:       o.request.fingerprint,
+		Depth:             o.depth,
+		Clock:             t.config.Log.Clock().Tick(),
+		Correlation:       o.correlation,
+		Service:           o.route.Service,
+		Losses:            t.lossesFor(o),
+		Doubt:             o.losses.inDoubt(),
+		Origin:            o.origin.vm,
 		OriginIncarnation: o.origin.incarnation,
 	}
 }
@@ -251,90 +247,3 @@
 		o.losses.suspectAttempt()
 	}
 }
-
-// lost turns a failed exchange with another node into the outcome of a try.
-func (t *Traffic) lost(ctx context.Context, m *view.Member, err error) (try, routing.Finished) {
-	var unsent *unsentError
-	switch {
-	case errors.As(err, &unsent) && ctx.Err() == nil:
-		t.config.Reports.Send(view.Report{Kind: view.ReportPeerUnreachable, VM: m.VM})
-		a := failed(problem.New(problem.KindUnreachable, problem.RanNo, "VM %s can't be reached", m.VM))
-		return try{answer: a, fate: retry.FateNotSent}, routing.Finished{Outcome: routing.OutcomeUnreachable}
-	case errors.As(err, &unsent):
-		a := failed(problem.New(problem.KindDeadline, problem.RanNo, "no time was left"))
-		return try{answer: a, fate: retry.FateNotSent, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
-	case errors.Is(err, errSilent):
-		t.config.Log.Emit(event.ConnectionSilent, "", event.F("vm", m.VM))
-		a := failed(problem.New(problem.KindConnectionLost, problem.RanUnknown, "the connection to VM %s went silent", m.VM))
-		return try{answer: a, fate: retry.FateUnknown, silent: true}, routing.Finished{Outcome: routing.OutcomeSilent}
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		a := failed(problem.New(problem.KindTimeout, problem.RanUnknown, "VM %s didn't answer in time", m.VM))
-		return try{answer: a, fate: retry.FateUnknown, final: true}, routing.Finished{Outcome: routing.OutcomeBroken}
-	case ctx.Err() != nil:
-		a := failed(problem.New(problem.KindCancelled, problem.RanUnknown, "the caller went away"))
-		return try{answer: a, fate: retry.FateUnknown, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
-	default:
-		t.config.Log.Emit(event.AnswerBroken, "", event.F("vm", m.VM), event.F("cause", strings.ToValidUTF8(err.Error(), "?")))
-		a := failed(problem.New(problem.KindConnectionLost, problem.RanUnknown, "the answer of VM %s was lost", m.VM))
-		return try{answer: a, fate: retry.FateUnknown}, routing.Finished{Outcome: routing.OutcomeBroken}
-	}
-}
-
-// resume asks a node what became of a non-idempotent call whose answer was
-// lost. Only the very process that got the call can tell.
-func (t *Traffic) resume(ctx context.Context, m *view.Member, meta *call.Meta, o *outgoing, incarnation uint64, lost try) try {
-	if incarnation == 0 || ctx.Err() != nil {
-		return lost
-	}
-	t.config.Log.Emit(event.OutcomeAsked, o.correlation, event.F("vm", m.VM), event.F("attempt", meta.Attempt.String()))
-	again := *meta
-	again.Resume = incarnation
-	a, reply, err := t.peers.send(ctx, m.PeerAddress, &again, o.request)
-	if err != nil || reply.Incarnation != incarnation {
-		return lost
-	}
-	t.hear(o, reply)
-	if a.problem == nil {
-		return try{answer: a}
-	}
-	return try{answer: a, fate: fateOf(a.problem), final: isFinal(a.problem.Kind)}
-}
-
-// fateOf returns what a problem says about an attempt.
-func fateOf(e *problem.Error) retry.Fate {
-	switch {
-	case e.Kind == problem.KindLeaving:
-		return retry.FateLeaving
-	case e.Kind == problem.KindOverloaded && e.Ran == problem.RanNo:
-		return retry.FateShed
-	case e.Ran == problem.RanNo:
-		return retry.FateRefused
-	case e.Ran == problem.RanYes:
-		return retry.FateRan
-	default:
-		return retry.FateUnknown
-	}
-}
-
-// outcomeFor returns what a problem says about the endpoint that it came from.
-func outcomeFor(k problem.Kind) routing.Outcome {
-	switch k {
-	case problem.KindUnreachable:
-		return routing.OutcomeUnreachable
-	case problem.KindConnectionLost, problem.KindAnswerBroken, problem.KindTimeout:
-		return routing.OutcomeBroken
-	default:
-		return routing.OutcomeAnswered
-	}
-}
-
-// isFinal reports whether no other endpoint would do better.
-func isFinal(k problem.Kind) bool {
-	switch k {
-	case problem.KindDeadline, problem.KindTimeout, problem.KindCancelled, problem.KindSuspect,
-		problem.KindOverloadedEverywhere, problem.KindNoRoute, problem.KindBodyTooLarge, problem.KindBadCall:
-		return true
-	default:
-		return false
-	}
-}
