--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/galenacart/galenacart/decision/priority"
 	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/decision/routing"
@@ -31,6 +28,8 @@
 	deadline    time.Duration
 	pool        *budget
 	losses      *losses
+	origin      origin
+	permit      permit
 
 	tried []string
 	free  int
@@ -52,6 +51,9 @@
 	s := t.targets.service(o.route.Service)
 	var last *answer
 	for {
+		if !t.mayRun(ctx, o) {
+			return o.settle(held(last))
+		}
 		m, miss := s.pick(t.place(), v.ByService[o.route.Service], o.route.Name, o.priority, o.tried)
 		if m == nil {
 			return o.settle(t.missed(miss, last, o))
@@ -62,7 +64,7 @@
 			return one.answer
 		}
 		last = one.answer
-		o.remember(m.VM, last.problem.Ran)
+		o.remember(m.VM, last.problem)
 		if one.final || ctx.Err() != nil || !t.again(s, o, &one) {
 			return o.settle(last)
 		}
@@ -76,11 +78,23 @@
 	return place{vm: s.VM, zone: s.AvailabilityZone, region: s.Region}
 }
 
+// held returns the problem of a call that may not run once more.
+func held(last *answer) *answer {
+	if last != nil {
+		return last
+	}
+	return failed(problem.New(problem.KindSuspect, problem.RanNo, "an earlier attempt may have broken an endpoint"))
+}
+
 // remember notes an attempt that failed.
-func (o *outgoing) remember(vm string, ran problem.Ran) {
+func (o *outgoing) remember(vm string, e *problem.Error) {
 	o.tried = append(o.tried, vm)
-	if ran != problem.RanNo {
-		o.worst = ran
+	if e.Ran != problem.RanNo {
+		o.worst = e.Ran
+		o.losses.suspectAttempt()
+	}
+	if o.permit == permitHeld && (e.Ran != problem.RanNo || e.Kind == problem.KindEndpointRefused) {
+		o.permit = permitSpent
 	}
 }
 
@@ -156,18 +170,21 @@
 
 func (t *Traffic) meta(o *outgoing, remaining time.Duration, handed int) *call.Meta {
 	return &call.Meta{
-		Attempt:     newID(),
-		Root:        o.root,
-		Priority:    o.priority,
-		RemainingMs: uint32(max(remaining.Milliseconds(), 1)),
-		Retries:     uint16(handed),
-		Method:      o.request.method,
-		Fingerprint: o.request.fingerprint,
-		Depth:       o.depth,
-		Clock:       t.config.Log.Clock().Tick(),
-		Correlation: o.correlation,
-		Service:     o.route.Service,
-		Losses:      t.lossesFor(o),
+		Attempt:           newID(),
+		Root:              o.root,
+		Priority:          o.priority,
+		RemainingMs:       uint32(max(remaining.Milliseconds(), 1)),
+		Retries:           uint16(handed),
+		Method:            o.request.method,
+		Fingerprint:       o.request.fingerprint,
+		Depth:             o.depth,
+		Clock:             t.config.Log.Clock().Tick(),
+		Correlation:       o.correlation,
+		Service:           o.route.Service,
+		Losses:            t.lossesFor(o),
+		Doubt:             o.losses.inDoubt(),
+		Origin:            o.origin.vm,
+		OriginIncarnation: o.origin.incarnation,
 	}
 }
 
@@ -200,9 +217,6 @@
 		if one.fate == retry.FateUnknown && !o.route.Idempotent {
 			one = t.resume(ctx, m, meta, o, known, one)
 		}
-		if one.fate == retry.FateUnknown && !one.final {
-			t.askNews(ctx, m, o)
-		}
 		cancel()
 		return one, end
 	}
@@ -214,10 +228,7 @@
 // judge learns from the answer of a node.
 func (t *Traffic) judge(s *service, vm string, o *outgoing, a *answer, reply *call.Reply) (try, routing.Finished) {
 	s.report(vm, o.route.Name, reply)
-	for _, loss := range reply.Losses {
-		t.suspects.lost(loss)
-		o.losses.add(loss)
-	}
+	t.hear(o, reply)
 	end := routing.Finished{Outcome: routing.OutcomeAnswered, Headroom: int(reply.Headroom), Refused: a.problem != nil}
 	if a.problem == nil {
 		return try{answer: a}, end
@@ -226,88 +237,13 @@
 	return try{answer: a, fate: fateOf(a.problem), final: isFinal(a.problem.Kind)}, end
 }
 
-// lost turns a failed exchange with another node into the outcome of a try.
-func (t *Traffic) lost(ctx context.Context, m *view.Member, err error) (try, routing.Finished) {
-	var unsent *unsentError
-	switch {
-	case errors.As(err, &unsent) && ctx.Err() == nil:
-		t.config.Reports.Send(view.Report{Kind: view.ReportPeerUnreachable, VM: m.VM})
-		a := failed(problem.New(problem.KindUnreachable, problem.RanNo, "VM %s can't be reached", m.VM))
-		return try{answer: a, fate: retry.FateNotSent}, routing.Finished{Outcome: routing.OutcomeUnreachable}
-	case errors.As(err, &unsent):
-		a := failed(problem.New(problem.KindDeadline, problem.RanNo, "no time was left"))
-		return try{answer: a, fate: retry.FateNotSent, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
-	case errors.Is(err, errSilent):
-		t.config.Log.Emit(event.ConnectionSilent, "", event.F("vm", m.VM))
-		a := failed(problem.New(problem.KindConnectionLost, problem.RanUnknown, "the connection to VM %s went silent", m.VM))
-		return try{answer: a, fate: retry.FateUnknown, silent: true}, routing.Finished{Outcome: routing.OutcomeSilent}
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		a := failed(problem.New(problem.KindTimeout, problem.RanUnknown, "VM %s didn't answer in time", m.VM))
-		return try{answer: a, fate: retry.FateUnknown, final: true}, routing.Finished{Outcome: routing.OutcomeBroken}
-	case ctx.Err() != nil:
-		a := failed(problem.New(problem.KindCancelled, problem.RanUnknown, "the caller went away"))
-		return try{answer: a, fate: retry.FateUnknown, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
-	default:
-		t.config.Log.Emit(event.AnswerBroken, "", event.F("vm", m.VM), event.F("cause", strings.ToValidUTF8(err.Error(), "?")))
-		a := failed(problem.New(problem.KindConnectionLost, problem.RanUnknown, "the answer of VM %s was lost", m.VM))
-		return try{answer: a, fate: retry.FateUnknown}, routing.Finished{Outcome: routing.OutcomeBroken}
-	}
-}
-
-// resume asks a node what became of a non-idempotent call whose answer was
-// lost. Only the very process that got the call can tell.
-func (t *Traffic) resume(ctx context.Context, m *view.Member, meta *call.Meta, o *outgoing, incarnation uint64, lost try) try {
-	if incarnation == 0 || ctx.Err() != nil {
-		return lost
-	}
-	t.config.Log.Emit(event.OutcomeAsked, o.correlation, event.F("vm", m.VM), event.F("attempt", meta.Attempt.String()))
-	again := *meta
-	again.Resume = incarnation
-	a, reply, err := t.peers.send(ctx, m.PeerAddress, &again, o.request)
-	if err != nil || reply.Incarnation != incarnation {
-		return lost
-	}
-	if a.problem == nil {
-		return try{answer: a}
-	}
-	return try{answer: a, fate: fateOf(a.problem), final: isFinal(a.problem.Kind)}
-}
-
-// fateOf returns what a problem says about an attempt.
-func fateOf(e *problem.Error) retry.Fate {
-	switch {
-	case e.Kind == problem.KindLeaving:
-		return retry.FateLeaving
-	case e.Kind == problem.KindOverloaded && e.Ran == problem.RanNo:
-		return retry.FateShed
-	case e.Ran == problem.RanNo:
-		return retry.FateRefused
-	case e.Ran == problem.RanYes:
-		return retry.FateRan
-	default:
-		return retry.FateUnknown
-	}
-}
-
-// outcomeFor returns what a problem says about the endpoint that it came from.
-func outcomeFor(k problem.Kind) routing.Outcome {
-	switch k {
-	case problem.KindUnreachable:
-		return routing.OutcomeUnreachable
-	case problem.KindConnectionLost, problem.KindAnswerBroken, problem.KindTimeout:
-		return routing.OutcomeBroken
-	default:
-		return routing.OutcomeAnswered
+// hear takes in what an answer tells of lost endpoints.
+func (t *Traffic) hear(o *outgoing, reply *call.Reply) {
+	for _, loss := range reply.Losses {
+		t.suspects.lost(loss)
+		o.losses.add(loss)
 	}
-}
-
-// isFinal reports whether no other endpoint would do better.
-func isFinal(k problem.Kind) bool {
-	switch k {
-	case problem.KindDeadline, problem.KindTimeout, problem.KindCancelled, problem.KindSuspect,
-		problem.KindOverloadedEverywhere, problem.KindNoRoute, problem.KindBodyTooLarge, problem.KindBadCall:
-		return true
-	default:
-		return false
+	if reply.Doubt {
+		o.losses.suspectAttempt()
 	}
 }
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -105,8 +105,9 @@
 		idempotent:  e.route.Idempotent,
 		abandon:     e.cancel,
 		pool:        newBudget(int(e.meta.Retries)),
-		losses:      newLosses(e.meta.Losses),
-		children:    newRecords(t.config.Now),
+		losses:      newLosses(e.meta.Losses, e.meta.Doubt),
+		origin:      origin{vm: e.meta.Origin, incarnation: e.meta.OriginIncarnation},
+		children:    newRecords(t.config.Now, newRoom(roomBefore)),
 		seen:        make(map[uint64]*childState),
 	}
 	t.parents.add(e.meta.Attempt, e.parent)
@@ -114,22 +115,27 @@
 	if err != nil {
 		a = failed(e.explain(ctx, err))
 		e.parent.losses.add(t.suspects.losses(e.request.fingerprint))
+		e.tell(a)
 		e.end(outcomeOf(a, ctx))
-		a.retries = e.parent.pool.left()
-		a.losses = e.parent.losses.list()
 		return a
 	}
 	if e.refusedByEndpoint(a.status) {
 		a.close()
-		e.end(admission.OutcomeRefused)
 		a = failed(problem.New(problem.KindEndpointRefused, problem.RanNo, "the endpoint refused with status %d", a.status))
-		a.retries = e.parent.pool.left()
+		e.tell(a)
+		e.end(admission.OutcomeRefused)
 		return a
 	}
 	t.watch.answered()
+	e.tell(a)
+	return a.onClose(func() { e.end(admission.OutcomeAnswered) })
+}
+
+// tell puts into the answer what the call's own calls came to.
+func (e *execution) tell(a *answer) {
 	a.retries = e.parent.pool.left()
 	a.losses = e.parent.losses.list()
-	return a.onClose(func() { e.end(admission.OutcomeAnswered) })
+	a.doubt = e.parent.doubt()
 }
 
 // end gives back everything that the call held.
@@ -137,7 +143,6 @@
 	t := e.traffic
 	now := t.config.Now()
 	t.parents.remove(e.meta.Attempt)
-	t.news.put(e.meta.Root, e.parent.losses.list())
 	e.cancel(errParentEnd)
 	t.suspects.leave(e.guard, o == admission.OutcomeAnswered)
 	t.gate.leave(e.pass, admission.Result{
@@ -188,16 +193,24 @@
 }
 
 // lookForCrash finds out whether the endpoint broke down and tells the fleet
-// which requests may be to blame.
+// which requests may be to blame. The nodes that could run them know of it when
+// it returns, so that no resend after the answer is faster than the news.
 func (e *execution) lookForCrash() {
 	t := e.traffic
 	if t.watch.isDraining() || !t.local.down() {
 		return
 	}
-	for _, fingerprint := range t.suspects.crashed(e.guard) {
+	blamed, told := t.suspects.crashed(e.guard)
+	if blamed == nil {
+		<-told
+		return
+	}
+	defer close(told)
+	for _, fingerprint := range blamed {
 		t.config.Log.Emit(event.EndpointCrashed, e.meta.Correlation, event.F("fingerprint", fingerprint))
 		t.config.Reports.Send(view.Report{Kind: view.ReportEndpointCrashed, VM: t.config.Settings.VM, Fingerprint: fingerprint})
 	}
+	t.tellLosses(blamed)
 }
 
 func outcomeOf(a *answer, ctx context.Context) admission.Outcome {
@@ -227,6 +240,7 @@
 		Clock:       t.config.Log.Clock().Tick(),
 		Incarnation: t.config.Incarnation,
 		Losses:      a.losses,
+		Doubt:       a.doubt,
 	}
 	if a.problem != nil {
 		r.Kind = a.problem.Kind.String()
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -63,13 +63,14 @@
 	peers    *peers
 	targets  *targets
 	parents  *parents
+	answers  *room // of the kept answers of both tables below
 	requests *records
 	attempts *records
 	suspects *suspects
 	chain    *chain
 	tokens   *token.Codec
 	watch    *watch
-	news     *news
+	grants   *grants
 	probes   sync.WaitGroup
 	leaving  atomic.Bool
 	applied  atomic.Pointer[view.View]
@@ -82,19 +83,21 @@
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
+	shared := newRoom(roomBefore)
 	t := &Traffic{
+		answers:  shared,
 		config:   c,
 		gate:     newGatekeeper(c.Now),
 		local:    newEndpoint(c.Settings, c.Dial),
 		peers:    newPeers(c.Settings, c.Dial),
 		targets:  newTargets(c.Now),
 		parents:  newParents(),
-		requests: newRecords(c.Now),
-		attempts: newRecords(c.Now),
+		requests: newRecords(c.Now, shared),
+		attempts: newRecords(c.Now, shared),
 		suspects: newSuspects(c.Now),
 		chain:    newChain(),
 		watch:    newWatch(c.Now),
-		news:     newNews(c.Now),
+		grants:   newGrants(c.Now),
 		tokens:   token.NewCodec(c.Settings.FleetKey),
 	}
 	t.registerGauges()
@@ -157,6 +160,7 @@
 	}
 	c := v.Index.Catalogue()
 	t.keyHomes.follow(t.config.Now(), c.KeyHomes)
+	t.answers.max.Store(c.Idempotency.AnswersTotal())
 	t.requests.setBounds(c.Idempotency.RecordsMax, c.Idempotency.TokenLifetime(), c.Idempotency.AnswerBytesMax)
 	t.attempts.setBounds(c.Idempotency.RecordsMax, attemptLifetime, c.Idempotency.AnswerBytesMax)
 	if s := v.Index.Service(t.config.Settings.Service); s != nil {
@@ -239,7 +243,8 @@
 func (t *Traffic) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathPing, t.servePing)
-	mux.HandleFunc("GET "+pathNews, t.serveNews)
+	mux.HandleFunc("GET "+pathGrant, t.serveGrant)
+	mux.HandleFunc("GET "+pathLosses, t.serveLosses)
 	mux.HandleFunc("/", t.servePeer)
 	return mux
 }
