Cut availability zones off from each other on one machine

Nothing could show a partition with real processes: all nodes of a demonstration live on the loopback network of one machine, where no tool for isolation may be had.

The stand-in 'relay' listens at the addresses of the VM list and of the platform and forwards to the real ones; its admin listener cuts availability zones off, as a black hole or by resets. It knows who connects by the source address, so a node may now be told the address that its connections come from (dialFromAddress) and the one on which it listens behind a forwarder (peerListenAddress). 'galenacart-load layout -relay' writes all settings, 'galenacart-standin change' sends a change to an admin listener.

Tests: relay (both modes, heal, half-close), layout, settings.

--- a/cmd/galenacart-load/layout.go
+++ b/cmd/galenacart-load/layout.go
@@ -23,9 +23,10 @@
 }
 
 func (*layoutCommand) Usage() string {
-	return `galenacart-load layout -catalogue FILE -deployment FILE -out DIR [-network 127.N] [-port-base N]
+	return `galenacart-load layout -catalogue FILE -deployment FILE -out DIR [-network 127.N] [-port-base N] [-relay]
 Writes below DIR the settings of the platform stand-in, of every node and of every
-endpoint stand-in, the VM list, targets-MODE.json for the other commands, and
+endpoint stand-in, the VM list, targets-MODE.json and targets-zone-ZONE.json for the other
+commands, with -relay the settings of the relay between availability zones, and
 processes-MODE.txt with a line "NAME COMMAND..." for each process. MODE is galenacart
 or direct. Each VM gets an IP address of its own on the loopback network.
 Exit codes: 0 written, 1 failed, 2 bad usage or input.
@@ -36,6 +37,8 @@
 	c.inputs.setFlags(f)
 	f.StringVar(&c.out, "out", "", "`directory` to write to (required)")
 	f.StringVar(&c.plan.Network, "network", "127.20", "first two `numbers` of all IP addresses")
+	f.BoolVar(&c.plan.Relay, "relay", false, "let nodes reach each other and the platform through a relay")
+	f.IntVar(&c.plan.DrainLingerMs, "drain-linger-ms", 0, "least `milliseconds` for which a leaving endpoint still answers")
 	f.IntVar(&c.plan.PortBase, "port-base", 7000, "first `port` of each VM")
 }
 
--- a/cmd/galenacart-load/main.go
+++ b/cmd/galenacart-load/main.go
@@ -28,6 +28,7 @@
 	commander.Register(&runCommand{}, "experiments")
 	commander.Register(&compareCommand{}, "experiments")
 	commander.Register(&checkTruthCommand{}, "experiments")
+	commander.Register(&checkPartitionCommand{}, "experiments")
 	commander.Register(&overheadCommand{}, "experiments")
 	commander.Register(&capacityCommand{}, "experiments")
 	flag.Parse()
--- a/cmd/galenacart-standin/commands.go
+++ b/cmd/galenacart-standin/commands.go
@@ -13,6 +13,7 @@
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/standin/endpoint"
 	"github.com/galenacart/galenacart/internal/standin/platform"
+	"github.com/galenacart/galenacart/internal/standin/relay"
 )
 
 // platformCommand runs the stand-in platform.
@@ -85,6 +86,41 @@
 	return finish(log, endpoint.Run(ctx, s, log))
 }
 
+// relayCommand runs the stand-in of the network.
+type relayCommand struct {
+	settings string
+	check    bool
+}
+
+func (*relayCommand) Name() string     { return "relay" }
+func (*relayCommand) Synopsis() string { return "run the network between availability zones" }
+func (*relayCommand) Usage() string {
+	return `galenacart-standin relay -settings FILE [-check]
+Forwards TCP connections until SIGTERM or SIGINT, and cuts availability zones off.
+Exit codes: 0 stopped as planned, 1 failed, 2 bad usage or settings.
+`
+}
+
+func (c *relayCommand) SetFlags(f *flag.FlagSet) {
+	setFlags(f, &c.settings, &c.check)
+}
+
+// Execute forwards until ctx ends.
+func (c *relayCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := checkUsage(f, c.settings); err != nil {
+		return badUsage(err)
+	}
+	s, err := relay.ReadFile(c.settings)
+	if err != nil {
+		return badUsage(err)
+	}
+	if c.check {
+		return subcommands.ExitSuccess
+	}
+	log := newLog("relay", s.LogLevel)
+	return finish(log, relay.Run(ctx, s, log))
+}
+
 func setFlags(f *flag.FlagSet, settings *string, check *bool) {
 	f.StringVar(settings, "settings", "", "JSON `file` of settings (required)")
 	f.BoolVar(check, "check", false, "check the settings and end")
--- a/cmd/galenacart-standin/main.go
+++ b/cmd/galenacart-standin/main.go
@@ -1,5 +1,6 @@
 // Command galenacart-standin runs small stand-ins for what galenacart meets in
-// its users' deployments: the platform's key service and the endpoints.
+// its users' deployments: the platform's key service, the
+// endpoints and the network.
 package main
 
 import (
@@ -25,6 +26,8 @@
 	commander.Register(version.Command(), "")
 	commander.Register(&platformCommand{}, "stand-ins")
 	commander.Register(&endpointCommand{}, "stand-ins")
+	commander.Register(&relayCommand{}, "stand-ins")
+	commander.Register(&changeCommand{}, "experiments")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/cmd/galenacart-standin/page_test.go
+++ b/cmd/galenacart-standin/page_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/galenacart/galenacart/internal/standin/endpoint"
 	"github.com/galenacart/galenacart/internal/standin/platform"
+	"github.com/galenacart/galenacart/internal/standin/relay"
 	"github.com/galenacart/galenacart/internal/standin/truth"
 )
 
@@ -50,6 +51,7 @@
 	}
 	want := fieldPaths("", reflect.TypeFor[platform.Settings]())
 	want = append(want, fieldPaths("", reflect.TypeFor[endpoint.Settings]())...)
+	want = append(want, fieldPaths("", reflect.TypeFor[relay.Settings]())...)
 	require.ElementsMatch(t, want, listed)
 }
 
@@ -65,12 +67,15 @@
 func TestExamplesOfThePageAreValid(t *testing.T) {
 	example := regexp.MustCompile("(?s)<!-- example (\\w+) -->\n```json\n(.*?)```")
 	matches := example.FindAllStringSubmatch(readPage(t), -1)
-	require.Len(t, matches, 3)
+	require.Len(t, matches, 4)
 	for _, match := range matches {
 		var err error
-		if match[1] == "platform" {
+		switch match[1] {
+		case "platform":
 			_, err = platform.Decode("example", []byte(match[2]))
-		} else {
+		case "relay":
+			_, err = relay.Decode("example", []byte(match[2]))
+		default:
 			_, err = endpoint.Decode("example", []byte(match[2]))
 		}
 		require.NoError(t, err)
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -4,7 +4,6 @@
 package control
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -56,7 +55,7 @@
 		return errors.New("control: the incarnation is 0")
 	}
 	if c.HTTP == nil {
-		c.HTTP = newHTTPClient()
+		c.HTTP = newHTTPClient(c.Settings)
 	}
 	if c.StartWindow == 0 {
 		c.StartWindow = readers.StartWindow
@@ -64,10 +63,9 @@
 	return nil
 }
 
-func newHTTPClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newHTTPClient(s *settings.Node) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         s.Dialer(dialTimeout).DialContext,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/internal/event/standin.go
+++ b/internal/event/standin.go
@@ -26,6 +26,8 @@
 	EndpointCrash Number = 4023
 	// EndpointConnectionLimit means that a connection was closed at accept.
 	EndpointConnectionLimit Number = 4024
+	// RelayCut means that the relay's cut changed.
+	RelayCut Number = 4030
 )
 
 // standinEvents holds the definitions numbered from 4000.
@@ -41,4 +43,5 @@
 	{Number: EndpointBehaviour, Name: "endpoint_behaviour", Level: zerolog.InfoLevel, Meaning: "A stand-in endpoint changed its behaviour through its admin listener.", Exact: true},
 	{Number: EndpointCrash, Name: "endpoint_crash", Level: zerolog.ErrorLevel, Meaning: "A request ended the process of a stand-in endpoint, as its settings ask.", Exact: true},
 	{Number: EndpointConnectionLimit, Name: "endpoint_connection_limit", Level: zerolog.WarnLevel, Meaning: "A stand-in endpoint closed a connection at accept, because its limit of open connections was reached. Logged at most once a second."},
+	{Number: RelayCut, Name: "relay_cut", Level: zerolog.InfoLevel, Meaning: "The stand-in of the network cuts off the logged availability zones, or none.", Exact: true},
 }
--- a/internal/load/layout/address.go
+++ b/internal/load/layout/address.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -17,6 +18,12 @@
 	Network string
 	// PortBase is the first of the ports that each VM uses.
 	PortBase int
+	// Relay puts a relay between availability zones: other nodes and the
+	// platform are reached through it.
+	Relay bool
+	// DrainLingerMs is the least time for which a leaving endpoint still
+	// answers, in milliseconds.
+	DrainLingerMs int
 }
 
 // Offsets of a VM's ports from the plan's first one.
@@ -30,6 +37,9 @@
 	portsPerVM
 )
 
+// relayZone is added to the third byte of an address for the relay's one.
+const relayZone = 100
+
 const (
 	maxPort  = 32767 // ports above may be taken by outgoing connections
 	maxHosts = 250
@@ -47,6 +57,9 @@
 	Caller string
 	// Peer is the node's address for other nodes.
 	Peer string
+	// Published is the address at which other nodes find it: Peer, or the
+	// relay's one.
+	Published string
 	// Outbound is the node's address for the endpoint's own calls.
 	Outbound string
 	// Endpoint is the endpoint's address.
@@ -57,6 +70,12 @@
 	Admin string
 }
 
+// ip returns the IP address of the VM.
+func (a *Addresses) ip() string {
+	host, _, _ := strings.Cut(a.Peer, ":")
+	return host
+}
+
 // check reports an error unless the plan stays on the loopback network.
 func (p Plan) check() error {
 	ip, err := netip.ParseAddr(p.Network + ".0.1")
@@ -74,6 +93,19 @@
 	return p.address(0, 1, portCaller), p.address(0, 1, portAdmin)
 }
 
+// published returns the address of the platform for nodes.
+func (p Plan) published() string {
+	if p.Relay {
+		return p.address(relayZone, 1, portCaller)
+	}
+	return p.address(0, 1, portCaller)
+}
+
+// relayAdmin returns the admin address of the relay.
+func (p Plan) relayAdmin() string {
+	return p.address(relayZone, 1, portAdmin)
+}
+
 // vms returns the addresses of each VM. Each has an IP address of its own, with
 // the number of its availability zone in the third byte.
 func (p Plan) vms(d *deployment.Deployment) ([]Addresses, error) {
@@ -91,14 +123,19 @@
 			if host > maxHosts {
 				return nil, errors.Errorf("availability zone %s: more than %d VMs", vm.AvailabilityZone, maxHosts)
 			}
+			peerZone := zone
+			if p.Relay {
+				peerZone += relayZone
+			}
 			all = append(all, Addresses{
 				VM: vm.Name, AvailabilityZone: vm.AvailabilityZone, Service: s.Name,
-				Caller:   p.address(zone, host, portCaller),
-				Peer:     p.address(zone, host, portPeer),
-				Outbound: p.address(zone, host, portOutbound),
-				Endpoint: p.address(zone, host, portEndpoint),
-				Status:   p.address(zone, host, portStatus),
-				Admin:    p.address(zone, host, portAdmin),
+				Caller:    p.address(zone, host, portCaller),
+				Peer:      p.address(zone, host, portPeer),
+				Published: p.address(peerZone, host, portPeer),
+				Outbound:  p.address(zone, host, portOutbound),
+				Endpoint:  p.address(zone, host, portEndpoint),
+				Status:    p.address(zone, host, portStatus),
+				Admin:     p.address(zone, host, portAdmin),
 			})
 		}
 	}
--- a/internal/load/layout/layout.go
+++ b/internal/load/layout/layout.go
@@ -60,6 +60,11 @@
 	if err := writeJSON(g.path("platform", "vms.json"), vmlist.NewGrouped(g.vmList())); err != nil {
 		return err
 	}
+	if g.plan.Relay {
+		if err := writeJSON(g.path("relay", "relay.json"), g.relay()); err != nil {
+			return err
+		}
+	}
 	return writeJSON(g.path("platform", "platform.json"), g.platform())
 }
 
@@ -80,19 +85,35 @@
 
 func (g *generator) writeModes() error {
 	for _, mode := range []runner.Mode{runner.Galenacart, runner.Direct} {
-		if err := writeJSON(g.path("targets-"+string(mode)+".json"), g.targets(mode)); err != nil {
+		if err := writeJSON(g.path("targets-"+string(mode)+".json"), g.targets(mode, "")); err != nil {
 			return err
 		}
 		if err := writeProcesses(g.path("processes-"+string(mode)+".txt"), g.processes(mode)); err != nil {
 			return err
 		}
 	}
+	return g.writeZones()
+}
+
+// writeZones writes the targets of each availability zone.
+func (g *generator) writeZones() error {
+	for _, zone := range g.deployment.AvailabilityZones {
+		if err := writeJSON(g.path("targets-zone-"+zone+".json"), g.targets(runner.Galenacart, zone)); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
 // processes lists the processes of a mode in the order of their start.
 func (g *generator) processes(mode runner.Mode) []Process {
 	var all []Process
+	if mode == runner.Galenacart && g.plan.Relay {
+		all = append(all, Process{
+			Name:    "relay",
+			Command: []string{"galenacart-standin", "relay", "-settings", g.path("relay", "relay.json")},
+		})
+	}
 	if mode == runner.Galenacart {
 		all = append(all, Process{
 			Name:    "platform",
--- a/internal/load/layout/layout_test.go
+++ b/internal/load/layout/layout_test.go
@@ -15,6 +15,7 @@
 	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/standin/endpoint"
 	"github.com/galenacart/galenacart/internal/standin/platform"
+	"github.com/galenacart/galenacart/internal/standin/relay"
 	"github.com/galenacart/galenacart/internal/vmlist"
 )
 
@@ -92,6 +93,26 @@
 	}
 }
 
+// TestRelayStandsBetweenZones holds that nodes publish the relay's addresses and
+// that the relay knows who connects.
+func TestRelayStandsBetweenZones(t *testing.T) {
+	dir := t.TempDir()
+	c, d := read(t, "dorvakt")
+	require.NoError(t, Write(dir, Plan{Network: "127.77", PortBase: 7000, Relay: true}, c, d))
+	r, err := relay.ReadFile(filepath.Join(dir, "relay", "relay.json"))
+	require.NoError(t, err)
+	n, err := settings.ReadFile(filepath.Join(dir, "stock-2", "node.json"))
+	require.NoError(t, err)
+	require.Contains(t, r.Routes, relay.Route{Address: n.PeerAddress, Target: n.PeerListenAddress, AvailabilityZone: "stord"})
+	require.Contains(t, r.Sources, relay.Source{Address: n.DialFromAddress, AvailabilityZone: "stord"})
+	require.Equal(t, n.PlatformAddresses[0], r.Routes[0].Address)
+	require.Len(t, r.Routes, 1+14)
+	targets, err := runner.ReadTargets(filepath.Join(dir, "targets-zone-stord.json"))
+	require.NoError(t, err)
+	require.Len(t, targets.Nodes(), 4)
+	require.Contains(t, targets.Nodes(), n.CallerAddress)
+}
+
 func TestTargetsAndProcesses(t *testing.T) {
 	dir := t.TempDir()
 	c, d := read(t, "dorvakt")
--- a/internal/load/layout/settings.go
+++ b/internal/load/layout/settings.go
@@ -9,6 +9,7 @@
 	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/standin/endpoint"
 	"github.com/galenacart/galenacart/internal/standin/platform"
+	"github.com/galenacart/galenacart/internal/standin/relay"
 	"github.com/galenacart/galenacart/internal/vmlist"
 )
 
@@ -28,20 +29,24 @@
 }
 
 func (g *generator) node(a Addresses) *settings.Node {
-	address, _ := g.plan.platform()
-	return &settings.Node{
+	n := &settings.Node{
 		VM:                a.VM,
 		AvailabilityZone:  a.AvailabilityZone,
 		Region:            g.deployment.Region,
 		Service:           a.Service,
 		CallerAddress:     a.Caller,
-		PeerAddress:       a.Peer,
+		PeerAddress:       a.Published,
 		OutboundAddress:   a.Outbound,
 		EndpointAddress:   a.Endpoint,
 		StatusAddress:     a.Status,
-		PlatformAddresses: []string{address},
+		PlatformAddresses: []string{g.plan.published()},
 		FleetKey:          g.deployment.FleetKey,
 	}
+	if g.plan.Relay {
+		n.PeerListenAddress = a.Peer
+		n.DialFromAddress = a.ip()
+	}
+	return n
 }
 
 func (g *generator) vmList() *vmlist.List {
@@ -52,7 +57,7 @@
 			AvailabilityZone: a.AvailabilityZone,
 			Region:           g.deployment.Region,
 			Service:          a.Service,
-			PeerAddress:      a.Peer,
+			PeerAddress:      a.Published,
 			CallerAddress:    a.Caller,
 			State:            vmlist.Live,
 		})
@@ -91,6 +96,7 @@
 		ConnectionCostMs: service.ConnectionCostMs,
 		ProbeCostMs:      service.ProbeCostMs,
 		ColdStart:        service.ColdStart,
+		DrainLingerMs:    g.plan.DrainLingerMs,
 	}
 	for i := range g.catalogue.Routes {
 		if r := &g.catalogue.Routes[i]; r.Service == a.Service {
@@ -136,24 +142,41 @@
 // direct lets endpoints call each other without nodes.
 func (g *generator) direct() endpoint.Downstream {
 	down := endpoint.Downstream{Way: endpoint.WayDirect, Tries: directTries, TryTimeoutMs: directTryTimeoutMs}
-	for _, s := range g.targets(runner.Direct).Services {
+	for _, s := range g.targets(runner.Direct, "").Services {
 		down.Endpoints = append(down.Endpoints, endpoint.ServiceEndpoints{Service: s.Service, Addresses: s.Endpoints})
 	}
 	return down
 }
 
-func (g *generator) targets(mode runner.Mode) *runner.Targets {
+// relay returns the settings of the relay.
+func (g *generator) relay() *relay.Settings {
+	address, _ := g.plan.platform()
+	r := &relay.Settings{
+		AdminAddress: g.plan.relayAdmin(),
+		Routes:       []relay.Route{{Address: g.plan.published(), Target: address}},
+	}
+	for _, a := range g.vms {
+		r.Routes = append(r.Routes, relay.Route{Address: a.Published, Target: a.Peer, AvailabilityZone: a.AvailabilityZone})
+		r.Sources = append(r.Sources, relay.Source{Address: a.ip(), AvailabilityZone: a.AvailabilityZone})
+	}
+	return r
+}
+
+// targets returns the targets in one availability zone, or in all for "".
+func (g *generator) targets(mode runner.Mode, zone string) *runner.Targets {
 	t := &runner.Targets{Mode: mode}
 	for _, s := range g.deployment.Services {
 		one := runner.ServiceTargets{Service: s.Name}
 		for _, a := range g.vms {
-			if a.Service == s.Name {
+			if a.Service == s.Name && (zone == "" || a.AvailabilityZone == zone) {
 				one.Endpoints = append(one.Endpoints, a.Endpoint)
 				one.Nodes = append(one.Nodes, a.Caller)
 				one.Admins = append(one.Admins, a.Admin)
 			}
 		}
-		t.Services = append(t.Services, one)
+		if len(one.Nodes) > 0 {
+			t.Services = append(t.Services, one)
+		}
 	}
 	return t
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,7 +165,7 @@
 func (n *Node) listen() error {
 	addresses := []struct{ field, address string }{
 		{"callerAddress", n.settings.CallerAddress},
-		{"peerAddress", n.settings.PeerAddress},
+		{"peerAddress", n.settings.PeerListener()},
 		{"outboundAddress", n.settings.OutboundAddress},
 		{"statusAddress", n.settings.StatusAddress},
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -12,6 +12,7 @@
 	own := []struct{ pointer, value string }{
 		{"/callerAddress", n.CallerAddress},
 		{"/peerAddress", n.PeerAddress},
+		{"/peerListenAddress", n.PeerListenAddress},
 		{"/outboundAddress", n.OutboundAddress},
 		{"/endpointAddress", n.EndpointAddress},
 		{"/statusAddress", n.StatusAddress},
@@ -25,6 +26,7 @@
 		k.address(fmt.Sprintf("/platformAddresses/%d", i), value)
 	}
 	k.loopback("/outboundAddress", n.OutboundAddress)
+	k.ip("/dialFromAddress", n.DialFromAddress)
 	return k.faults
 }
 
@@ -51,6 +53,13 @@
 	return address, true
 }
 
+// ip checks an optional IP address without a port.
+func (k *checker) ip(pointer, value string) {
+	if _, err := netip.ParseAddr(value); value != "" && err != nil {
+		k.fault(pointer, "have %q; want an IP address without a port, such as \"10.0.0.1\"", value)
+	}
+}
+
 // unique refuses an address that two settings share: only one of them could
 // listen on it.
 func (k *checker) unique(pointer string, address netip.AddrPort) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"net"
 	"time"
 
 	"github.com/galenacart/galenacart/internal/strictjson"
@@ -25,6 +26,12 @@
 	CallerAddress string `json:"callerAddress" validate:"required"`
 	// PeerAddress is the IP address and port at which other nodes reach the node.
 	PeerAddress string `json:"peerAddress" validate:"required"`
+	// PeerListenAddress is the IP address and port on which the node listens for
+	// other nodes, where a forwarder stands at peerAddress. Default: peerAddress.
+	PeerListenAddress string `json:"peerListenAddress,omitempty"`
+	// DialFromAddress is the IP address that connections to other nodes and to
+	// the platform come from. Default: the system chooses.
+	DialFromAddress string `json:"dialFromAddress,omitempty"`
 	// OutboundAddress is the loopback IP address and port to which the local
 	// endpoint sends its own calls.
 	OutboundAddress string `json:"outboundAddress" validate:"required"`
@@ -62,6 +69,25 @@
 	return strictjson.Load(file, maxBytes, Decode)
 }
 
+// PeerListener is the IP address and port on which the node listens for other
+// nodes.
+func (n *Node) PeerListener() string {
+	if n.PeerListenAddress == "" {
+		return n.PeerAddress
+	}
+	return n.PeerListenAddress
+}
+
+// Dialer opens connections to other nodes and to the platform. timeout bounds
+// the set-up of one.
+func (n *Node) Dialer(timeout time.Duration) *net.Dialer {
+	d := &net.Dialer{Timeout: timeout}
+	if ip := net.ParseIP(n.DialFromAddress); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d
+}
+
 // StopTimeout bounds a planned stop.
 func (n *Node) StopTimeout() time.Duration {
 	if n.StopTimeoutMs == 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -28,6 +28,11 @@
 	n.StopTimeoutMs, n.ConnectionSilenceMs = 1500, 250
 	require.Equal(t, 1500*time.Millisecond, n.StopTimeout())
 	require.Equal(t, 250*time.Millisecond, n.ConnectionSilence())
+	require.Equal(t, n.PeerAddress, n.PeerListener())
+	require.Nil(t, n.Dialer(time.Second).LocalAddr)
+	n.PeerListenAddress, n.DialFromAddress = "127.0.0.1:7005", "127.0.0.7"
+	require.Equal(t, "127.0.0.1:7005", n.PeerListener())
+	require.Equal(t, "127.0.0.7:0", n.Dialer(time.Second).LocalAddr.String())
 }
 
 func TestFaultsNamePlaceAndFix(t *testing.T) {
@@ -45,6 +50,7 @@
 		{"host name", `127.0.0.1:9000`, `platform:9000`, []string{`/platformAddresses/0: have "platform:9000"; want an IP`}},
 		{"shared", `127.0.0.1:7004`, `127.0.0.1:7001`, []string{"/statusAddress: 127.0.0.1:7001 is the address of /peerAddress already"}},
 		{"outbound open to others", `127.0.0.1:7002`, `10.0.0.1:7002`, []string{`/outboundAddress: have "10.0.0.1:7002"; want a loopback`}},
+		{"no source", `"vm":`, `"dialFromAddress": "127.0.0.1:1", "vm":`, []string{`/dialFromAddress: have "127.0.0.1:1"; want an IP address without a port`}},
 		{"no platform", `["127.0.0.1:9000"]`, `[]`, []string{"/platformAddresses: have 0 entries; want at least 1 entries"}},
 		{"short key", `0123456789abcdef`, `0123`, []string{"/fleetKey: have 4 characters; want at least 16 characters"}},
 		{"negative limit", `"vm":`, `"stopTimeoutMs": -1, "vm":`, []string{"/stopTimeoutMs: have -1; want at least 0"}},
--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/testaddress"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const settle = 50 * time.Millisecond
+
+// start runs a relay in front of a server that sends back what it gets, in zone
+// "b", and returns a function that connects to it from zone "a".
+func start(t *testing.T) (*Relay, func() (net.Conn, error)) {
+	t.Helper()
+	echo, err := net.Listen("tcp", testaddress.New())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = echo.Close() })
+	go func() {
+		for conn, err := echo.Accept(); err == nil; conn, err = echo.Accept() {
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	s := &Settings{
+		AdminAddress: testaddress.New(),
+		Routes:       []Route{{Address: testaddress.New(), Target: echo.Addr().String(), AvailabilityZone: "b"}},
+		Sources:      []Source{{Address: "127.0.0.9", AvailabilityZone: "a"}},
+	}
+	require.Empty(t, s.check())
+	r := New(s, event.NewLog(io.Discard, "standin", "relay", zerolog.InfoLevel))
+	l, err := net.Listen("tcp", s.Routes[0].Address)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.serve(ctx, l, &s.Routes[0]) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return r, func() (net.Conn, error) {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP("127.0.0.9")}}
+		return d.Dial("tcp", s.Routes[0].Address)
+	}
+}
+
+func open(t *testing.T, connect func() (net.Conn, error)) net.Conn {
+	t.Helper()
+	conn, err := connect()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// ask sends text and returns what comes back within a bound.
+func ask(t *testing.T, conn net.Conn, text string, bound time.Duration) (string, error) {
+	t.Helper()
+	if text != "" {
+		_, err := conn.Write([]byte(text))
+		require.NoError(t, err)
+	}
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(bound)))
+	buffer := make([]byte, 100)
+	n, err := conn.Read(buffer)
+	return string(buffer[:n]), err
+}
+
+func TestRelay(t *testing.T) {
+	across := Cut{AvailabilityZones: []string{"a"}}
+	const long = 20 * time.Second
+	for _, elsewhere := range []Cut{{}, {AvailabilityZones: []string{"c"}}, {AvailabilityZones: []string{"c"}, Mode: Reset}} {
+		r, connect := start(t)
+		r.SetCut(elsewhere)
+		got, err := ask(t, open(t, connect), "open", long)
+		require.NoError(t, err)
+		require.Equal(t, "open", got)
+	}
+	t.Run("bytes and new connections wait for the heal", func(t *testing.T) {
+		r, connect := start(t)
+		old := open(t, connect)
+		_, err := ask(t, old, "before", long)
+		require.NoError(t, err)
+		r.SetCut(across)
+		fresh := open(t, connect)
+		for _, conn := range []net.Conn{old, fresh} {
+			_, err = ask(t, conn, "during", settle)
+			require.ErrorContains(t, err, "timeout")
+		}
+		r.SetCut(Cut{})
+		for _, conn := range []net.Conn{old, fresh} {
+			got, err := ask(t, conn, "", long)
+			require.NoError(t, err)
+			require.Equal(t, "during", got)
+		}
+	})
+	t.Run("connections are reset", func(t *testing.T) {
+		r, connect := start(t)
+		old := open(t, connect)
+		_, err := ask(t, old, "before", long)
+		require.NoError(t, err)
+		r.SetCut(Cut{AvailabilityZones: []string{"b"}, Mode: Reset})
+		_, err = ask(t, old, "", long)
+		require.ErrorContains(t, err, "reset")
+		fresh, err := connect() // the reset may come first
+		if err == nil {
+			_, err = ask(t, fresh, "", long)
+		}
+		require.ErrorContains(t, err, "reset")
+	})
+	t.Run("the end of one way passes", func(t *testing.T) {
+		_, connect := start(t)
+		conn := open(t, connect).(*net.TCPConn)
+		_, err := ask(t, conn, "last", long)
+		require.NoError(t, err)
+		require.NoError(t, conn.CloseWrite())
+		_, err = ask(t, conn, "", long)
+		require.ErrorIs(t, err, io.EOF)
+	})
+}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -80,8 +80,10 @@
 
 // New returns the traffic side of a node.
 func New(c Config) *Traffic {
+	peerDial := c.Dial
 	if c.Dial == nil {
 		c.Dial = dialTCP
+		peerDial = c.Settings.Dialer(dialTimeout).DialContext
 	}
 	shared := newRoom(roomBefore)
 	t := &Traffic{
@@ -89,7 +91,7 @@
 		config:   c,
 		gate:     newGatekeeper(c.Now),
 		local:    newEndpoint(c.Settings, c.Dial),
-		peers:    newPeers(c.Settings, c.Dial),
+		peers:    newPeers(c.Settings, peerDial),
 		targets:  newTargets(c.Now),
 		parents:  newParents(),
 		requests: newRecords(c.Now, shared),
