Hold partitions and planned stops against their bounds

The demonstrations printed goodput and counts, and a reader had to judge them; nothing told when every node showed the newest revision after a heal, or whether a leaving VM still got new calls.

No live run is in this commit.

--- a/cmd/galenacart-load/checkpartition.go
+++ b/cmd/galenacart-load/checkpartition.go
@@ -17,7 +17,7 @@
 	"github.com/galenacart/galenacart/internal/strictjson"
 )
 
-const maxCutsBytes = 1 << 20
+const maxNotesBytes = 1 << 20
 
 // checkPartitionCommand holds a run with partitions against its bounds.
 type checkPartitionCommand struct {
@@ -79,12 +79,7 @@
 	if p.Load, err = experiment.ReadFile(c.experiment, cat); err != nil {
 		return nil, errors.WithMessage(err, "-experiment")
 	}
-	cuts := filepath.Join(c.run, "cuts.json")
-	data, err := strictjson.ReadFile(cuts, maxCutsBytes)
-	if err != nil {
-		return nil, err
-	}
-	if err := strictjson.Decode(cuts, data, &p.Cuts); err != nil {
+	if err := readNotes(filepath.Join(c.run, "cuts.json"), &p.Cuts); err != nil {
 		return nil, err
 	}
 	for _, zone := range d.AvailabilityZones {
@@ -96,6 +91,15 @@
 	return p, err
 }
 
+// readNotes reads what a script noted of its faults.
+func readNotes(file string, into any) error {
+	data, err := strictjson.ReadFile(file, maxNotesBytes)
+	if err != nil {
+		return err
+	}
+	return strictjson.Decode(file, data, into)
+}
+
 // readLogs reads the logs of endpoints and nodes below the directory of a run.
 func readLogs(run string) ([]truth.Record, *check.Revisions, error) {
 	files, err := filepath.Glob(filepath.Join(run, "settings", "*", "truth-galenacart.jsonl"))
--- a/cmd/galenacart-load/main.go
+++ b/cmd/galenacart-load/main.go
@@ -29,6 +29,7 @@
 	commander.Register(&compareCommand{}, "experiments")
 	commander.Register(&checkTruthCommand{}, "experiments")
 	commander.Register(&checkPartitionCommand{}, "experiments")
+	commander.Register(&checkStopsCommand{}, "experiments")
 	commander.Register(&overheadCommand{}, "experiments")
 	commander.Register(&capacityCommand{}, "experiments")
 	flag.Parse()
--- /dev/null
+++ b/internal/load/check/stops.go
@@ -0,0 +1,86 @@
+package check
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/galenacart/galenacart/internal/load/outcome"
+	"github.com/galenacart/galenacart/internal/load/report"
+	"github.com/galenacart/galenacart/internal/standin/truth"
+)
+
+// newWorkMax bounds the time from the start of leaving in which new calls may
+// still come.
+const newWorkMax = 2 * time.Second
+
+// Stop is one planned stop of a process.
+type Stop struct {
+	// Name is the name of the process: its VM, then "-node" or "-endpoint".
+	Name string `json:"name"`
+	// AtNs is the wall clock of the signal, in nanoseconds since 1970.
+	AtNs int64 `json:"atNs"`
+	// EndNs is that of the end of the process.
+	EndNs int64 `json:"endNs"`
+	// Code is the exit code.
+	Code int `json:"code"`
+}
+
+// vm returns the VM of the process.
+func (s *Stop) vm() string {
+	return strings.TrimSuffix(strings.TrimSuffix(s.Name, "-node"), "-endpoint")
+}
+
+// Stops is what is known of a run with planned stops.
+type Stops struct {
+	// Stops lists them.
+	Stops []Stop
+	// Outcomes holds what became of each request.
+	Outcomes []outcome.Outcome
+	// Truth is what endpoints logged.
+	Truth []truth.Record
+}
+
+// Rows returns the figures of the run. Every planned stop ends with code 0, no
+// request fails, none is cut off at an endpoint, and a VM that leaves gets no
+// new call later than newWorkMax.
+func (s *Stops) Rows() []Row {
+	unclean, late := 0, 0
+	for i := range s.Stops {
+		if s.Stops[i].Code != 0 {
+			unclean++
+		}
+		late += s.lateCalls(&s.Stops[i])
+	}
+	failed := 0
+	for i := range s.Outcomes {
+		if s.Outcomes[i].Result != outcome.Whole {
+			failed++
+		}
+	}
+	t := report.NewTruth(s.Truth, s.Outcomes)
+	return []Row{
+		{What: "planned stops", Value: strconv.Itoa(len(s.Stops)), Bound: ">= 1", Met: len(s.Stops) > 0},
+		{What: "requests", Value: strconv.Itoa(len(s.Outcomes)), Bound: ">= 1", Met: len(s.Outcomes) > 0},
+		atMost("exit code other than 0", unclean, 0, ""),
+		atMost("requests without a whole answer", failed, 0, ""),
+		atMost("calls cut off at endpoints", len(truth.CutOff(s.Truth)), 0, ""),
+		atMost("new calls later than 2 s after the start of leaving", late, 0, ""),
+		atMost("run twice", t.DoubleRuns, 0, ""),
+		atMost("told not run, but run", t.WrongNotRun, 0, ""),
+	}
+}
+
+// lateCalls counts the calls that reached a VM's endpoint later than newWorkMax
+// after the start of leaving, until the end of the process.
+func (s *Stops) lateCalls(stop *Stop) int {
+	count := 0
+	for i := range s.Truth {
+		r := &s.Truth[i]
+		late := r.WallNs > stop.AtNs+int64(newWorkMax) && r.WallNs < stop.EndNs
+		if r.Kind == truth.Received && r.VM == stop.vm() && late {
+			count++
+		}
+	}
+	return count
+}
