Give back the retries of calls that no endpoint saw; ask elsewhere for free after not_ready

A call that couldn't be sent lost its part too.

No token is created: nothing ran below.

TestNodeWithoutACatalogueCostsNoRetry and TestUnusedRetriesComeBack fail without the change.

--- a/decision/retry/next.go
+++ b/decision/retry/next.go
@@ -7,8 +7,9 @@
 const (
 	// FateNotSent means that no byte of the call left the node.
 	FateNotSent Fate = iota
-	// FateLeaving means that the other node refused because it is leaving.
-	FateLeaving
+	// FateNotServing means that the other node refused because it is leaving, or
+	// because it has just started and has no catalogue in force yet.
+	FateNotServing
 	// FateShed means that the other node refused for lack of capacity. Its
 	// endpoint never saw the call.
 	FateShed
@@ -38,7 +39,7 @@
 // only on proof that it was not started.
 func Next(f Fate, idempotent bool) Step {
 	switch f {
-	case FateNotSent, FateLeaving:
+	case FateNotSent, FateNotServing:
 		return StepFree
 	case FateShed, FateRefused:
 		return StepCharge
--- a/decision/retry/retry_test.go
+++ b/decision/retry/retry_test.go
@@ -104,7 +104,7 @@
 		want       Step
 	}{
 		{desc: "nothing sent", fate: FateNotSent, want: StepFree},
-		{desc: "node leaving", fate: FateLeaving, want: StepFree},
+		{desc: "node leaving", fate: FateNotServing, want: StepFree},
 		{desc: "shed by the node", fate: FateShed, want: StepCharge},
 		{desc: "refused before start", fate: FateRefused, want: StepCharge},
 		{desc: "booking with unknown fate", fate: FateUnknown, want: StepStop},
--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -162,6 +162,9 @@
 	} else {
 		one, end = t.attemptThere(ctx, s, m, meta, o)
 	}
+	if one.fate == retry.FateNotSent {
+		one.answer.retries = handed
+	}
 	o.pool.giveBack(handed, one.answer.retries)
 	end.Took = t.config.Now() - started
 	s.done(m.VM, end)
--- a/internal/traffic/failure_test.go
+++ b/internal/traffic/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -123,6 +124,41 @@
 	require.Equal(t, "two", entry.call(t, "POST", "/deep", takeToken(t, entry), "").body)
 }
 
+func TestNodeWithoutACatalogueCostsNoRetry(t *testing.T) {
+	f := newFleet(t)
+	f.index.Catalogue().Retry.BudgetPerRequest = 0
+	fresh := f.add("deep-1", "deep", "a", answerWith("one"))
+	f.add("deep-2", "deep", "b", answerWith("two"))
+	entry := f.add("front-1", "front", "a", answerWith(""))
+	f.start()
+	fresh.holder.Store(&view.View{})
+	require.Equal(t, "two", entry.call(t, "POST", "/deep", takeToken(t, entry), "").body)
+}
+
+// TestUnusedRetriesComeBack lets a call that reached no endpoint be followed by
+// one that needs the whole budget.
+func TestUnusedRetriesComeBack(t *testing.T) {
+	f := newFleet(t)
+	f.index.Catalogue().Retry.BudgetPerRequest = 1
+	gone := f.add("deep-1", "deep", "a", answerWith("one"))
+	var broken atomic.Bool
+	breakOnce := func(w http.ResponseWriter, _ *http.Request) {
+		if broken.CompareAndSwap(false, true) {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "whole")
+	}
+	f.add("deep-2", "deep", "b", breakOnce)
+	f.add("deep-3", "deep", "b", breakOnce)
+	entry := f.add("front-1", "front", "a", answerWith(""))
+	f.start()
+	gone.peer.CloseClientConnections()
+	require.NoError(t, gone.peer.Listener.Close())
+	require.Equal(t, "whole", entry.call(t, "GET", "/deep", "", "").body)
+	elsewhere := &call.Meta{Service: "middle", Retries: 2}
+	require.Equal(t, 2, gone.traffic.serveLocal(t.Context(), elsewhere, &request{method: "GET"}).retries, "a refusal gives back all")
+}
+
 func TestCallerWhoGoesAwayFreesTheSlot(t *testing.T) {
 	f := newFleet(t)
 	started := make(chan struct{})
--- a/internal/traffic/fate.go
+++ b/internal/traffic/fate.go
@@ -65,8 +65,8 @@
 // fateOf returns what a problem says about an attempt.
 func fateOf(e *problem.Error) retry.Fate {
 	switch {
-	case e.Kind == problem.KindLeaving:
-		return retry.FateLeaving
+	case e.Kind == problem.KindLeaving, e.Kind == problem.KindNotReady:
+		return retry.FateNotServing
 	case e.Kind == problem.KindOverloaded && e.Ran == problem.RanNo:
 		return retry.FateShed
 	case e.Ran == problem.RanNo:
--- a/internal/traffic/local.go
+++ b/internal/traffic/local.go
@@ -23,7 +23,7 @@
 func (t *Traffic) serveLocal(ctx context.Context, m *call.Meta, q *request) *answer {
 	r, err := t.localRoute(m, q)
 	if err != nil {
-		return failed(err)
+		return turnedAway(m, err)
 	}
 	if r.Idempotent {
 		return t.admit(ctx, m, q, r)
@@ -54,11 +54,19 @@
 	return r, nil
 }
 
+// turnedAway returns the answer to a call that the endpoint never saw. The whole
+// part of the retry budget that came with the call goes back.
+func turnedAway(m *call.Meta, e *problem.Error) *answer {
+	a := failed(e)
+	a.retries = int(m.Retries)
+	return a
+}
+
 // admit puts a call through the guards in front of the endpoint and runs it.
 func (t *Traffic) admit(ctx context.Context, m *call.Meta, q *request, r *catalogue.Route) *answer {
 	deadline := t.config.Now() + m.Remaining()
 	if !m.Priority.Before(t.shedBelow(r.Name)) {
-		return failed(problem.New(problem.KindOverloaded, problem.RanNo, "calls below route %s are shed", r.Name))
+		return turnedAway(m, problem.New(problem.KindOverloaded, problem.RanNo, "calls below route %s are shed", r.Name))
 	}
 	for _, loss := range m.Losses {
 		t.suspects.lost(loss)
@@ -66,14 +74,14 @@
 	guard := t.suspects.enter(ctx, q.fingerprint)
 	if guard == nil {
 		t.config.Log.Emit(event.SuspectRefused, m.Correlation, event.F("fingerprint", q.fingerprint))
-		return failed(problem.New(problem.KindSuspect, problem.RanNo, "endpoints that ran this request broke down"))
+		return turnedAway(m, problem.New(problem.KindSuspect, problem.RanNo, "endpoints that ran this request broke down"))
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	entry, refused := t.gate.enter(ctx, m.Priority, deadline, cancel)
 	if refused != nil {
 		t.suspects.leave(guard, false)
 		cancel(nil)
-		return failed(refused)
+		return turnedAway(m, refused)
 	}
 	e := &execution{traffic: t, meta: m, request: q, route: r, guard: guard, pass: entry, deadline: deadline, cancel: cancel}
 	return e.run(ctx)
