Drop new connections across a cut in the kernel

A real cut loses the first packet.

A packet filter on the relay's listeners now drops what comes from the cut off sources, without rights of its own; connections that are open go silent or are reset as before, and new ones hang in both modes.

--- a/internal/standin/relay/admin.go
+++ b/internal/standin/relay/admin.go
@@ -29,7 +29,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	r.SetCut(*cut)
+	if err := r.SetCut(*cut); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	r.log.Emit(event.RelayCut, "",
 		event.F("availability_zones", strings.Join(cut.AvailabilityZones, " ")), event.F("mode", string(cut.Mode)))
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/standin/relay/network.go
+++ b/internal/standin/relay/network.go
@@ -13,7 +13,7 @@
 const (
 	// BlackHole stops all bytes; connections stay open, and new ones hang.
 	BlackHole Mode = "blackhole"
-	// Reset resets connections, new ones too.
+	// Reset resets open connections, and new ones hang.
 	Reset Mode = "reset"
 )
 
