Play failures of the platform with real processes

That no node shows a smaller revision while the platform is down, stale or back at an older state was held by tests with fakes alone.

demo/platform.sh lets the stand-in go down, stale, back and back for good, so that revisions are used again for other content, edits the catalogue and replaces a node in each state, and 'galenacart-load check-platform' reads from the nodes' events when each change was in force everywhere. demo/processes.sh takes the directory of the programs from BIN, to compare two builds.

Tests: the table over a run made by hand. No live run is in this commit.

--- a/cmd/galenacart-load/main.go
+++ b/cmd/galenacart-load/main.go
@@ -30,6 +30,7 @@
 	commander.Register(&checkTruthCommand{}, "experiments")
 	commander.Register(&checkPartitionCommand{}, "experiments")
 	commander.Register(&checkStopsCommand{}, "experiments")
+	commander.Register(&checkPlatformCommand{}, "experiments")
 	commander.Register(&overheadCommand{}, "experiments")
 	commander.Register(&capacityCommand{}, "experiments")
 	flag.Parse()
--- a/demo/processes.sh
+++ b/demo/processes.sh
@@ -1,7 +1,7 @@
 # Starts and ends the processes of a layout. Sourced by the scripts beside it.
 # Every process ends with the script that started it.
 
-readonly BIN=bin
+readonly BIN=${BIN:-bin}
 readonly STOP_SECONDS=${STOP_SECONDS:-10}
 readonly START_SECONDS=0.5
 started=0
--- a/internal/load/check/check_test.go
+++ b/internal/load/check/check_test.go
@@ -159,6 +159,25 @@
 	}, missed(s.Rows()))
 }
 
+func TestDrill(t *testing.T) {
+	p := run(t)
+	d := &Drill{
+		Deployment: p.Deployment, Revisions: p.Revisions, Outcomes: []outcome.Outcome{{Result: outcome.Whole}},
+		Steps: []Step{
+			{Name: "edit", AtNs: onset, Shows: true},
+			{Name: "down", AtNs: onset + int64(12*time.Second)},
+		},
+	}
+	require.Empty(t, missed(d.Rows()))
+	p.Revisions.byVM["stock-1"] = append(p.Revisions.byVM["stock-1"], shown{revision: 3, at: time.Unix(0, onset).Add(13 * time.Second)})
+	require.Equal(t, []string{"down: newer revisions shown"}, missed(d.Rows()))
+	d.Steps[1].Shows = true
+	require.Equal(t, []string{"down: in force everywhere"}, missed(d.Rows()), "one node alone has the newest")
+	p.Revisions.byVM["stock-1"][1].at = time.Unix(0, onset).Add(17 * time.Second)
+	d.Steps = d.Steps[:1]
+	require.Equal(t, []string{"edit: in force everywhere"}, missed(d.Rows()))
+}
+
 func TestReadRevisions(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "stock-1-node.jsonl")
 	line := `{"time":"2026-01-02T03:04:05Z","process":"node","vm":"stock-1","event":%d,"revision":%d}` + "\n"
--- a/internal/load/check/row.go
+++ b/internal/load/check/row.go
@@ -23,7 +23,7 @@
 }
 
 // atMost returns a row for a count or a time that must not exceed its bound.
-func atMost[N int | float64](what string, value, bound N, unit string) Row {
+func atMost[N int | uint64 | float64](what string, value, bound N, unit string) Row {
 	return Row{What: what, Value: fmt.Sprintf("%v%s", value, unit), Bound: fmt.Sprintf("<= %v%s", bound, unit), Met: value <= bound}
 }
 
