--- a/demo/stops.sh
+++ b/demo/stops.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Stops the node and then the endpoint of each VM as planned, one after the
+# Stops the endpoint and then the node of each VM as planned, one after the
 # other, under load, while the platform's list of VMs lags by a minute.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -12,9 +12,9 @@
 readonly SETTINGS=examples/dorvakt/deployment.json
 readonly EXPERIMENT=${EXPERIMENT:-demo/stops-dorvakt.json}
 readonly LAG_MS=60000
-readonly LINGER_MS=3500 # a leaving endpoint answers for longer than new calls may come
+readonly LINGER_MS=3000 # a leaving endpoint answers for longer than new calls may come
 readonly QUIET_SECONDS=5
-readonly BACK_SECONDS=1 # for a new process until the next stop
+readonly BACK_SECONDS=2 # for a new process until the next stop
 
 declare -A commands pids # by the name of the process
 stops=()
@@ -62,8 +62,8 @@
 $BIN/galenacart-standin change -address "$NETWORK.0.1:7005" -path /admin/lag -body "{\"vmListLagMs\":$LAG_MS}" || exit 1
 for vm in "${vms[@]}"; do
 	list_as "$vm" leaving
-	stop_one "$vm-node"
 	stop_one "$vm-endpoint"
+	stop_one "$vm-node"
 	list_as "$vm" live
 done
 wait $load || {
--- a/internal/load/check/check_test.go
+++ b/internal/load/check/check_test.go
@@ -149,6 +149,8 @@
 		Outcomes: []outcome.Outcome{{Result: outcome.Whole}},
 		Truth:    []truth.Record{received(second), received(5 * second)},
 	}
+	require.Equal(t, []string{"VMs without calls in the 2 s before"}, missed(s.Rows()), "nothing was shown")
+	s.Truth = append(s.Truth, received(-second))
 	require.Empty(t, missed(s.Rows()))
 	s.Stops[0].Code = 1
 	s.Outcomes[0].Result = outcome.Refused
--- a/internal/load/check/stops.go
+++ b/internal/load/check/stops.go
@@ -45,12 +45,15 @@
 // request fails, none is cut off at an endpoint, and a VM that leaves gets no
 // new call later than newWorkMax.
 func (s *Stops) Rows() []Row {
-	unclean, late := 0, 0
+	unclean, late, idle := 0, 0, 0
 	for i := range s.Stops {
+		if s.callsAt(&s.Stops[i], -newWorkMax, 0) == 0 {
+			idle++
+		}
 		if s.Stops[i].Code != 0 {
 			unclean++
 		}
-		late += s.lateCalls(&s.Stops[i])
+		late += s.callsAt(&s.Stops[i], newWorkMax, time.Duration(s.Stops[i].EndNs-s.Stops[i].AtNs))
 	}
 	failed := 0
 	for i := range s.Outcomes {
@@ -62,6 +65,7 @@
 	return []Row{
 		{What: "planned stops", Value: strconv.Itoa(len(s.Stops)), Bound: ">= 1", Met: len(s.Stops) > 0},
 		{What: "requests", Value: strconv.Itoa(len(s.Outcomes)), Bound: ">= 1", Met: len(s.Outcomes) > 0},
+		atMost("VMs without calls in the 2 s before", idle, 0, ""),
 		atMost("exit code other than 0", unclean, 0, ""),
 		atMost("requests without a whole answer", failed, 0, ""),
 		atMost("calls cut off at endpoints", len(truth.CutOff(s.Truth)), 0, ""),
@@ -71,14 +75,14 @@
 	}
 }
 
-// lateCalls counts the calls that reached a VM's endpoint later than newWorkMax
-// after the start of leaving, until the end of the process.
-func (s *Stops) lateCalls(stop *Stop) int {
+// callsAt counts the calls that reached a VM's endpoint between two moments,
+// counted from the start of leaving.
+func (s *Stops) callsAt(stop *Stop, from, to time.Duration) int {
 	count := 0
 	for i := range s.Truth {
 		r := &s.Truth[i]
-		late := r.WallNs > stop.AtNs+int64(newWorkMax) && r.WallNs < stop.EndNs
-		if r.Kind == truth.Received && r.VM == stop.vm() && late {
+		at := time.Duration(r.WallNs - stop.AtNs)
+		if r.Kind == truth.Received && r.VM == stop.vm() && at > from && at < to {
 			count++
 		}
 	}
