Find a cut within a call: probe other zones and stay near after a loss

After a cut every node lost a call to each endpoint across it before it set it aside, up to 10 s after the onset.

One call lost to another availability zone has the known endpoints of all other zones probed (at most 32 of a service); the lost call goes to the own zone first, whatever its headroom. A probe that failed drops the idle connections. A target whose probe was under way while a call was answered could stay 'being probed' for good; that is mended.

TestLostCallGoesNear, TestOneLostCallHasOtherZonesProbed and the case in TestEndpointComesBackOnceItAnswersAProbe fail without the change; TestSilentNodeLeavesTimeForAnotherAttempt holds that nothing else uses up the time of a lookup whose connection went silent.

--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -74,6 +74,16 @@
 	return r.pickAny(candidates, random)
 }
 
+// PickNear returns the index of a usable candidate in the caller's availability
+// zone, with headroom or without, or -1. It is for a call that was lost on its way
+// to another zone: the caller's zone may be the one that is cut off.
+func (r *Router) PickNear(now time.Duration, candidates []Candidate, random uint64) int {
+	if at := r.pickAt(now, candidates, random, SameZone, true); at >= 0 {
+		return at
+	}
+	return r.pickAt(now, candidates, random, SameZone, false)
+}
+
 // pickHealthy goes from near to far and takes the first distance that has a
 // usable endpoint, with headroom if asked for.
 func (r *Router) pickHealthy(now time.Duration, candidates []Candidate, random uint64, headroom bool) int {
--- a/decision/routing/router_test.go
+++ b/decision/routing/router_test.go
@@ -157,6 +157,51 @@
 	require.Equal(t, []string{"a"}, r.Due(ejectBase+2*ejectBase, nil))
 	r.Probed(3*ejectBase, "a", true)
 	require.Equal(t, "a", pick(3*ejectBase))
+
+	// An answer comes while the probe is under way; the next loss is probed again.
+	r.Start(0, "a")
+	r.Start(0, "a")
+	r.Finish(4*ejectBase, "a", Finished{Outcome: OutcomeSilent})
+	require.Equal(t, []string{"a"}, r.Due(5*ejectBase, nil))
+	r.Finish(5*ejectBase, "a", Finished{Headroom: 9})
+	r.Probed(5*ejectBase, "a", false)
+	require.Equal(t, "a", pick(5*ejectBase))
+	r.Start(0, "a")
+	r.Finish(5*ejectBase, "a", Finished{Outcome: OutcomeUnreachable})
+	require.Equal(t, []string{"a"}, r.Due(6*ejectBase, nil))
+}
+
+func TestLostCallGoesNear(t *testing.T) {
+	r := NewRouter()
+	candidates := []Candidate{{VM: "far", Distance: SameRegion}, {VM: "near"}}
+	r.Start(0, "near")
+	r.Start(0, "near")
+	r.Finish(0, "near", Finished{Headroom: 0})
+	at, _ := r.Pick(0, candidates, 0)
+	require.Equal(t, 0, at, "it spills over")
+	require.Equal(t, 1, r.PickNear(0, candidates, 0), "without headroom")
+	r.Finish(0, "near", Finished{Outcome: OutcomeSilent})
+	require.Equal(t, -1, r.PickNear(0, candidates, 0), "not to one that is set aside")
+}
+
+func TestEndpointInDoubtIsProbedBeforeItLosesACall(t *testing.T) {
+	r := NewRouter()
+	candidates := []Candidate{{VM: "a"}, {VM: "b", Distance: SameRegion}}
+	r.Doubt("unknown")
+	r.Start(0, "a")
+	r.Doubt("a")
+	require.Equal(t, []string{"a"}, r.Due(0, nil))
+	r.Doubt("a")
+	require.Empty(t, r.Due(0, nil), "one probe at a time")
+	at, _ := r.Pick(0, candidates, 0)
+	require.Equal(t, 0, at, "doubt alone takes no calls away")
+	r.Probed(0, "a", false)
+	at, _ = r.Pick(0, candidates, 0)
+	require.Equal(t, 1, at)
+	r.Probed(0, "a", true)
+	r.Doubt("a")
+	r.Finish(0, "a", Finished{})
+	require.Empty(t, r.Due(0, nil), "an answered call proves as much as a probe")
 }
 
 func BenchmarkPick(b *testing.B) {
--- a/decision/routing/target.go
+++ b/decision/routing/target.go
@@ -56,6 +56,7 @@
 	failures     int
 	ejectedUntil time.Duration
 	probing      bool
+	doubted      bool
 	firstSeen    time.Duration
 	// The last report of the endpoint's node.
 	reported       int
@@ -119,6 +120,7 @@
 
 func (t *target) answered(now time.Duration, f Finished) {
 	t.failures = 0
+	t.doubted = false
 	t.reported = f.Headroom
 	t.reportedAt = now
 	t.reportedFlight = t.outstanding
@@ -143,11 +145,19 @@
 	t.ejectedUntil = now + min(ejectBase<<doublings, ejectMax)
 }
 
-// Due appends to out the endpoints whose time aside is over, and counts them as
-// being probed until Probed.
+// Doubt has an endpoint probed that still gets calls: others near it are lost.
+func (r *Router) Doubt(vm string) {
+	if t, known := r.targets[vm]; known {
+		t.doubted = true
+	}
+}
+
+// Due appends to out the endpoints that are in doubt or whose time aside is over,
+// and counts them as being probed until Probed.
 func (r *Router) Due(now time.Duration, out []string) []string {
 	for vm, t := range r.targets {
-		if t.aside() && !t.probing && now >= t.ejectedUntil {
+		due := t.doubted || t.aside() && now >= t.ejectedUntil
+		if due && !t.probing {
 			t.probing = true
 			out = append(out, vm)
 		}
@@ -155,20 +165,22 @@
 	return out
 }
 
-// Probed takes in whether an endpoint answered a probe.
+// Probed takes in whether an endpoint answered a probe. One that did not is set
+// aside, unless a call was answered meanwhile and nothing casts doubt on it.
 func (r *Router) Probed(now time.Duration, vm string, answered bool) {
 	t, known := r.targets[vm]
 	if !known {
 		return
 	}
-	if !t.aside() {
-		return
-	}
-	t.probing = false
-	if !answered {
+	aside, doubted := t.aside(), t.doubted
+	t.probing, t.doubted = false, false
+	switch {
+	case !aside && !doubted:
+	case !answered:
+		t.failures = max(t.failures, ejectFailures-1)
 		t.failed(now)
-		return
+	case aside:
+		t.failures = 0
+		t.hasReport = false
 	}
-	t.failures = 0
-	t.hasReport = false
 }
--- a/demo/platform.sh
+++ b/demo/platform.sh
@@ -11,7 +11,7 @@
 readonly CATALOGUE=examples/dorvakt/catalogue.json
 readonly SETTINGS=examples/dorvakt/deployment.json
 readonly EXPERIMENT=${EXPERIMENT:-demo/platform-dorvakt.json}
-readonly STEP_SECONDS=6
+readonly STEP_SECONDS=4
 
 declare -A commands pids # by the name of the process
 steps=()
--- a/internal/traffic/carry.go
+++ b/internal/traffic/carry.go
@@ -33,6 +33,7 @@
 
 	tried []string
 	free  int
+	near  bool        // an attempt in another zone was lost
 	worst problem.Ran // the worst fate of any attempt so far
 }
 
@@ -54,7 +55,7 @@
 		if !t.mayRun(ctx, o) {
 			return o.settle(held(last))
 		}
-		m, miss := s.pick(t.place(), v.ByService[o.route.Service], o.route.Name, o.priority, o.tried)
+		m, miss := s.pick(t.place(), v.ByService[o.route.Service], o.route.Name, o.priority, o.tried, o.near)
 		if m == nil {
 			return o.settle(t.missed(miss, last, o))
 		}
@@ -217,6 +218,7 @@
 	a, reply, err := t.peers.send(ctx, m.PeerAddress, meta, o.request)
 	if err != nil {
 		one, end := t.lost(ctx, m, err)
+		o.near = o.near || m.AvailabilityZone != t.config.Settings.AvailabilityZone
 		if one.fate == retry.FateUnknown && !o.route.Idempotent {
 			one = t.resume(ctx, m, meta, o, known, one)
 		}
--- a/internal/traffic/failure_test.go
+++ b/internal/traffic/failure_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"github.com/galenacart/galenacart/internal/call"
 	"github.com/galenacart/galenacart/internal/problem"
+	"github.com/galenacart/galenacart/internal/testaddress"
 	"github.com/galenacart/galenacart/internal/view"
 )
 
@@ -40,6 +42,43 @@
 	require.EqualValues(t, 2, deep.runs.Load()+f.nodes["deep-2"].runs.Load())
 }
 
+// TestSilentNodeLeavesTimeForAnotherAttempt cuts a node off, new connections
+// included. Asking it for news must not use up what is left of the call's 3 s.
+func TestSilentNodeLeavesTimeForAnotherAttempt(t *testing.T) {
+	f := newFleet(t)
+	gone := f.add("deep-1", "deep", "a", answerWith("one"))
+	f.add("deep-2", "deep", "b", answerWith("two"))
+	entry := f.add("front-1", "front", "a", answerWith(""))
+	entry.traffic.peers.silence = 1500 * time.Millisecond
+	f.start()
+	r := f.through(gone)
+	require.Equal(t, "one", entry.call(t, "GET", "/deep", "", "").body)
+	hole, err := net.Listen("tcp", testaddress.New()) // accepts nothing
+	require.NoError(t, err)
+	defer func() { _ = hole.Close() }()
+	r.silence()
+	r.lead(hole.Addr().String())
+	require.Equal(t, "two", entry.call(t, "GET", "/deep", "", "").body)
+}
+
+// TestOneLostCallHasOtherZonesProbed holds that endpoints that may be cut off are
+// probed before each of them loses a call.
+func TestOneLostCallHasOtherZonesProbed(t *testing.T) {
+	for _, err := range []error{errSilent, &unsentError{cause: io.EOF}} {
+		f := newFleet(t)
+		entry := f.add("front-1", "front", "a", answerWith(""))
+		for name, zone := range map[string]string{"deep-1": "a", "deep-2": "b", "deep-3": "b", "deep-4": "c"} {
+			f.add(name, "deep", zone, answerWith(""))
+			entry.traffic.targets.service("deep").router.Start(0, name)
+		}
+		f.publish()
+		entry.traffic.lost(t.Context(), entry.holder.Load().ByVM["deep-1"], err)
+		require.Empty(t, entry.traffic.targets.due(), "its own zone is not cut off")
+		entry.traffic.lost(t.Context(), entry.holder.Load().ByVM["deep-2"], err)
+		require.ElementsMatch(t, []string{"deep-2", "deep-3", "deep-4"}, entry.traffic.targets.due()["deep"])
+	}
+}
+
 func TestSlowCallIsNotTakenForASilentConnection(t *testing.T) {
 	f := newFleet(t)
 	deep := f.add("deep-1", "deep", "a", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/traffic/fate.go
+++ b/internal/traffic/fate.go
@@ -19,6 +19,7 @@
 	var unsent *unsentError
 	switch {
 	case errors.As(err, &unsent) && ctx.Err() == nil:
+		t.doubtOthers(m)
 		t.config.Reports.Send(view.Report{Kind: view.ReportPeerUnreachable, VM: m.VM})
 		a := failed(problem.New(problem.KindUnreachable, problem.RanNo, "VM %s can't be reached", m.VM))
 		return try{answer: a, fate: retry.FateNotSent}, routing.Finished{Outcome: routing.OutcomeUnreachable}
@@ -26,6 +27,7 @@
 		a := failed(problem.New(problem.KindDeadline, problem.RanNo, "no time was left"))
 		return try{answer: a, fate: retry.FateNotSent, final: true}, routing.Finished{Outcome: routing.OutcomeAbandoned}
 	case errors.Is(err, errSilent):
+		t.doubtOthers(m)
 		t.config.Log.Emit(event.ConnectionSilent, "", event.F("vm", m.VM))
 		a := failed(problem.New(problem.KindConnectionLost, problem.RanUnknown, "the connection to VM %s went silent", m.VM))
 		return try{answer: a, fate: retry.FateUnknown, silent: true}, routing.Finished{Outcome: routing.OutcomeSilent}
@@ -42,6 +44,15 @@
 	}
 }
 
+// doubtOthers has the endpoints of other availability zones probed after a call
+// to one was lost.
+func (t *Traffic) doubtOthers(m *view.Member) {
+	own := t.config.Settings.AvailabilityZone
+	if m.AvailabilityZone != own {
+		t.targets.doubt(t.config.View.Load(), own)
+	}
+}
+
 // resume asks a node what became of a non-idempotent call whose answer was
 // lost. Only the very process that got the call can tell.
 func (t *Traffic) resume(ctx context.Context, m *view.Member, meta *call.Meta, o *outgoing, incarnation uint64, lost try) try {
--- a/internal/traffic/targets.go
+++ b/internal/traffic/targets.go
@@ -73,6 +73,31 @@
 	return s
 }
 
+// doubtsMax bounds the endpoints of a service that one lost call casts doubt on.
+const doubtsMax = 32
+
+// doubt has the known endpoints of other availability zones probed, after a call
+// to one was lost: a zone may be cut off, also the node's own one.
+func (t *targets) doubt(v *view.View, own string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, s := range t.services {
+		s.doubt(v.ByService[name], own)
+	}
+}
+
+func (s *service) doubt(members []*view.Member, own string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, m := range members {
+		if m.AvailabilityZone != own && count < doubtsMax {
+			s.router.Doubt(m.VM)
+			count++
+		}
+	}
+}
+
 // retain forgets endpoints that left the view.
 func (t *targets) retain(v *view.View) {
 	t.mu.Lock()
@@ -104,8 +129,9 @@
 }
 
 // pick chooses the endpoint for a call and counts the attempt. tried holds the
-// VMs to which the call was sent before.
-func (s *service) pick(from place, members []*view.Member, route string, p priority.Priority, tried []string) (*view.Member, routing.Miss) {
+// VMs to which the call was sent before. near asks for the own availability zone
+// first, whatever its headroom.
+func (s *service) pick(from place, members []*view.Member, route string, p priority.Priority, tried []string, near bool) (*view.Member, routing.Miss) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -120,7 +146,13 @@
 			Shedding: s.thresholds.Refuse(now, targetOf(m.VM, route), p),
 		})
 	}
-	at, miss := s.router.Pick(now, s.candidates, rand.Uint64())
+	at, miss := -1, routing.MissNone
+	if near {
+		at = s.router.PickNear(now, s.candidates, rand.Uint64())
+	}
+	if at < 0 {
+		at, miss = s.router.Pick(now, s.candidates, rand.Uint64())
+	}
 	if at < 0 {
 		return nil, miss
 	}
--- a/internal/traffic/watch.go
+++ b/internal/traffic/watch.go
@@ -123,8 +123,10 @@
 	if err != nil {
 		return false
 	}
-	response, err := t.peers.link(m.PeerAddress).transport.RoundTrip(r)
+	transport := t.peers.link(m.PeerAddress).transport
+	response, err := transport.RoundTrip(r)
 	if err != nil {
+		transport.CloseIdleConnections() // the next ping tries a new one
 		return false
 	}
 	return response.Body.Close() == nil && response.StatusCode == http.StatusNoContent
