Open the four programs and read their documents in one place each

Cause: reading a file, decoding it and turning faults into an error stood in four packages beside strictjson.Load, and each program repeated its opening. Change: internal/load/{deployment,experiment,runner}, internal/inspect and the capacity command use strictjson.Load and DecodeChecked; internal/program holds flags, help, version and signals of all programs. ReadAddresses stays as it was: its file is no JSON document. progress.show still writes under its lock, with the reason beside it: stop must not return while it writes, because the final answer follows on the same writer, so any other way waits for the write too. Conclusion: behaviour is as before, but for one place: galenacart-ctl -h ends with 0, as the other programs did.

--- a/cmd/galenacart-ctl/main.go
+++ b/cmd/galenacart-ctl/main.go
@@ -3,21 +3,17 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
 
-	"github.com/galenacart/galenacart/internal/version"
+	"github.com/galenacart/galenacart/internal/program"
 )
 
-// program is the name of the command.
-const program = "galenacart-ctl"
+// name is the name of the command.
+const name = "galenacart-ctl"
 
 func main() {
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
@@ -26,20 +22,8 @@
 // run executes one subcommand and returns the exit code: 0 done and good, 1
 // failed or not good, 2 bad usage.
 func run(args []string, stdout, stderr io.Writer) int {
-	flags := flag.NewFlagSet(program, flag.ContinueOnError)
-	flags.SetOutput(stderr)
-	commander := subcommands.NewCommander(flags, program)
-	commander.Output, commander.Error = stdout, stderr
-	commander.Register(commander.HelpCommand(), "")
-	commander.Register(commander.FlagsCommand(), "")
-	commander.Register(version.Command(), "")
-	register(commander, terminal{stdout, stderr})
-	if err := flags.Parse(args); err != nil {
-		return int(subcommands.ExitUsageError)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return int(commander.Execute(ctx))
+	p := program.Program{Name: name, Out: stdout, Errors: stderr}
+	return p.Run(args, func(c *subcommands.Commander) { register(c, terminal{stdout, stderr}) })
 }
 
 func register(c *subcommands.Commander, t terminal) {
@@ -64,7 +48,7 @@
 
 // misuse reports wrong arguments.
 func (t terminal) misuse(format string, args ...any) subcommands.ExitStatus {
-	_, _ = fmt.Fprintf(t.errors, program+": "+format+"\n", args...) // there is nowhere else to report to
+	_, _ = fmt.Fprintf(t.errors, name+": "+format+"\n", args...) // there is nowhere else to report to
 	return subcommands.ExitUsageError
 }
 
--- a/cmd/galenacart-load/capacity.go
+++ b/cmd/galenacart-load/capacity.go
@@ -147,10 +147,10 @@
 }
 
 func readMeasured(file string) (*planning.Measured, error) {
-	data, err := strictjson.ReadFile(file, maxMeasuredBytes)
-	if err != nil {
-		return nil, err
-	}
+	return strictjson.Load(file, maxMeasuredBytes, decodeMeasured)
+}
+
+func decodeMeasured(file string, data []byte) (*planning.Measured, error) {
 	m := &planning.Measured{}
 	return m, strictjson.Decode(file, data, m)
 }
--- a/cmd/galenacart-load/main.go
+++ b/cmd/galenacart-load/main.go
@@ -3,27 +3,22 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
 
-	"github.com/galenacart/galenacart/internal/version"
+	"github.com/galenacart/galenacart/internal/program"
 )
 
+// name is the name of the command.
+const name = "galenacart-load"
+
 func main() {
-	os.Exit(run())
+	os.Exit(program.New(name).Run(os.Args[1:], register))
 }
 
-func run() int {
-	commander := subcommands.NewCommander(flag.CommandLine, "galenacart-load")
-	commander.Register(commander.HelpCommand(), "")
-	commander.Register(commander.FlagsCommand(), "")
-	commander.Register(version.Command(), "")
+func register(commander *subcommands.Commander) {
 	commander.Register(&layoutCommand{}, "deployments")
 	commander.Register(&runCommand{}, "experiments")
 	commander.Register(&compareCommand{}, "experiments")
@@ -33,20 +28,16 @@
 	commander.Register(&checkPlatformCommand{}, "experiments")
 	commander.Register(&overheadCommand{}, "experiments")
 	commander.Register(&capacityCommand{}, "experiments")
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return int(commander.Execute(ctx))
 }
 
 // badUsage prints an error of flags or input files.
 func badUsage(err error) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "galenacart-load:", err)
+	fmt.Fprintln(os.Stderr, name+":", err)
 	return subcommands.ExitUsageError
 }
 
 // failed prints an error of the work itself.
 func failed(err error) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "galenacart-load:", err)
+	fmt.Fprintln(os.Stderr, name+":", err)
 	return subcommands.ExitFailure
 }
--- a/cmd/galenacart-node/main.go
+++ b/cmd/galenacart-node/main.go
@@ -6,27 +6,25 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
 
 	"github.com/galenacart/galenacart/internal/node"
+	"github.com/galenacart/galenacart/internal/program"
 	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/version"
 )
 
+// name is the name of the command.
+const name = "galenacart-node"
+
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&runCommand{}, "")
-	subcommands.Register(&checkCommand{}, "")
-	subcommands.Register(version.Command(), "")
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	code := subcommands.Execute(ctx)
-	stop()
-	os.Exit(int(code))
+	os.Exit(program.New(name).Run(os.Args[1:], register))
+}
+
+func register(commander *subcommands.Commander) {
+	commander.Register(&runCommand{}, "")
+	commander.Register(&checkCommand{}, "")
 }
 
 // runCommand runs a node until SIGTERM, which is the planned stop.
@@ -97,7 +95,7 @@
 
 func readSettings(file string) (*settings.Node, subcommands.ExitStatus) {
 	if file == "" {
-		fmt.Fprintln(os.Stderr, "galenacart-node: -settings: name the settings file")
+		fmt.Fprintln(os.Stderr, name+": -settings: name the settings file")
 		return nil, subcommands.ExitUsageError
 	}
 	s, err := settings.ReadFile(file)
@@ -108,6 +106,6 @@
 }
 
 func fail(err error) subcommands.ExitStatus {
-	fmt.Fprintf(os.Stderr, "galenacart-node: %v\n", err)
+	fmt.Fprintf(os.Stderr, name+": %v\n", err)
 	return subcommands.ExitFailure
 }
--- a/cmd/galenacart-standin/change.go
+++ b/cmd/galenacart-standin/change.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	if err := c.send(ctx, body); err != nil {
-		fmt.Fprintln(os.Stderr, "galenacart-standin:", err)
+		fmt.Fprintln(os.Stderr, name+":", err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
--- a/cmd/galenacart-standin/commands.go
+++ b/cmd/galenacart-standin/commands.go
@@ -138,7 +138,7 @@
 }
 
 func badUsage(err error) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "galenacart-standin:", err)
+	fmt.Fprintln(os.Stderr, name+":", err)
 	return subcommands.ExitUsageError
 }
 
--- a/cmd/galenacart-standin/main.go
+++ b/cmd/galenacart-standin/main.go
@@ -4,32 +4,27 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
 
-	"github.com/galenacart/galenacart/internal/version"
+	"github.com/galenacart/galenacart/internal/program"
 )
 
+// name is the name of the command.
+const name = "galenacart-standin"
+
 func main() {
 	os.Exit(run())
 }
 
 func run() int {
-	commander := subcommands.NewCommander(flag.CommandLine, "galenacart-standin")
-	commander.Register(commander.HelpCommand(), "")
-	commander.Register(commander.FlagsCommand(), "")
-	commander.Register(version.Command(), "")
+	return program.New(name).Run(os.Args[1:], register)
+}
+
+func register(commander *subcommands.Commander) {
 	commander.Register(&platformCommand{}, "stand-ins")
 	commander.Register(&endpointCommand{}, "stand-ins")
 	commander.Register(&relayCommand{}, "stand-ins")
 	commander.Register(&changeCommand{}, "experiments")
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	return int(commander.Execute(ctx))
 }
--- a/internal/inspect/addresses.go
+++ b/internal/inspect/addresses.go
@@ -38,14 +38,10 @@
 // ReadVMs reads a VM list and returns the status address of each VM: the IP
 // address of its node with the given port.
 func ReadVMs(file string, port uint16) ([]string, error) {
-	data, err := strictjson.ReadFile(file, maxListBytes)
+	list, err := strictjson.Load(file, maxListBytes, decodeVMs)
 	if err != nil {
 		return nil, err
 	}
-	list, err := vmlist.Decode(data)
-	if err != nil {
-		return nil, errors.Wrap(err, file)
-	}
 	addresses := make([]string, 0, len(list.VMs))
 	for _, vm := range list.VMs {
 		peer, err := netip.ParseAddrPort(vm.PeerAddress)
@@ -57,6 +53,11 @@
 	return addresses, nil
 }
 
+func decodeVMs(file string, data []byte) (*vmlist.List, error) {
+	list, err := vmlist.Decode(data)
+	return list, errors.Wrap(err, file)
+}
+
 // CheckAddress refuses what is no IP address with a port.
 func CheckAddress(address string) error {
 	a, err := netip.ParseAddrPort(address)
--- a/internal/load/deployment/deployment.go
+++ b/internal/load/deployment/deployment.go
@@ -77,21 +77,10 @@
 
 // Decode reads and checks a deployment. The error is a *strictjson.Faults.
 func Decode(file string, data []byte) (*Deployment, error) {
-	d := &Deployment{}
-	if err := strictjson.Decode(file, data, d); err != nil {
-		return nil, err
-	}
-	if faults := d.check(); len(faults) > 0 {
-		return nil, &strictjson.Faults{File: file, List: faults}
-	}
-	return d, nil
+	return strictjson.DecodeChecked(file, data, (*Deployment).check)
 }
 
 // ReadFile reads and checks the deployment in a file.
 func ReadFile(file string) (*Deployment, error) {
-	data, err := strictjson.ReadFile(file, maxBytes)
-	if err != nil {
-		return nil, err
-	}
-	return Decode(file, data)
+	return strictjson.Load(file, maxBytes, Decode)
 }
--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -132,23 +132,14 @@
 // Decode reads and checks an experiment against the catalogue that it runs
 // with. The error is a *strictjson.Faults.
 func Decode(file string, data []byte, c *catalogue.Catalogue) (*Experiment, error) {
-	e := &Experiment{}
-	if err := strictjson.Decode(file, data, e); err != nil {
-		return nil, err
-	}
-	if faults := e.check(c); len(faults) > 0 {
-		return nil, &strictjson.Faults{File: file, List: faults}
-	}
-	return e, nil
+	return strictjson.DecodeChecked(file, data, func(e *Experiment) []strictjson.Fault { return e.check(c) })
 }
 
 // ReadFile reads and checks the experiment in a file.
 func ReadFile(file string, c *catalogue.Catalogue) (*Experiment, error) {
-	data, err := strictjson.ReadFile(file, maxBytes)
-	if err != nil {
-		return nil, err
-	}
-	return Decode(file, data, c)
+	return strictjson.Load(file, maxBytes, func(file string, data []byte) (*Experiment, error) {
+		return Decode(file, data, c)
+	})
 }
 
 func (e *Experiment) check(c *catalogue.Catalogue) []strictjson.Fault {
--- a/internal/load/runner/targets.go
+++ b/internal/load/runner/targets.go
@@ -70,18 +70,18 @@
 
 // ReadTargets reads and checks the targets in a file.
 func ReadTargets(file string) (*Targets, error) {
-	data, err := strictjson.ReadFile(file, maxTargetsBytes)
-	if err != nil {
-		return nil, err
-	}
-	t := &Targets{}
-	if err := strictjson.Decode(file, data, t); err != nil {
-		return nil, err
-	}
+	return strictjson.Load(file, maxTargetsBytes, decodeTargets)
+}
+
+func decodeTargets(file string, data []byte) (*Targets, error) {
+	return strictjson.DecodeChecked(file, data, (*Targets).check)
+}
+
+func (t *Targets) check() []strictjson.Fault {
 	if err := validator.New().Struct(t); err != nil {
-		return nil, &strictjson.Faults{File: file, List: []strictjson.Fault{{Reason: err.Error()}}}
+		return []strictjson.Fault{{Reason: err.Error()}}
 	}
-	return t, nil
+	return nil
 }
 
 // Apart returns the nodes of all services but one, and that one's endpoints.
--- a/internal/traffic/progress.go
+++ b/internal/traffic/progress.go
@@ -30,6 +30,8 @@
 	return p
 }
 
+// show writes under the lock, because stop must not return while it writes: the
+// final answer follows on the same writer.
 func (p *progress) show() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
