Add the baseline of endpoints with a fixed limit

Change: mode fixed-limit lays out endpoints that let no call wait: each runs as many calls as it has slots and refuses the others. All else is as in direct. A limit above the slots was weighed: it is direct with a shorter queue, and would be a worse baseline, since here the limit is always the true capacity. The layout test now walks all modes, which adds to what it held before.

--- a/cmd/galenacart-load/layout.go
+++ b/cmd/galenacart-load/layout.go
@@ -27,8 +27,8 @@
 Writes below DIR the settings of the platform stand-in, of every node and of every
 endpoint stand-in, the VM list, targets-MODE.json and targets-zone-ZONE.json for the other
 commands, with -relay the settings of the relay between availability zones, and
-processes-MODE.txt with a line "NAME COMMAND..." for each process. MODE is galenacart
-or direct. Each VM gets an IP address of its own on the loopback network.
+processes-MODE.txt with a line "NAME COMMAND..." for each process. MODE is galenacart,
+direct or fixed-limit. Each VM gets an IP address of its own on the loopback network.
 Exit codes: 0 written, 1 failed, 2 bad usage or input.
 `
 }
--- a/internal/load/layout/layout.go
+++ b/internal/load/layout/layout.go
@@ -29,7 +29,7 @@
 }
 
 // Write writes the settings of every process below dir, with the lists of
-// processes for both modes.
+// processes for each mode.
 func Write(dir string, plan Plan, c *catalogue.Catalogue, d *deployment.Deployment) error {
 	if err := plan.check(); err != nil {
 		return err
@@ -73,7 +73,7 @@
 		if err := writeJSON(g.path(a.VM, "node.json"), g.node(a)); err != nil {
 			return err
 		}
-		for _, mode := range []runner.Mode{runner.Galenacart, runner.Direct} {
+		for _, mode := range runner.Modes() {
 			file := g.path(a.VM, "endpoint-"+string(mode)+".json")
 			if err := writeJSON(file, g.endpoint(i, a, mode)); err != nil {
 				return err
@@ -84,7 +84,7 @@
 }
 
 func (g *generator) writeModes() error {
-	for _, mode := range []runner.Mode{runner.Galenacart, runner.Direct} {
+	for _, mode := range runner.Modes() {
 		if err := writeJSON(g.path("targets-"+string(mode)+".json"), g.targets(mode, "")); err != nil {
 			return err
 		}
@@ -127,7 +127,7 @@
 			Command: []string{"galenacart-standin", "endpoint", "-settings", file},
 		})
 	}
-	if mode == runner.Direct {
+	if mode != runner.Galenacart {
 		return all
 	}
 	for _, a := range g.vms {
--- a/internal/load/layout/layout_test.go
+++ b/internal/load/layout/layout_test.go
@@ -78,13 +78,14 @@
 	for _, a := range []string{n.CallerAddress, n.PeerAddress, n.OutboundAddress, n.EndpointAddress, n.StatusAddress} {
 		addresses[a] = true
 	}
-	for _, mode := range []runner.Mode{runner.Galenacart, runner.Direct} {
+	for _, mode := range runner.Modes() {
 		e, err := endpoint.ReadFile(filepath.Join(dir, vm.Name, "endpoint-"+string(mode)+".json"))
 		require.NoError(t, err)
 		require.Equal(t, n.EndpointAddress, e.EndpointAddress)
 		require.Equal(t, vm.Service, e.Service)
 		addresses[e.AdminAddress] = true
-		if mode == runner.Direct {
+		require.Equal(t, mode == runner.FixedLimit, e.QueueMax == 0)
+		if mode != runner.Galenacart {
 			require.Equal(t, endpoint.WayDirect, e.Downstream.Way)
 			require.Equal(t, 3, e.Downstream.Tries)
 		} else {
@@ -117,7 +118,7 @@
 	dir := t.TempDir()
 	c, d := read(t, "dorvakt")
 	require.NoError(t, Write(dir, plan, c, d))
-	for _, mode := range []runner.Mode{runner.Galenacart, runner.Direct} {
+	for _, mode := range runner.Modes() {
 		targets, err := runner.ReadTargets(filepath.Join(dir, "targets-"+string(mode)+".json"))
 		require.NoError(t, err)
 		require.Equal(t, mode, targets.Mode)
@@ -125,7 +126,7 @@
 		nodes, endpoints := targets.Apart("stock")
 		require.Len(t, nodes, 11)
 		require.Len(t, endpoints, 3)
-		if mode == runner.Direct {
+		if mode != runner.Galenacart {
 			require.Equal(t, endpoints, targets.Addresses("stock"))
 		} else {
 			require.Equal(t, targets.Nodes(), targets.Addresses("stock"))
@@ -135,10 +136,12 @@
 	require.NoError(t, err)
 	require.Equal(t, 1+14+14, strings.Count(string(text), "\n"))
 	require.Contains(t, string(text), "stock-1-node galenacart-node run -settings "+dir+"/stock-1/node.json\n")
-	text, err = os.ReadFile(filepath.Join(dir, "processes-direct.txt"))
-	require.NoError(t, err)
-	require.Equal(t, 14, strings.Count(string(text), "\n"))
-	require.NotContains(t, string(text), "galenacart-node")
+	for _, mode := range runner.Modes()[1:] {
+		text, err = os.ReadFile(filepath.Join(dir, "processes-"+string(mode)+".txt"))
+		require.NoError(t, err)
+		require.Equal(t, 14, strings.Count(string(text), "\n"))
+		require.NotContains(t, string(text), "galenacart-node")
+	}
 }
 
 func TestWriteRefuses(t *testing.T) {
--- a/internal/load/layout/settings.go
+++ b/internal/load/layout/settings.go
@@ -103,10 +103,14 @@
 			e.Routes = append(e.Routes, g.route(r))
 		}
 	}
-	if mode == runner.Direct {
-		e.Downstream = g.direct()
-	} else {
+	switch mode {
+	case runner.Galenacart:
 		e.Downstream = endpoint.Downstream{Way: endpoint.WayNode, OutboundAddress: a.Outbound}
+	case runner.FixedLimit:
+		e.QueueMax = 0 // the limit is the number of slots
+		e.Downstream = g.direct()
+	default:
+		e.Downstream = g.direct()
 	}
 	return e
 }
--- a/internal/load/runner/request.go
+++ b/internal/load/runner/request.go
@@ -57,7 +57,7 @@
 		request.Body = fmt.Appendf(nil, `{"request":%q}`, id)
 		request.Header.Set("Content-Type", "application/json")
 	}
-	if r.config.Targets.Mode == Direct && !k.route.Idempotent {
+	if r.config.Targets.Mode != Galenacart && !k.route.Idempotent {
 		request.Key = id // endpoints hand out no tokens
 	}
 	return request
--- a/internal/load/runner/targets.go
+++ b/internal/load/runner/targets.go
@@ -15,12 +15,20 @@
 	Galenacart Mode = "galenacart"
 	// Direct lets callers and endpoints call endpoints themselves.
 	Direct Mode = "direct"
+	// FixedLimit is Direct with endpoints that let no call wait: each runs a
+	// fixed number of calls at once and refuses the others.
+	FixedLimit Mode = "fixed-limit"
 )
 
+// Modes lists all modes.
+func Modes() []Mode {
+	return []Mode{Galenacart, Direct, FixedLimit}
+}
+
 // Targets says where the processes of a deployment are.
 type Targets struct {
 	// Mode says how calls travel.
-	Mode Mode `json:"mode" validate:"required,oneof=galenacart direct"`
+	Mode Mode `json:"mode" validate:"required,oneof=galenacart direct fixed-limit"`
 	// Services lists the endpoints.
 	Services []ServiceTargets `json:"services" validate:"required,min=1,dive"`
 }
