Name the pointer of every fault in experiments, deployments and targets

Cause: these three documents used a validator of their own, whose errors name Go fields and no JSON pointer; and strictjson.Validate, which the others use, panicked at a wrong value of a named text type, such as the kind of a phase. Change: the three use strictjson.Validate, and it takes named text types. The tests want the pointer and the reason in place of the Go field's name, which is more than before; "unknown kind" panics without the mend. Conclusion: every document of operators is checked by one validator.

--- a/internal/load/deployment/check.go
+++ b/internal/load/deployment/check.go
@@ -3,18 +3,12 @@
 import (
 	"fmt"
 
-	"github.com/go-playground/validator/v10"
-
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/strictjson"
 )
 
 func (d *Deployment) check() []strictjson.Fault {
-	var faults []strictjson.Fault
-	if err := validator.New().Struct(d); err != nil {
-		faults = append(faults, strictjson.Fault{Reason: err.Error()})
-	}
-	faults = append(faults, d.checkVMs()...)
+	faults := append(strictjson.Validate(d), d.checkVMs()...)
 	return append(faults, d.checkRoutes()...)
 }
 
--- a/internal/load/deployment/deployment_test.go
+++ b/internal/load/deployment/deployment_test.go
@@ -86,8 +86,8 @@
 		{"two VMs of one name", `"name": "bookings-2"`, `"name": "bookings-1"`, `/services/0/vms/1/name: second VM named "bookings-1"`},
 		{"unknown call", `"assign-technician"`, `"assign"`, `/routes/1/calls/0: no such route: "assign"`},
 		{"route that calls itself", `"reserve-part"`, `"book-repair"`, `route "book-repair" calls itself`},
-		{"no slots", `"slots": 70`, `"slots": 0`, "Slots"},
-		{"short key", `dorvakt-example-fleet-key`, `short`, "FleetKey"},
+		{"no slots", `"slots": 70`, `"slots": 0`, "/services/0/vms/0/slots: the value is missing or zero; want at least 1"},
+		{"short key", `dorvakt-example-fleet-key`, `short`, "/fleetKey: have 5 characters; want at least 16"},
 	}
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
--- a/internal/load/experiment/experiment.go
+++ b/internal/load/experiment/experiment.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/go-playground/validator/v10"
-
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/strictjson"
 )
@@ -143,10 +141,7 @@
 }
 
 func (e *Experiment) check(c *catalogue.Catalogue) []strictjson.Fault {
-	var faults []strictjson.Fault
-	if err := validator.New().Struct(e); err != nil {
-		faults = append(faults, strictjson.Fault{Reason: err.Error()})
-	}
+	faults := strictjson.Validate(e)
 	if e.Duration() > MaxDuration {
 		faults = append(faults, strictjson.Fault{
 			Pointer: "/phases",
--- a/internal/load/experiment/experiment_test.go
+++ b/internal/load/experiment/experiment_test.go
@@ -42,11 +42,11 @@
 		{"unknown route", `"route": "spare-part"`, `"route": "spare"`, `/phases/0/rates/2/route: no route of callers in the catalogue: "spare"`},
 		{"internal route", `"route": "spare-part"`, `"route": "door-parts"`, "/phases/0/rates/2/route"},
 		{"unknown service", `"service": "stock"`, `"service": "stick"`, `/phases/2/slow/0/service: no such service: "stick"`},
-		{"unknown kind", `"kind": "steady"`, `"kind": "steadfast"`, "Kind"},
+		{"unknown kind", `"kind": "steady"`, `"kind": "steadfast"`, `/phases/1/kind: have "steadfast"; want one of warmup, steady`},
 		{"too long", `"durationMs": 3000`, `"durationMs": 1799000`, "/phases"},
-		{"no bound on requests", `"maxRequests": 50000`, `"maxRequests": 0`, "MaxRequests"},
-		{"negative rate", `"perSecond": 15`, `"perSecond": -1`, "PerSecond"},
-		{"no sends", `"maxSends": 10`, `"maxSends": 0`, "MaxSends"},
+		{"no bound on requests", `"maxRequests": 50000`, `"maxRequests": 0`, "/maxRequests: the value is missing or zero; want at least 1"},
+		{"negative rate", `"perSecond": 15`, `"perSecond": -1`, "/phases/0/rates/0/perSecond: have -1; want at least 0"},
+		{"no sends", `"maxSends": 10`, `"maxSends": 0`, "/resends/maxSends: the value is missing or zero; want at least 1"},
 		{"empty", good, "", "the document is empty"},
 	}
 	for _, c := range cases {
--- a/internal/load/runner/targets.go
+++ b/internal/load/runner/targets.go
@@ -1,8 +1,6 @@
 package runner
 
 import (
-	"github.com/go-playground/validator/v10"
-
 	"github.com/galenacart/galenacart/internal/strictjson"
 )
 
@@ -82,14 +80,7 @@
 }
 
 func decodeTargets(file string, data []byte) (*Targets, error) {
-	return strictjson.DecodeChecked(file, data, (*Targets).check)
-}
-
-func (t *Targets) check() []strictjson.Fault {
-	if err := validator.New().Struct(t); err != nil {
-		return []strictjson.Fault{{Reason: err.Error()}}
-	}
-	return nil
+	return strictjson.DecodeChecked(file, data, func(t *Targets) []strictjson.Fault { return strictjson.Validate(t) })
 }
 
 // Apart returns the nodes of all services but one, and that one's endpoints.
--- a/internal/strictjson/validate.go
+++ b/internal/strictjson/validate.go
@@ -66,7 +66,7 @@
 // haveText describes a text. One of a wrong length isn't repeated: it may be
 // long, or a secret.
 func haveText(e validator.FieldError) string {
-	text := e.Value().(string)
+	text := reflect.ValueOf(e.Value()).String() // also of a named type
 	if e.Tag() == "min" || e.Tag() == "max" {
 		return fmt.Sprintf("have %d%s", utf8.RuneCountInString(text), unitOf(e.Kind()))
 	}
