Say how each overload ended and which bounds a run met

Cause: the report knew one recovery, of all classes after the last overload; latency after it stood against nothing; and the bounds were compared by hand. Change: the report has, for each overload and class, goodput of ideal, recovery, the level and p99 from 1 s after it up to the next one, and p99 over that of the steady phases before. The recovery of the whole run is that of the last overload, as before; the steady phases now have to come before it, which they do in all experiments. Conclusion: nobody has to compare by hand, and a missed bound shows.

--- a/cmd/galenacart-load/overhead.go
+++ b/cmd/galenacart-load/overhead.go
@@ -121,6 +121,11 @@
 	if err == nil {
 		_, err = fmt.Printf("%-12s %8s %8s %10.3f %10s %10.3f\n", "added", "", "", toMs(r.AddedP50Micros), "", toMs(r.AddedP99Micros))
 	}
+	for _, check := range r.Checks() {
+		if err == nil {
+			_, err = fmt.Printf("%s: %s\n", check.Name, check.Text())
+		}
+	}
 	return errors.Wrap(err, "print result")
 }
 
--- a/cmd/galenacart-load/run.go
+++ b/cmd/galenacart-load/run.go
@@ -133,10 +133,11 @@
 // write writes the answers, the report and the plot, and prints the report.
 func (c *runCommand) write(config runner.Config, outcomes []outcome.Outcome, stopped bool) error {
 	in := report.Input{
-		Label:      c.label,
-		Experiment: config.Experiment,
-		Classes:    classNames(config.Catalogue),
-		Outcomes:   outcomes,
+		Label:       c.label,
+		Experiment:  config.Experiment,
+		Classes:     classNames(config.Catalogue),
+		Outcomes:    outcomes,
+		RetryBudget: config.Catalogue.Retry.BudgetPerRequest,
 	}
 	r := report.New(in)
 	r.Stopped = stopped
--- a/internal/load/experiment/experiment_test.go
+++ b/internal/load/experiment/experiment_test.go
@@ -19,15 +19,24 @@
 }
 
 func TestDemoExperimentsAreValid(t *testing.T) {
-	for _, name := range []string{"dorvakt", "zampa"} {
-		e, err := ReadFile("../../../demo/overload-"+name+".json", readCatalogue(t, name))
+	for name, overloads := range map[string]int{"dorvakt": 1, "zampa": 1, "twice": 2} {
+		of := name
+		if name == "twice" {
+			of = "dorvakt"
+		}
+		e, err := ReadFile("../../../demo/overload-"+name+".json", readCatalogue(t, of))
 		require.NoError(t, err)
-		kinds := map[Kind]bool{}
+		kinds := map[Kind]int{}
 		for _, p := range e.Phases {
-			kinds[p.Kind] = true
+			kinds[p.Kind]++
+			require.Equal(t, p.Kind == Overload, len(p.Slow) > 0, p.Name)
+		}
+		require.Positive(t, kinds[Steady])
+		require.Equal(t, overloads, kinds[Overload])
+		require.Equal(t, overloads, kinds[Recovery])
+		if overloads == 1 {
+			require.Less(t, 2*e.Duration(), 60*time.Second, "the demo plays it twice in 90 s, with the build")
 		}
-		require.True(t, kinds[Steady] && kinds[Overload] && kinds[Recovery])
-		require.Less(t, 2*e.Duration(), 60*time.Second, "the demo plays it twice in 90 s, with the build")
 	}
 }
 
--- a/internal/load/overhead/overhead.go
+++ b/internal/load/overhead/overhead.go
@@ -16,6 +16,7 @@
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/load/arrival"
 	"github.com/galenacart/galenacart/internal/load/experiment"
+	"github.com/galenacart/galenacart/internal/load/report"
 	"github.com/galenacart/galenacart/internal/standin/endpoint"
 )
 
@@ -64,6 +65,29 @@
 	AddedP99Micros int64 `json:"addedP99Micros"`
 }
 
+// Bounds of the time that two nodes add at the 0.99 quantile, in microseconds.
+const (
+	targetMicros = 500
+	boundMicros  = 1100
+)
+
+// Checks compares the result with the target and with the users' bound.
+func (r *Result) Checks() []report.Check {
+	var all []report.Check
+	for _, most := range []int64{targetMicros, boundMicros} {
+		all = append(all, report.Check{
+			Name:  fmt.Sprintf("p99 added ≤ %.1f ms", toMs(most)),
+			Value: fmt.Sprintf("%.3f ms", toMs(r.AddedP99Micros)),
+			Met:   r.AddedP99Micros <= most,
+		})
+	}
+	return all
+}
+
+func toMs(micros int64) float64 {
+	return float64(micros) / 1000
+}
+
 // Bounds of the histograms, in microseconds.
 const (
 	lowestMicros      = 1
--- a/internal/load/overhead/overhead_test.go
+++ b/internal/load/overhead/overhead_test.go
@@ -47,3 +47,10 @@
 	_, err = Run(t.Context(), c)
 	require.ErrorContains(t, err, "idempotent")
 }
+
+func TestChecks(t *testing.T) {
+	for added, met := range map[int64][]bool{500: {true, true}, 501: {false, true}, 1101: {false, false}} {
+		checks := (&Result{AddedP99Micros: added}).Checks()
+		require.Equal(t, met, []bool{checks[0].Met, checks[1].Met}, "%d", added)
+	}
+}
--- a/internal/load/report/ideal.go
+++ b/internal/load/report/ideal.go
@@ -27,6 +27,21 @@
 	return nil
 }
 
+// OfIdeal returns the rate of whole answers that came during the phase, divided
+// by the best possible, over all classes; or 0 when that wasn't worked out.
+func (p *PhaseResult) OfIdeal() float64 {
+	answered, best := 0.0, 0.0
+	for i := range p.Classes {
+		c := &p.Classes[i]
+		answered += c.OfIdeal * c.IdealPerSecond
+		best += c.IdealPerSecond
+	}
+	if best == 0 {
+		return 0
+	}
+	return answered / best
+}
+
 // answered counts the whole answers to requests of a class that came during a
 // phase, whenever the requests arrived.
 func (r *Report) answered(in Input, phase int, class string) int {
--- a/internal/load/report/report.go
+++ b/internal/load/report/report.go
@@ -28,12 +28,29 @@
 	SendLagP99Ms float64 `json:"sendLagP99Ms"`
 	// Phases holds the figures of each phase.
 	Phases []PhaseResult `json:"phases"`
-	// Recovery says how overload ended.
+	// Overloads says how each overload ended.
+	Overloads []Overload `json:"overloads,omitempty"`
+	// Recovery says how the last overload ended for all classes together.
 	Recovery Recovery `json:"recovery"`
+	// RetryBudget is the number of extra attempts that a request may cause; 0
+	// when it is not known.
+	RetryBudget int `json:"retryBudget,omitempty"`
 	// Series holds the course over time.
 	Series []Point `json:"series"`
 	// Truth holds what the endpoints' own logs say; nil when there were none.
 	Truth *Truth `json:"truth,omitempty"`
+	// Order holds what they say of the order of importance; nil when there were
+	// none.
+	Order *Order `json:"order,omitempty"`
+}
+
+// Order counts requests that were refused for want of capacity or time.
+type Order struct {
+	// Refused counts those of classes that are not the least important.
+	Refused int `json:"refused"`
+	// Violations counts those that a less important request, which arrived
+	// later, was preferred to.
+	Violations int `json:"violations"`
 }
 
 // PhaseResult is the figures of one phase.
@@ -104,6 +121,8 @@
 	Classes []string
 	// Outcomes holds what became of each request.
 	Outcomes []outcome.Outcome
+	// RetryBudget is the number of extra attempts that a request may cause.
+	RetryBudget int
 }
 
 // New works out a report.
@@ -114,7 +133,11 @@
 		Seed:         in.Experiment.Seed,
 		SendLagP99Ms: sendLag(in.Outcomes),
 		Series:       newSeries(in),
-		Recovery:     newRecovery(in),
+		Overloads:    newOverloads(in),
+		RetryBudget:  in.RetryBudget,
+	}
+	if last := len(r.Overloads) - 1; last >= 0 {
+		r.Recovery = r.Overloads[last].Classes[0].Recovery
 	}
 	var start time.Duration
 	for p := range in.Experiment.Phases {
--- a/internal/load/report/report_test.go
+++ b/internal/load/report/report_test.go
@@ -94,6 +94,69 @@
 	}
 }
 
+// TestTwoOverloads plays the three phases, and the last two of them again.
+func TestTwoOverloads(t *testing.T) {
+	in := input(func(at time.Duration) bool { return at < 2*time.Second || at >= 4500*time.Millisecond })
+	in.Experiment.Phases = append(in.Experiment.Phases, in.Experiment.Phases[1], in.Experiment.Phases[2])
+	in.Experiment.Phases[3].Name, in.Experiment.Phases[3].Slow = "again", []experiment.Slow{{Service: "stock", Factor: 5}}
+	last := in.Outcomes[len(in.Outcomes)-1]
+	for i := range 700 { // the second overload leaves each request slow, and every second one bad
+		o := last
+		o.ArrivalNs = int64(9*time.Second) + int64(i)*int64(10*time.Millisecond)
+		o.LatencyNs, o.Phase = int64(40*time.Millisecond), 3+min(i/200, 1)
+		if i%2 == 0 {
+			o.Result = outcome.Refused
+		}
+		in.Outcomes = append(in.Outcomes, o)
+	}
+	for i := range in.Outcomes {
+		in.Outcomes[i].Route = "r"
+	}
+	r := New(in)
+	require.NoError(t, r.AddIdeal(in, func(*experiment.Phase) ([]ideal.Rate, error) {
+		return []ideal.Rate{{Class: "booking", PerSecond: 100}}, nil
+	}))
+	require.Len(t, r.Overloads, 2)
+	first, second := r.Overloads[0].Classes[1], r.Overloads[1].Classes[1]
+	require.Equal(t, "booking", first.Class)
+	require.Equal(t, Recovery{Measured: true, SteadyShare: 1, Recovered: true, Ms: 500, Windows: 35}, first.Recovery)
+	require.InDelta(t, 1, first.AfterShare, 1e-9)
+	require.InDelta(t, 1, first.P99Ratio(), 0.01)
+	require.False(t, second.Recovery.Recovered)
+	require.InDelta(t, 0.5, second.AfterShare, 1e-9)
+	require.InDelta(t, 2, second.P99Ratio(), 0.01)
+	require.Equal(t, r.Overloads[1].Classes[0].Recovery, r.Recovery)
+
+	r.Truth, r.RetryBudget, r.Order = &Truth{MaxExtraAttempts: 4, WastedAfterEndShare: 0.02}, 3, &Order{Violations: 1}
+	verdicts := map[string]bool{}
+	for _, c := range r.Checks() {
+		verdicts[c.Name] = c.Met
+	}
+	for name, met := range map[string]bool{
+		"during: goodput of ideal ≥ 0.95":                       false, // by arrivals alone
+		"after during: booking back within 1.0 s":               true,
+		"after during: booking later, of level before ≥ 0.99":   true,
+		"after during: booking p99 over before ≤ 1.5":           true,
+		"again: goodput of ideal ≥ 0.90":                        false, // with slowness
+		"again: booking of offered ≥ 0.99":                      false,
+		"after again: all back within 1.0 s":                    false,
+		"after again: booking later, of level before ≥ 0.99":    false,
+		"after again: booking p99 over before ≤ 1.5":            false,
+		"wasted after end ≤ 0.02":                               true,
+		"calls run twice = 0":                                   true,
+		"most extra attempts of one ≤ 3":                        false,
+		"refused, while a later one of less importance ran = 0": false,
+	} {
+		got, found := verdicts[name]
+		require.True(t, found, name)
+		require.Equal(t, met, got, name)
+	}
+	var out bytes.Buffer
+	require.NoError(t, Compare(&out, []*Report{r, r}))
+	require.Regexp(t, `wasted after end ≤ 0.02 +0.020 met +0.020 met`, out.String())
+	require.Regexp(t, `again +booking +x +0.500 +not within 4.0 s`, out.String())
+}
+
 func TestPhaseFigures(t *testing.T) {
 	in := input(func(at time.Duration) bool { return at < 2*time.Second || at%(40*time.Millisecond) == 0 })
 	in.Outcomes[0].LatencyNs = int64(2 * time.Second) // the slowest of the first phase
--- a/internal/load/report/text.go
+++ b/internal/load/report/text.go
@@ -59,10 +59,16 @@
 		return errors.Wrap(err, "write table")
 	}
 	t = newTable(w)
+	if len(reports[0].Overloads) > 0 {
+		t.overloadRows(reports)
+		t.row("")
+	}
 	t.row("run", "recovery", "relapses", "extra attempts/request", "most of one", "wasted", "wasted after end", "run twice", "wrong not-run", "load tool's lag p99")
 	for _, r := range reports {
 		t.totalRow(r)
 	}
+	t.row("")
+	t.boundRows(reports)
 	return t.flush()
 }
 
@@ -73,7 +79,7 @@
 	}
 	first := reports[0]
 	for _, r := range reports[1:] {
-		if len(r.Phases) != len(first.Phases) || r.Name != first.Name || r.Seed != first.Seed {
+		if len(r.Phases) != len(first.Phases) || len(r.Overloads) != len(first.Overloads) || r.Name != first.Name || r.Seed != first.Seed {
 			return errors.Errorf("report %q is of %s with seed %d, report %q of %s with seed %d",
 				first.Label, first.Name, first.Seed, r.Label, r.Name, r.Seed)
 		}
@@ -132,6 +138,34 @@
 	return strings.Join(words, ", ")
 }
 
+// overloadRows writes how each overload went and ended.
+func (t *table) overloadRows(reports []*Report) {
+	t.row("overload", "class", "run", "of ideal", "recovery", "relapses", "level later", "p99 before", "p99 later", "later/before")
+	for i := range reports[0].Overloads {
+		for c := range reports[0].Overloads[i].Classes {
+			for _, r := range reports {
+				t.overloadRow(r, &r.Overloads[i], c)
+			}
+		}
+	}
+}
+
+func (t *table) overloadRow(r *Report, o *Overload, class int) {
+	phase, c := &r.Phases[o.Phase], &o.Classes[class]
+	ofIdeal := phase.OfIdeal()
+	if class > 0 {
+		ofIdeal = phase.Classes[class-1].OfIdeal
+	}
+	t.row(phase.Name, c.Class, r.Label,
+		fmt.Sprintf("%.3f", ofIdeal),
+		c.Recovery.text(),
+		fmt.Sprintf("%d of %d", c.Recovery.Relapses, c.Recovery.Windows),
+		fmt.Sprintf("%.3f", c.AfterShare),
+		fmt.Sprintf("%.1f", c.P99BeforeMs),
+		fmt.Sprintf("%.1f", c.P99AfterMs),
+		fmt.Sprintf("%.2f", c.P99Ratio()))
+}
+
 func (t *table) totalRow(r *Report) {
 	extra, most, wasted, afterEnd, double, wrong := "-", "-", "-", "-", "-", "-"
 	if r.Truth != nil {
