Find bookings refused while later lookups were run

Change: check-order applies a rule to answers and endpoints' logs of one machine (package internal/load/order states it), prints the trace of the first ten violations, adds the count to the report and ends with 1. demo/run.sh runs it for each mode. Ways weighed for a request that was refused before any call of it started: blaming any service of its tree reports refusals for stock when a lookup ran at dispatch; it therefore has to have been outrun at every service of its tree that lookups use. Resends belong to one request.

--- /dev/null
+++ b/cmd/galenacart-load/checkorder.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/load/order"
+	"github.com/galenacart/galenacart/internal/load/report"
+)
+
+// checkOrderCommand looks for important requests that were refused while less
+// important ones were run.
+type checkOrderCommand struct {
+	inputs inputs
+	logs   logs
+}
+
+func (*checkOrderCommand) Name() string { return "check-order" }
+func (*checkOrderCommand) Synopsis() string {
+	return "find requests refused while less important later ones were run"
+}
+
+func (*checkOrderCommand) Usage() string {
+	return `galenacart-load check-order -catalogue FILE -deployment FILE -answers FILE [-report FILE] TRUTH...
+Reads the answers of a run and the logs of all endpoints, of one machine. Counts requests
+that were refused for want of capacity or time while, at every service that refused them, a
+less important request that arrived later was started; and prints the first of them.
+-report adds the counts to a report.
+Exit codes: 0 no such request, 1 some, 2 bad usage or input.
+`
+}
+
+func (c *checkOrderCommand) SetFlags(f *flag.FlagSet) {
+	c.inputs.setFlags(f)
+	c.logs.setFlags(f)
+}
+
+// Execute prints the counts.
+func (c *checkOrderCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	routes, err := c.routes()
+	if err != nil {
+		return badUsage(err)
+	}
+	records, answers, err := c.logs.read(f)
+	if err != nil {
+		return badUsage(err)
+	}
+	result := order.Check(records, answers, routes)
+	counts := &report.Order{Refused: result.Refused, Violations: len(result.Violations)}
+	if err := c.logs.addTo(func(r *report.Report) { r.Order = counts }); err != nil {
+		return failed(err)
+	}
+	if err := result.WriteText(os.Stdout); err != nil {
+		return failed(err)
+	}
+	if counts.Violations > 0 {
+		return failed(fmt.Errorf("%d requests refused while a later one of less importance ran", counts.Violations))
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *checkOrderCommand) routes() (order.Routes, error) {
+	cat, d, err := c.inputs.read()
+	if err != nil {
+		return nil, err
+	}
+	routes, err := order.NewRoutes(cat, d)
+	return routes, errors.WithMessage(err, "-deployment")
+}
--- a/cmd/galenacart-load/checktruth.go
+++ b/cmd/galenacart-load/checktruth.go
@@ -7,17 +7,13 @@
 	"os"
 
 	"github.com/google/subcommands"
-	"github.com/pkg/errors"
 
-	"github.com/galenacart/galenacart/internal/load/outcome"
 	"github.com/galenacart/galenacart/internal/load/report"
-	"github.com/galenacart/galenacart/internal/standin/truth"
 )
 
 // checkTruthCommand compares what callers were told with what endpoints did.
 type checkTruthCommand struct {
-	answers string
-	report  string
+	logs logs
 }
 
 func (*checkTruthCommand) Name() string { return "check-truth" }
@@ -35,25 +31,17 @@
 }
 
 func (c *checkTruthCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.answers, "answers", "", "answers `file` of a run (required)")
-	f.StringVar(&c.report, "report", "", "report `file` to add the counts to")
+	c.logs.setFlags(f)
 }
 
 // Execute prints the counts.
 func (c *checkTruthCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() == 0 {
-		return badUsage(errors.New("TRUTH: want the log of at least one endpoint"))
-	}
-	all, err := outcome.ReadFile(c.answers)
-	if err != nil {
-		return badUsage(errors.WithMessage(err, "-answers"))
-	}
-	records, err := truth.ReadFiles(f.Args()...)
+	records, answers, err := c.logs.read(f)
 	if err != nil {
 		return badUsage(err)
 	}
-	t := report.NewTruth(records, all)
-	if err := c.addTo(t); err != nil {
+	t := report.NewTruth(records, answers)
+	if err := c.logs.addTo(func(r *report.Report) { r.Truth = t }); err != nil {
 		return failed(err)
 	}
 	if err := t.WriteText(os.Stdout); err != nil {
@@ -64,16 +52,3 @@
 	}
 	return subcommands.ExitSuccess
 }
-
-// addTo puts the counts into the report, if there is one.
-func (c *checkTruthCommand) addTo(t *report.Truth) error {
-	if c.report == "" {
-		return nil
-	}
-	r, err := report.ReadFile(c.report)
-	if err != nil {
-		return err
-	}
-	r.Truth = t
-	return r.WriteFile(c.report)
-}
--- a/cmd/galenacart-load/commands_test.go
+++ b/cmd/galenacart-load/commands_test.go
@@ -159,6 +159,8 @@
 		{"compare what is no report", &compareCommand{}, []string{empty}, subcommands.ExitUsageError},
 		{"check-truth without logs", &checkTruthCommand{}, []string{"-answers", empty}, subcommands.ExitUsageError},
 		{"check-truth without answers", &checkTruthCommand{}, []string{empty}, subcommands.ExitUsageError},
+		{"check-order without logs", &checkOrderCommand{}, append(layout, "-answers", empty), subcommands.ExitUsageError},
+		{"check-order without a deployment", &checkOrderCommand{}, []string{"-catalogue", catalogueFile, empty}, subcommands.ExitUsageError},
 		{"overhead without targets", &overheadCommand{}, []string{"-catalogue", catalogueFile}, subcommands.ExitUsageError},
 	}
 	for _, c := range cases {
@@ -168,7 +170,7 @@
 	}
 }
 
-func TestCheckTruthFailsOnADoubleRun(t *testing.T) {
+func TestChecksFailOnWhatTheyLookFor(t *testing.T) {
 	dir := t.TempDir()
 	answers, log := filepath.Join(dir, "answers"), filepath.Join(dir, "truth")
 	require.NoError(t, os.WriteFile(answers, []byte(`{"request":"b","result":"whole","ran":"yes"}`+"\n"), 0o600))
@@ -176,4 +178,13 @@
 	require.NoError(t, os.WriteFile(log, []byte(started), 0o600))
 	require.Equal(t, subcommands.ExitSuccess, execute(t, &checkTruthCommand{}, "-answers", answers, log))
 	require.Equal(t, subcommands.ExitFailure, execute(t, &checkTruthCommand{}, "-answers", answers, log, log))
+
+	order := []string{"-catalogue", catalogueFile, "-deployment", deploymentFile, "-answers", answers, log}
+	require.Equal(t, subcommands.ExitSuccess, execute(t, &checkOrderCommand{}, order...))
+	lookup := `{"request":"l","result":"whole","route":"fault-log","ran":"yes","endWallNs":30,"latencyNs":20}`
+	booking := `{"request":"c","result":"refused","kind":"overloaded","route":"book-repair","ran":"no","endWallNs":29,"latencyNs":24}`
+	require.NoError(t, os.WriteFile(answers, []byte(lookup+"\n"+booking+"\n"), 0o600))
+	ran := `{"kind":"started","request":"l","service":"dispatch","wallNs":11}` + "\n" + `{"kind":"started","request":"l","position":"0","service":"stock","wallNs":12}`
+	require.NoError(t, os.WriteFile(log, []byte(ran+"\n"), 0o600))
+	require.Equal(t, subcommands.ExitFailure, execute(t, &checkOrderCommand{}, order...))
 }
--- /dev/null
+++ b/cmd/galenacart-load/logs.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"flag"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/load/outcome"
+	"github.com/galenacart/galenacart/internal/load/report"
+	"github.com/galenacart/galenacart/internal/standin/truth"
+)
+
+// logs names what a run left behind: the answers, and its report.
+type logs struct {
+	answers string
+	report  string
+}
+
+func (l *logs) setFlags(f *flag.FlagSet) {
+	f.StringVar(&l.answers, "answers", "", "answers `file` of a run (required)")
+	f.StringVar(&l.report, "report", "", "report `file` to add the counts to")
+}
+
+// read returns the records of the endpoints' logs that the arguments name, and
+// the answers.
+func (l *logs) read(f *flag.FlagSet) ([]truth.Record, []outcome.Outcome, error) {
+	if f.NArg() == 0 {
+		return nil, nil, errors.New("TRUTH: want the log of at least one endpoint")
+	}
+	answers, err := outcome.ReadFile(l.answers)
+	if err != nil {
+		return nil, nil, errors.WithMessage(err, "-answers")
+	}
+	records, err := truth.ReadFiles(f.Args()...)
+	return records, answers, err
+}
+
+// addTo changes the report, if there is one.
+func (l *logs) addTo(change func(*report.Report)) error {
+	if l.report == "" {
+		return nil
+	}
+	r, err := report.ReadFile(l.report)
+	if err != nil {
+		return err
+	}
+	change(r)
+	return r.WriteFile(l.report)
+}
--- a/cmd/galenacart-load/main.go
+++ b/cmd/galenacart-load/main.go
@@ -26,6 +26,7 @@
 	commander.Register(&checkPartitionCommand{}, "experiments")
 	commander.Register(&checkStopsCommand{}, "experiments")
 	commander.Register(&checkPlatformCommand{}, "experiments")
+	commander.Register(&checkOrderCommand{}, "experiments")
 	commander.Register(&overheadCommand{}, "experiments")
 	commander.Register(&capacityCommand{}, "experiments")
 }
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -20,11 +20,14 @@
 		-targets "$OUT/settings/targets-$mode.json" -out "$OUT/$mode" >"$OUT/$mode/report.txt"
 }
 
-# check adds what the endpoints' own logs say to the report of a mode.
+# check adds what the endpoints' own logs say to the report of a mode, by one of
+# the commands check-truth and check-order.
 check() {
-	local mode=$1
-	$BIN/galenacart-load check-truth -answers "$OUT/$mode/answers.jsonl" -report "$OUT/$mode/report.json" \
-		"$OUT"/settings/*/truth-"$mode".jsonl >"$OUT/$mode/truth.txt" 2>&1
+	local mode=$1 what=$2
+	shift 2
+	$BIN/galenacart-load "check-$what" "$@" -answers "$OUT/$mode/answers.jsonl" -report "$OUT/$mode/report.json" \
+		"$OUT"/settings/*/truth-"$mode".jsonl >"$OUT/$mode/$what.txt" 2>&1 ||
+		echo "demo: mode $mode: $(tail -n 1 "$OUT/$mode/$what.txt")"
 }
 
 play() {
@@ -36,7 +39,8 @@
 	}
 	check_running "$OUT/$mode/events" || exit 1
 	stop_all
-	check "$mode" || echo "demo: mode $mode: $(tail -n 1 "$OUT/$mode/truth.txt")"
+	check "$mode" truth
+	check "$mode" order -catalogue "$CATALOGUE" -deployment "$SETTINGS"
 }
 
 # timeline merges the events of all processes of a mode into one page.
@@ -57,4 +61,5 @@
 	reports+=("$OUT/$mode/report.json")
 done
 $BIN/galenacart-load compare -plot "$OUT/plot.svg" -plot "$OUT/plot.png" "${reports[@]}"
+echo "time: $SECONDS s, without the build; bound of make demo: 90 s"
 echo "plot: $OUT/plot.svg; reports, events and endpoints' logs: $OUT"
