Hold that -h is no wrong use of a program

Cause: galenacart-ctl -h ended with 2 before the programs shared their opening, and no test held what the flag does. Change: a row in the table of galenacart-ctl's documents.

--- a/cmd/galenacart-ctl/ctl_test.go
+++ b/cmd/galenacart-ctl/ctl_test.go
@@ -99,6 +99,7 @@
 		{"unknown flag", []string{"status", "-force"}, 2, "", "galenacart-ctl status [-nodes FILE]"},
 		{"version", []string{"version"}, 0, "", ""},
 		{"help", []string{"help"}, 0, "check-catalogue", ""},
+		{"help flag", []string{"-h"}, 0, "", "check-catalogue"},
 		{"no node", []string{"status"}, 2, "", "no node to ask"},
 		{"bad address", []string{"status", "a-1"}, 2, "", `have "a-1"; want an IP address and a port`},
 		{"no log", []string{"timeline"}, 2, "", "want at least one LOG"},
