Start the usual wait for own calls at its first value

The usual wait that takes the place of the present one was a mean that grew from 0, so answers seemed to take longer with every call, as if a queue grew inside the endpoint.

--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -47,6 +47,7 @@
 	idle time.Duration
 	// downstream is the usual time that the endpoint waits for its own calls.
 	downstream time.Duration
+	answered   int // answers that downstream rests on
 	now        time.Duration
 }
 
@@ -189,7 +190,9 @@
 // tells nothing about the endpoint's slots; that they are a part of the whole
 // keeps small changes of the endpoint's own time from looking like a full one.
 func (g *Gate) slotTime(r *Result) time.Duration {
-	g.downstream += time.Duration(float64(r.DownstreamWait-g.downstream) * downstreamWeight)
+	g.answered++
+	weight := max(downstreamWeight, 1/float64(g.answered))
+	g.downstream += time.Duration(float64(r.DownstreamWait-g.downstream) * weight)
 	return max(r.Took-r.DownstreamWait+g.downstream, 1)
 }
 
--- a/decision/admission/load_test.go
+++ b/decision/admission/load_test.go
@@ -132,6 +132,16 @@
 	})
 }
 
+// What an endpoint that has just started waits for its own calls doesn't look
+// like a queue inside it.
+func TestOpensAboveASlowService(t *testing.T) {
+	m := newModel(70, serviceTime, 3, 1)
+	m.timeout = 5 * time.Second
+	m.below = 10 * serviceTime
+	m.run(warmUp)
+	require.GreaterOrEqual(t, m.gate.State().Limit, 63)
+}
+
 // Calls whose time is short of the endpoint's can't make the gate send more and
 // more of them.
 func TestShortDeadlinesDontRaiseTheLimit(t *testing.T) {
