Learn an endpoint's slots from evidence of several comparisons; open by doubling

One comparison of 64 exponential calls has a standard deviation of 0.6 to 1.3 where the whole range is 0 to 1, and each one moved the limit: five wrong ones in a row took it from 13 to 7.6 at 10 slots, four took it to 100 at the start. Levels of 10 and 9 lay too close by rounding. At the ceiling the narrow comparisons missed lost slots. Without knowledge the limit doubles from 16 until slots are short. A catalogue that comes or changes before the first comparison starts it anew.

--- a/decision/capacity/batch.go
+++ b/decision/capacity/batch.go
@@ -37,6 +37,7 @@
 	counted int
 	cutOff  int
 	sum     float64
+	squares float64
 }
 
 // start counts a call and reports whether the batch needs no further one.
@@ -59,7 +60,9 @@
 		s.took *= cutOffFactor
 	}
 	b.counted++
-	b.sum += math.Log(float64(max(s.took, tookMin)))
+	value := math.Log(float64(max(s.took, tookMin)))
+	b.sum += value
+	b.squares += value * value
 }
 
 // blind reports whether too many calls were cut off to learn from the batch.
@@ -77,3 +80,10 @@
 func (b *batch) mean() float64 {
 	return b.sum / float64(max(1, b.counted))
 }
+
+// variance returns the variance of mean.
+func (b *batch) variance() float64 {
+	n := float64(max(1, b.counted))
+	mean := b.mean()
+	return max(0, b.squares/n-mean*mean) / n
+}
--- a/decision/capacity/limiter.go
+++ b/decision/capacity/limiter.go
@@ -69,7 +69,6 @@
 func NewLimiter(ceiling int) *Limiter {
 	l := &Limiter{knee: newKnee()}
 	l.SetCeiling(ceiling)
-	l.open(0)
 	return l
 }
 
@@ -77,6 +76,9 @@
 func (l *Limiter) SetCeiling(ceiling int) {
 	l.ceiling = max(1, ceiling)
 	l.knee.setCeiling(l.ceiling)
+	if !l.knee.learned {
+		l.open(l.started)
+	}
 }
 
 // Limit returns the number of calls that may be in flight now.
@@ -105,7 +107,7 @@
 func (l *Limiter) Start(now time.Duration, inFlight int) Mark {
 	l.refusal.grow(now, l.knee.level(restRoom))
 	if now-l.started > l.longest() {
-		l.open(now)
+		l.giveUp(now)
 	}
 	b := l.filling()
 	m := Mark{at: now, inFlight: int32(inFlight)}
@@ -115,7 +117,7 @@
 	m.round = l.round
 	m.low = b == &l.low
 	if b.start() {
-		l.phase++
+		l.phase = l.next()
 		l.started = now
 	}
 	return m
@@ -135,6 +137,7 @@
 // Refused notes that the endpoint proved that it did not start a call.
 func (l *Limiter) Refused(now time.Duration, m Mark) {
 	l.refusal.refused(now, int(m.inFlight))
+	l.knee.climbing = false
 	l.End(now, m, 0)
 }
 
@@ -167,6 +170,38 @@
 	}
 }
 
+// next returns the phase after a full batch.
+func (l *Limiter) next() phase {
+	if l.knee.climbing && l.phase == phaseLow {
+		return phaseHigh
+	}
+	if l.knee.climbing || l.phase == phaseLow {
+		return phaseWait
+	}
+	return phaseLow
+}
+
+// giveUp starts another comparison in place of one that too few calls reached.
+// If calls were cut off, it isn't lack of demand that keeps the climb waiting.
+func (l *Limiter) giveUp(now time.Duration) {
+	if l.low.cutOff+l.high.cutOff > 0 {
+		l.knee.climbing = false
+	}
+	l.open(now)
+}
+
+// endClimb goes on with a comparison of the climb.
+func (l *Limiter) endClimb(now time.Duration, elasticity, gap float64) {
+	reached := l.high
+	goesOn := l.knee.climb(elasticity, gap)
+	l.open(now)
+	if goesOn {
+		// The level that was reached was just measured.
+		l.low = reached
+		l.phase = phaseHigh
+	}
+}
+
 // open starts a comparison.
 func (l *Limiter) open(now time.Duration) {
 	high, low, size := l.knee.levels()
@@ -174,19 +209,27 @@
 	l.high = batch{level: high, size: size}
 	l.low = batch{level: low, size: size}
 	l.phase = phaseHigh
+	if l.knee.climbing {
+		l.phase = phaseLow
+	}
 	l.started = now
 	l.opened = now
 }
 
 // compare moves the limit by what the two batches tell.
 func (l *Limiter) compare(now time.Duration) {
-	if l.low.blind() {
+	if l.low.blind() || l.knee.climbing && l.high.blind() {
 		l.knee.retreat()
 		l.open(now)
 		return
 	}
 	gap := math.Log(float64(l.high.level) / float64(l.low.level))
-	settled := l.knee.adapt((l.high.mean() - l.low.mean()) / gap)
+	elasticity := (l.high.mean() - l.low.mean()) / gap
+	if l.knee.climbing {
+		l.endClimb(now, elasticity, gap)
+		return
+	}
+	settled := l.knee.adapt(elasticity, (l.high.variance()+l.low.variance())/(gap*gap))
 	if !settled {
 		l.open(now)
 		return
