Add a deployment of mixed machine sizes, cold starts and misleading reports

Cause: the users' case of 10 to 70 slots, one cold endpoint, one that reports health and one that reports death whatever is true, and an availability zone of half the capacity had no experiment. Change: a VM of a deployment may have a cold start and misleading reports of its own; examples/mixed and demo/overload-mixed.json are new. A layout test reads them.

--- a/internal/load/deployment/deployment.go
+++ b/internal/load/deployment/deployment.go
@@ -63,6 +63,10 @@
 	Queue int `json:"queue" validate:"gte=0,lte=100000"`
 	// Connections is the number of connections that the endpoint accepts.
 	Connections int `json:"connections" validate:"gte=1,lte=100000"`
+	// ColdStart replaces that of the service.
+	ColdStart *endpoint.ColdStart `json:"coldStart,omitempty"`
+	// Report sets how the endpoint's health and load reports mislead.
+	Report endpoint.Report `json:"report,omitzero"`
 }
 
 // Route is the work behind one route.
--- a/internal/load/layout/layout_test.go
+++ b/internal/load/layout/layout_test.go
@@ -33,7 +33,7 @@
 // TestProgramsCanReadTheLayout reads every document with the decoder of the
 // program that it is for.
 func TestProgramsCanReadTheLayout(t *testing.T) {
-	for _, name := range []string{"dorvakt", "zampa"} {
+	for _, name := range []string{"dorvakt", "zampa", "mixed"} {
 		t.Run(name, func(t *testing.T) {
 			dir := t.TempDir()
 			c, d := read(t, name)
--- a/internal/load/layout/settings.go
+++ b/internal/load/layout/settings.go
@@ -97,6 +97,10 @@
 		ProbeCostMs:      service.ProbeCostMs,
 		ColdStart:        service.ColdStart,
 		DrainLingerMs:    g.plan.DrainLingerMs,
+		Report:           vm.Report,
+	}
+	if vm.ColdStart != nil {
+		e.ColdStart = *vm.ColdStart
 	}
 	for i := range g.catalogue.Routes {
 		if r := &g.catalogue.Routes[i]; r.Service == a.Service {
