Count the zones of a region as one when no endpoint has headroom

Change: endpoints with headroom are still taken from near to far. Without any, the better of two of the whole region is taken, then of other regions.

--- a/decision/routing/router.go
+++ b/decision/routing/router.go
@@ -65,42 +65,48 @@
 // Pick returns the index of the candidate that takes the call, or -1 and the
 // reason. random is a uniformly random number.
 func (r *Router) Pick(now time.Duration, candidates []Candidate, random uint64) (int, Miss) {
-	if at := r.pickHealthy(now, candidates, random, true); at >= 0 {
-		return at, MissNone
+	for d := range distances {
+		if at := r.pickAt(now, candidates, random, reach{from: d, to: d, headroom: true}); at >= 0 {
+			return at, MissNone
+		}
 	}
-	if at := r.pickHealthy(now, candidates, random, false); at >= 0 {
+	if at := r.pickFull(now, candidates, random); at >= 0 {
 		return at, MissNone
 	}
 	return r.pickAny(candidates, random)
 }
 
+// pickFull chooses among endpoints without headroom. Calls wait there, so the
+// zones of a region count as one: else the important calls of one zone wait for
+// each other while less important ones are run next door.
+func (r *Router) pickFull(now time.Duration, candidates []Candidate, random uint64) int {
+	if at := r.pickAt(now, candidates, random, reach{from: SameZone, to: SameRegion}); at >= 0 {
+		return at
+	}
+	return r.pickAt(now, candidates, random, reach{from: OtherRegion, to: OtherRegion})
+}
+
 // PickNear returns the index of a usable candidate in the caller's availability
 // zone, with headroom or without, or -1. It is for a call that was lost on its way
 // to another zone: the caller's zone may be the one that is cut off.
 func (r *Router) PickNear(now time.Duration, candidates []Candidate, random uint64) int {
-	if at := r.pickAt(now, candidates, random, SameZone, true); at >= 0 {
+	if at := r.pickAt(now, candidates, random, reach{from: SameZone, to: SameZone, headroom: true}); at >= 0 {
 		return at
 	}
-	return r.pickAt(now, candidates, random, SameZone, false)
+	return r.pickAt(now, candidates, random, reach{from: SameZone, to: SameZone})
 }
 
-// pickHealthy goes from near to far and takes the first distance that has a
-// usable endpoint, with headroom if asked for.
-func (r *Router) pickHealthy(now time.Duration, candidates []Candidate, random uint64, headroom bool) int {
-	for d := range distances {
-		at := r.pickAt(now, candidates, random, d, headroom)
-		if at >= 0 {
-			return at
-		}
-	}
-	return -1
+// reach says which endpoints a call may go to.
+type reach struct {
+	from, to Distance
+	headroom bool // only those that would run it at once
 }
 
-// pickAt returns the better of two random usable endpoints at one distance.
-func (r *Router) pickAt(now time.Duration, candidates []Candidate, random uint64, d Distance, headroom bool) int {
+// pickAt returns the better of two random usable endpoints within reach.
+func (r *Router) pickAt(now time.Duration, candidates []Candidate, random uint64, within reach) int {
 	usable := 0
 	for i := range candidates {
-		if r.usable(now, &candidates[i], d, headroom) {
+		if r.usable(now, &candidates[i], within) {
 			usable++
 		}
 	}
@@ -109,8 +115,8 @@
 	}
 	first := int(uint32(random) % uint32(usable))
 	second := int(uint32(random>>32) % uint32(usable))
-	a := r.nth(now, candidates, d, headroom, first)
-	b := r.nth(now, candidates, d, headroom, second)
+	a := r.nth(now, candidates, within, first)
+	b := r.nth(now, candidates, within, second)
 	if r.cost(now, candidates[b].VM) < r.cost(now, candidates[a].VM) {
 		return b
 	}
@@ -118,9 +124,9 @@
 }
 
 // nth returns the index of the n-th usable endpoint.
-func (r *Router) nth(now time.Duration, candidates []Candidate, d Distance, headroom bool, n int) int {
+func (r *Router) nth(now time.Duration, candidates []Candidate, within reach, n int) int {
 	for i := range candidates {
-		if !r.usable(now, &candidates[i], d, headroom) {
+		if !r.usable(now, &candidates[i], within) {
 			continue
 		}
 		if n == 0 {
@@ -131,8 +137,11 @@
 	return -1
 }
 
-func (r *Router) usable(now time.Duration, c *Candidate, d Distance, headroom bool) bool {
-	if c.Distance != d || c.Leaving || c.Shedding || c.Tried {
+func (r *Router) usable(now time.Duration, c *Candidate, within reach) bool {
+	if c.Distance < within.from || c.Distance > within.to {
+		return false
+	}
+	if c.Leaving || c.Shedding || c.Tried {
 		return false
 	}
 	t, known := r.targets[c.VM]
@@ -142,7 +151,7 @@
 	if t.aside() {
 		return false
 	}
-	return !headroom || t.headroom(now) > 0
+	return !within.headroom || t.headroom(now) > 0
 }
 
 // pickAny is the floor: when every endpoint is set aside, one of them gets the
