Refuse at once what a queue under pressure only keeps; open by free slots

Cause: with thresholds carried up the chain, calls still waited about 200 ms at the deepest gate before a refusal that was certain, and held slots above. A gate whose callers follow its threshold empties its queue now and then, so a rule for queues that stand without a break rarely applied. And a shed call beyond the threshold restarted its opening, so it stayed too tight.

Under pressure a class other than the most important one waits for half a time to answer at most, and a call that would wait longer, or lies beyond the threshold, is refused at arrival. The steps of the boundary are relative to what is run of the class, a shed call inside the threshold pulls it from where it is now, one beyond it tells nothing. Probes are counted for the endpoint that was picked, not for every candidate. RefuseAll and Forget had no caller and are gone.

--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -41,7 +41,7 @@
 	flights   flights
 	answers   estimate
 	threshold boundary.Boundary
-	standing  standing
+	pressure  pressure
 	// idle is the time for which slots were free. The threshold opens with it: a
 	// full endpoint has no reason to ask for more.
 	idle time.Duration
@@ -79,10 +79,10 @@
 		g.start(now, &e)
 		return VerdictRun, out
 	}
-	if g.tooLate(now, &e, g.wait(&e)) {
+	if g.tooLate(now, &e, g.wait(g.queue.ahead(&e))) {
 		return g.refuseWait(now, &e, out)
 	}
-	if g.hopeless(now, &e) {
+	if g.hopeless(&e) {
 		g.threshold.Shed(g.idle, e.priority)
 		return VerdictShed, g.shedWorst(g.queue.len()-g.queue.ahead(&e), out)
 	}
@@ -158,13 +158,18 @@
 	if g.Headroom() > 0 {
 		g.idle += now - g.now
 	}
+	g.pressure.observe(now-g.now, g.bestRank())
 	g.now = now
+	return g.now
+}
+
+// bestRank returns the class of the most important call that waits, or
+// ranksTracked if none does.
+func (g *Gate) bestRank() priority.Rank {
 	if g.queue.len() == 0 {
-		g.standing.clear(now)
-	} else {
-		g.standing.observe(now, g.queue.best().priority.Rank())
+		return ranksTracked
 	}
-	return g.now
+	return g.queue.best().priority.Rank()
 }
 
 // learn takes in what the end of a call tells about the endpoint.
@@ -295,9 +300,9 @@
 	return remaining <= wait+g.answers.median()
 }
 
-// wait returns the time until a slot is free for e.
-func (g *Gate) wait(e *entry) time.Duration {
-	turns := time.Duration(g.queue.ahead(e) + 1)
+// wait returns the time until a slot is free for a call with others ahead of it.
+func (g *Gate) wait(ahead int) time.Duration {
+	turns := time.Duration(ahead + 1)
 	return turns * g.answers.mean() / time.Duration(g.limiter.Limit())
 }
 
@@ -307,25 +312,44 @@
 	return min(g.config.QueueMax, queueMost, max(queueMin, g.limiter.Learned()))
 }
 
-// hopeless reports whether e is of a kind that is shed in the end, and the queue
-// stands, so that nothing is won by waiting.
-func (g *Gate) hopeless(now time.Duration, e *entry) bool {
-	return g.standing.holds(now, e.priority) && !e.priority.Before(g.threshold.Current(g.idle))
+// hopeless reports whether e would most likely wait in vain. The most important
+// class gets the benefit of the doubt: a refusal of it costs more than the slots
+// that it keeps.
+func (g *Gate) hopeless(e *entry) bool {
+	if e.priority.Rank() == 0 {
+		return false
+	}
+	if g.pressure.on(e.priority) && !e.priority.Before(g.threshold.Current(g.idle)) {
+		return true
+	}
+	return g.wait(g.queue.ahead(e)) > g.waitLimit(e)
 }
 
 // overstayed returns how many of the least important calls are to go: the most
-// important one that waited too long and all below it.
+// important one that waits too long, or will have, and all below it.
 func (g *Gate) overstayed(now time.Duration) int {
-	usual := g.longestWait()
-	short := min(usual, max(standingWaitMin, g.answers.mean()))
-	return g.queue.overstayed(func(e *entry) bool {
-		if g.standing.holds(now, e.priority) {
-			return now-e.arrived > short
+	return g.queue.overstayed(func(e *entry, ahead int) bool {
+		waited := now - e.arrived
+		if e.priority.Rank() > 0 {
+			waited += g.wait(ahead)
 		}
-		return now-e.arrived > usual
+		return waited > g.waitLimit(e)
 	})
 }
 
+// waitLimit returns how long a call may wait.
+func (g *Gate) waitLimit(e *entry) time.Duration {
+	if g.pressure.on(e.priority) {
+		return g.pressedWait()
+	}
+	return g.longestWait()
+}
+
+// pressedWait returns how long a call may wait under pressure.
+func (g *Gate) pressedWait() time.Duration {
+	return min(g.longestWait(), max(pressedWaitMin, g.answers.mean()/pressedWaitShare))
+}
+
 // longestWait returns how long a call may wait.
 func (g *Gate) longestWait() time.Duration {
 	return max(waitMin, min(waitMax, waitAnswers*g.answers.mean()))
--- a/decision/admission/load_test.go
+++ b/decision/admission/load_test.go
@@ -110,14 +110,36 @@
 	})
 }
 
+// The start of a chain refuses by thresholds that took a time to get there, and
+// lets nothing pass beyond them.
+func TestGoodputAtTheEndOfAChain(t *testing.T) {
+	for _, load := range []float64{1.5, 3, 10} {
+		t.Run(fmt.Sprintf("load %.1f", load), func(t *testing.T) {
+			eachSize(t, load, func(t *testing.T, m *model) {
+				m.ranks = []float64{0.2 / load, 1 - 0.2/load}
+				m.mean = 5 * serviceTime
+				m.rate /= 5
+				m.lag = 5
+				m.run(warmUp)
+				m.measure(2 * spell)
+				t.Logf("goodput %.3f, reached the gate %.2f, waited for a refusal %.3f of the slots' time",
+					m.goodput(2*spell), float64(m.counts[0].offered+m.counts[1].offered-m.refused)/(2*spell).Seconds()/(m.rate/load), m.shedWait.Seconds()/m.good.Seconds())
+				require.GreaterOrEqual(t, m.goodput(2*spell), 0.95)
+			})
+		})
+	}
+}
+
 func TestCallersThatFollowTheThreshold(t *testing.T) {
 	eachSize(t, 3, func(t *testing.T, m *model) {
 		m.withCallers(20).run(warmUp)
 		m.measure(spell)
 		reached := float64(m.counts[0].offered+m.counts[1].offered-m.refused) / spell.Seconds()
 		capacity := m.rate / 3
-		t.Logf("goodput %.3f, reached the gate %.2f of capacity", m.goodput(spell), reached/capacity)
+		t.Logf("goodput %.3f, reached the gate %.2f of capacity, waited for a refusal %.3f of the slots' time", m.goodput(spell), reached/capacity, m.shedWait.Seconds()/m.good.Seconds())
 		require.GreaterOrEqual(t, m.goodput(spell), 0.95)
+		shed := m.counts[0].shed + m.counts[1].shed
+		require.LessOrEqual(t, m.shedWait, time.Duration(shed)*pressedWaitMin, "a refusal comes soon: slots further up wait for it")
 		require.LessOrEqual(t, reached/capacity, 1.6, "most of the excess is refused at the callers")
 		require.GreaterOrEqual(t, float64(m.counts[0].answered)/float64(m.counts[0].offered), 0.99)
 
--- a/decision/admission/model_test.go
+++ b/decision/admission/model_test.go
@@ -78,6 +78,10 @@
 	// callers refuse by the thresholds that answers report. Empty: none does.
 	callers []*shedding.Memory
 	draw    func(*rand.Rand) float64
+	// lag is the time in which a threshold reaches the start of the chain, in
+	// ticks. 0: calls arrive whatever the threshold.
+	lag  int
+	seen []priority.Priority // thresholds of the last ticks
 
 	now     time.Duration
 	next    ID
@@ -93,6 +97,7 @@
 	inside   time.Duration // time that answered calls waited in the endpoint
 	gateWait time.Duration // longest wait of an answered call in the gate
 	refused  int           // calls refused at their callers
+	shedWait time.Duration // time that calls waited in the gate before they were shed
 }
 
 func newModel(slots int, mean time.Duration, load float64, seed uint64) *model {
@@ -116,6 +121,7 @@
 func (m *model) reset() {
 	m.counts = make([]tally, len(m.ranks))
 	m.good, m.wasted, m.inside, m.gateWait, m.refused = 0, 0, 0, 0, 0
+	m.shedWait = 0
 }
 
 func (m *model) push(k eventKind, in time.Duration, id ID) {
@@ -138,6 +144,7 @@
 			m.cutOff(e.id)
 		case eventTick:
 			m.follow(m.gate.Tick(m.now, nil))
+			m.seen = append(m.seen, m.gate.Threshold(m.now))
 			m.push(eventTick, tickInterval, 0)
 		}
 	}
@@ -161,10 +168,15 @@
 	m.count(c).offered++
 	if len(m.callers) > 0 {
 		c.caller = m.callers[m.random.IntN(len(m.callers))]
-		if c.caller.Refuse(m.now, modelTarget, c.priority) {
+		if c.caller.Refuses(m.now, modelTarget, c.priority) {
 			m.refused++
 			return
 		}
+		c.caller.Sent(m.now, modelTarget, c.priority)
+	}
+	if m.lag > 0 && len(m.seen) > m.lag && !c.priority.Before(m.seen[len(m.seen)-m.lag]) {
+		m.refused++
+		return
 	}
 	id := m.next
 	m.calls[id] = c
@@ -190,6 +202,7 @@
 		m.handOver(id, c)
 	case VerdictShed:
 		m.count(c).shed++
+		m.shedWait += m.now - c.offered
 		m.leave(id, c)
 	case VerdictTooLate:
 		m.count(c).tooLate++
--- a/decision/admission/queue.go
+++ b/decision/admission/queue.go
@@ -102,10 +102,11 @@
 }
 
 // overstayed returns how many of the least important calls are to go: the most
-// important one that waited too long and all below it.
-func (q *queue) overstayed(tooLong func(*entry) bool) int {
-	for i := len(q.entries) - 1; i >= 0; i-- {
-		if tooLong(&q.entries[i]) {
+// important one that waits too long and all below it.
+func (q *queue) overstayed(tooLong func(e *entry, ahead int) bool) int {
+	last := len(q.entries) - 1
+	for i := last; i >= 0; i-- {
+		if tooLong(&q.entries[i], last-i) {
 			return i + 1
 		}
 	}
--- a/decision/boundary/boundary.go
+++ b/decision/boundary/boundary.go
@@ -14,8 +14,10 @@
 	classSpan = 1 << 24
 	// openDoubling is the time in which the opening of a threshold doubles.
 	openDoubling = 50 * time.Millisecond
-	// openStart is the part of a class that scales the opening.
-	openStart = classSpan / 16
+	// openShare scales the opening: the part of what is run of the class.
+	openShare = 4
+	// openMin is the least that scales the opening.
+	openMin = classSpan / 256
 	// openTime is the time after which nothing is shed any more.
 	openTime = 400 * time.Millisecond
 	// callWeight is the weight of one call on the wrong side of the
@@ -32,13 +34,16 @@
 	set   bool
 }
 
-// Shed takes in that a call of priority p was shed.
+// Shed takes in that a call of priority p was shed. A call beyond the threshold
+// tells nothing new.
 func (b *Boundary) Shed(now time.Duration, p priority.Priority) {
-	at := float64(p)
-	if b.Current(now) == priority.Lowest {
-		b.value = at
-	} else if at < b.value {
-		b.value += (at - b.value) * callWeight
+	current := b.Current(now)
+	if !p.Before(current) {
+		return
+	}
+	b.value = float64(p)
+	if current != priority.Lowest {
+		b.value = float64(current) + (float64(p)-float64(current))*callWeight
 	}
 	b.at = now
 	b.set = true
@@ -48,10 +53,16 @@
 func (b *Boundary) Ran(p priority.Priority) {
 	at := float64(p)
 	if at > b.value {
-		b.value += (at - b.value) * callWeight
+		b.value += min(at-b.value, b.runs()) * callWeight
 	}
 }
 
+// runs returns how much of the class at the threshold is run. Steps are relative
+// to it, so that the load that they let in is too, whatever the overload.
+func (b *Boundary) runs() float64 {
+	return max(openMin, math.Mod(b.value, classSpan))
+}
+
 // Current returns the first priority that is shed.
 func (b *Boundary) Current(now time.Duration) priority.Priority {
 	since := now - b.at
@@ -61,7 +72,7 @@
 	opened := b.value
 	if since > 0 {
 		doublings := float64(since) / float64(openDoubling)
-		opened += openStart * (math.Exp2(doublings) - 1)
+		opened += b.runs() / openShare * (math.Exp2(doublings) - 1)
 	}
 	if opened >= float64(priority.Lowest) {
 		return priority.Lowest
--- a/decision/shedding/chain.go
+++ b/decision/shedding/chain.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/galenacart/galenacart/decision/priority"
 )
@@ -44,12 +43,3 @@
 	}
 	return tightest
 }
-
-// Threshold returns the first priority that target sheds, as far as is known.
-func (m *Memory) Threshold(now time.Duration, target Target) priority.Priority {
-	r, known := m.targets[target]
-	if !known || now-r.at >= Expiry {
-		return priority.Lowest
-	}
-	return r.threshold
-}
--- a/decision/shedding/chain_test.go
+++ b/decision/shedding/chain_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -26,11 +25,3 @@
 	require.Equal(t, second+50, c.Threshold("book", below))
 	require.Equal(t, priority.Lowest, c.Threshold("other", below))
 }
-
-func TestMemoryThresholdCountsForItsTime(t *testing.T) {
-	m := NewMemory()
-	require.Equal(t, priority.Lowest, m.Threshold(0, 1))
-	m.Report(time.Second, 1, second, 0)
-	require.Equal(t, second, m.Threshold(time.Second+Expiry-1, 1))
-	require.Equal(t, priority.Lowest, m.Threshold(time.Second+Expiry, 1))
-}
--- a/decision/shedding/memory.go
+++ b/decision/shedding/memory.go
@@ -66,22 +66,18 @@
 	}
 }
 
-// Sheds reports whether target would shed a call of priority p, as far as is
-// known.
-func (m *Memory) Sheds(now time.Duration, target Target, p priority.Priority) bool {
+// Refuses reports whether a call of priority p is not to be sent to target. Now
+// and then it lets a call pass to ask whether the threshold still holds.
+func (m *Memory) Refuses(now time.Duration, target Target, p priority.Priority) bool {
 	r, known := m.targets[target]
-	return known && r.sheds(now, p)
+	return known && r.sheds(now, p) && !m.mayPass(now, &r)
 }
 
-// Refuse reports whether a call of priority p is not to be sent to target. Now
-// and then it lets a call pass to ask whether the threshold still holds.
-func (m *Memory) Refuse(now time.Duration, target Target, p priority.Priority) bool {
+// Sent takes in that a call of priority p is sent to target.
+func (m *Memory) Sent(now time.Duration, target Target, p priority.Priority) {
 	r, known := m.targets[target]
 	if !known || !r.sheds(now, p) {
-		return false
-	}
-	if !m.mayPass(now, &r) {
-		return true
+		return
 	}
 	if !r.room {
 		r.probedAt = now
@@ -89,24 +85,15 @@
 	}
 	r.room = false
 	m.targets[target] = r
-	return false
 }
 
-// RefuseAll reports whether every target of a service would shed a call of
-// priority p and none is to be asked again now. It is false for an empty list.
-func (m *Memory) RefuseAll(now time.Duration, targets []Target, p priority.Priority) bool {
-	for _, target := range targets {
-		r, known := m.targets[target]
-		if !known || !r.sheds(now, p) || m.mayPass(now, &r) {
-			return false
-		}
+// Threshold returns the first priority that target sheds, as far as is known.
+func (m *Memory) Threshold(now time.Duration, target Target) priority.Priority {
+	r, known := m.targets[target]
+	if !known || now-r.at >= Expiry {
+		return priority.Lowest
 	}
-	return len(targets) > 0
-}
-
-// Forget drops what is known of a target that has left.
-func (m *Memory) Forget(target Target) {
-	delete(m.targets, target)
+	return r.threshold
 }
 
 // mayPass reports whether one call may pass the threshold of r.
--- a/decision/shedding/memory_test.go
+++ b/decision/shedding/memory_test.go
@@ -17,57 +17,64 @@
 	target  = Target(1)
 )
 
+// refuse asks for one call and notes it as sent unless it is refused.
+func refuse(m *Memory, now time.Duration, to Target, p priority.Priority) bool {
+	if m.Refuses(now, to, p) {
+		return true
+	}
+	m.Sent(now, to, p)
+	return false
+}
+
 func TestRefusesFromTheThresholdOn(t *testing.T) {
 	m := NewMemory()
-	require.False(t, m.Refuse(0, target, lookup), "nothing known")
+	require.False(t, refuse(m, 0, target, lookup), "nothing known")
 	m.Report(0, target, lookup, 0)
-	require.True(t, m.Refuse(0, target, lookup))
-	require.True(t, m.Refuse(0, target, lookup+1))
-	require.False(t, m.Refuse(0, target, lookup-1))
-	require.False(t, m.Refuse(0, target, booking))
-	require.False(t, m.Refuse(0, other, lookup))
+	require.True(t, refuse(m, 0, target, lookup))
+	require.True(t, refuse(m, 0, target, lookup+1))
+	require.False(t, refuse(m, 0, target, lookup-1))
+	require.False(t, refuse(m, 0, target, booking))
+	require.False(t, refuse(m, 0, other, lookup))
 	m.Report(0, target, priority.Lowest, 0)
-	require.False(t, m.Refuse(0, target, lookup))
-	require.False(t, m.Refuse(0, target, priority.Lowest), "nothing is shed")
+	require.False(t, refuse(m, 0, target, lookup))
+	require.False(t, refuse(m, 0, target, priority.Lowest), "nothing is shed")
 }
 
 func TestProbesWhenReportsAreOld(t *testing.T) {
 	m := NewMemory()
 	m.Report(0, target, lookup, 0)
-	require.True(t, m.Refuse(ProbeInterval-1, target, lookup))
-	require.False(t, m.Refuse(ProbeInterval, target, lookup))
-	require.True(t, m.Refuse(ProbeInterval+ProbeGap, target, lookup), "one probe only")
+	require.True(t, refuse(m, ProbeInterval-1, target, lookup))
+	require.False(t, refuse(m, ProbeInterval, target, lookup))
+	require.True(t, refuse(m, ProbeInterval+ProbeGap, target, lookup), "one probe only")
 	m.Report(2*ProbeInterval, target, lookup, 0)
-	require.True(t, m.Refuse(2*ProbeInterval+1, target, lookup), "a fresh report needs no probe")
+	require.True(t, refuse(m, 2*ProbeInterval+1, target, lookup), "a fresh report needs no probe")
 }
 
 func TestRoomLetsOneCallPass(t *testing.T) {
 	m := NewMemory()
 	m.Report(0, target, lookup, 5)
-	require.False(t, m.Refuse(0, target, lookup))
-	require.True(t, m.Refuse(0, target, lookup))
+	require.False(t, refuse(m, 0, target, lookup))
+	require.True(t, refuse(m, 0, target, lookup))
 }
 
 func TestReportExpires(t *testing.T) {
 	m := NewMemory()
 	m.Report(0, target, lookup, 0)
-	require.True(t, m.Sheds(Expiry-1, target, lookup))
-	require.False(t, m.Sheds(Expiry, target, lookup))
-	require.False(t, m.Refuse(Expiry, target, lookup))
-	require.False(t, m.Refuse(Expiry, target, lookup))
+	require.Equal(t, lookup, m.Threshold(Expiry-1, target))
+	require.Equal(t, priority.Lowest, m.Threshold(Expiry, target))
+	require.False(t, refuse(m, Expiry, target, lookup))
+	require.False(t, refuse(m, Expiry, target, lookup))
 }
 
-func TestRefusedEverywhere(t *testing.T) {
-	both := []Target{target, other}
+func TestOnlyTheTargetOfTheCallIsProbed(t *testing.T) {
 	m := NewMemory()
-	require.False(t, m.RefuseAll(0, nil, lookup), "no target")
-	m.Report(0, target, lookup, 0)
-	require.False(t, m.RefuseAll(0, both, lookup), "one is not known to shed")
-	m.Report(0, other, lookup+1, 0)
-	require.False(t, m.RefuseAll(0, both, lookup), "one doesn't shed")
-	require.True(t, m.RefuseAll(0, both, lookup+1))
-	m.Forget(other)
-	require.False(t, m.RefuseAll(0, both, lookup+1))
+	m.Report(0, target, lookup, 1)
+	m.Report(0, other, lookup, 1)
+	require.False(t, m.Refuses(0, target, lookup))
+	require.False(t, m.Refuses(0, other, lookup))
+	m.Sent(0, target, lookup)
+	require.True(t, m.Refuses(0, target, lookup))
+	require.False(t, m.Refuses(0, other, lookup), "no call was sent there")
 }
 
 func TestMemoryIsBounded(t *testing.T) {
@@ -76,7 +83,7 @@
 		m.Report(0, Target(i), lookup, 0)
 	}
 	require.Len(t, m.targets, TargetsMax)
-	require.False(t, m.Refuse(0, Target(TargetsMax), lookup), "not held, so not refused")
+	require.False(t, refuse(m, 0, Target(TargetsMax), lookup), "not held, so not refused")
 	m.Report(Expiry, Target(TargetsMax), lookup, 0)
 	require.Len(t, m.targets, 1)
 }
@@ -99,7 +106,7 @@
 				continue
 			}
 			p := priority.Priority(rapid.IntRange(0, 10).Draw(t, "priority"))
-			refused := m.Refuse(now, target, p)
+			refused := refuse(m, now, target, p)
 			if !refused {
 				lastPass = now
 				continue
@@ -117,7 +124,7 @@
 	allocs := testing.AllocsPerRun(1000, func() {
 		now += time.Millisecond
 		m.Report(now, target, lookup, 0)
-		m.Refuse(now, target, lookup)
+		refuse(m, now, target, lookup)
 	})
 	require.Zero(t, allocs)
 }
@@ -132,6 +139,6 @@
 	for b.Loop() {
 		now += time.Microsecond
 		m.Report(now, target, lookup, 0)
-		m.Refuse(now, target, lookup)
+		refuse(m, now, target, lookup)
 	}
 }
--- a/internal/traffic/targets.go
+++ b/internal/traffic/targets.go
@@ -143,7 +143,7 @@
 			Distance: from.distance(m),
 			Leaving:  m.Leaving || leaves,
 			Tried:    contains(tried, m.VM),
-			Shedding: s.thresholds.Refuse(now, targetOf(m.VM, route), p),
+			Shedding: s.thresholds.Refuses(now, targetOf(m.VM, route), p),
 		})
 	}
 	at, miss := -1, routing.MissNone
@@ -156,6 +156,7 @@
 	if at < 0 {
 		return nil, miss
 	}
+	s.thresholds.Sent(now, targetOf(members[at].VM, route), p)
 	s.router.Start(now, members[at].VM)
 	return members[at], miss
 }
