--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -312,25 +312,25 @@
 	return min(g.config.QueueMax, queueMost, max(queueMin, g.limiter.Learned()))
 }
 
-// hopeless reports whether e would most likely wait in vain. The most important
-// class gets the benefit of the doubt: a refusal of it costs more than the slots
-// that it keeps.
+// hopeless reports whether e would most likely wait in vain. Without pressure a
+// call gets the benefit of the doubt.
 func (g *Gate) hopeless(e *entry) bool {
-	if e.priority.Rank() == 0 {
+	if !g.pressure.on(e.priority) {
 		return false
 	}
-	if g.pressure.on(e.priority) && !e.priority.Before(g.threshold.Current(g.idle)) {
+	if !e.priority.Before(g.threshold.Current(g.idle)) {
 		return true
 	}
 	return g.wait(g.queue.ahead(e)) > g.waitLimit(e)
 }
 
 // overstayed returns how many of the least important calls are to go: the most
-// important one that waits too long, or will have, and all below it.
+// important one that waits too long, or under pressure will have, and all below
+// it.
 func (g *Gate) overstayed(now time.Duration) int {
 	return g.queue.overstayed(func(e *entry, ahead int) bool {
 		waited := now - e.arrived
-		if e.priority.Rank() > 0 {
+		if g.pressure.on(e.priority) {
 			waited += g.wait(ahead)
 		}
 		return waited > g.waitLimit(e)
