Don't take calls that a comparison holds back for pressure

While the limiter compares, an endpoint runs fewer calls for a while; the queue that this makes counted as pressure.

Change: waiting calls count for pressure only when no learned slot is free.

Tried and thrown away: the most important class may run past the level of a comparison.

--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -163,10 +163,11 @@
 	return g.now
 }
 
-// bestRank returns the class of the most important call that waits, or
-// ranksTracked if none does.
+// bestRank returns the class of the most important call that waits for lack of
+// slots, or ranksTracked if none does. Calls that wait because a comparison of
+// the limiter runs fewer for a while tell nothing about the load.
 func (g *Gate) bestRank() priority.Rank {
-	if g.queue.len() == 0 {
+	if g.queue.len() == 0 || g.flights.len() < g.limiter.Learned() {
 		return ranksTracked
 	}
 	return g.queue.best().priority.Rank()
