Count free time of slots in one place

Cause: a read-through found the same sum in Gate.Threshold and Gate.advance, and a comment that said nothing of the clock that the boundary now runs on.

Change: idleAt serves both; the comment says which clocks do. Behaviour stays.

--- a/decision/admission/gate.go
+++ b/decision/admission/gate.go
@@ -125,11 +125,7 @@
 // Threshold returns the first priority that would be shed now, or
 // priority.Lowest if none would.
 func (g *Gate) Threshold(now time.Duration) priority.Priority {
-	idle := g.idle
-	if now > g.now && g.Headroom() > 0 {
-		idle += now - g.now
-	}
-	return g.threshold.Current(idle)
+	return g.threshold.Current(g.idleAt(now))
 }
 
 // Headroom returns the number of further calls that would run at once.
@@ -155,14 +151,21 @@
 	if now <= g.now {
 		return g.now
 	}
-	if g.Headroom() > 0 {
-		g.idle += now - g.now
-	}
+	g.idle = g.idleAt(now)
 	g.pressure.observe(now-g.now, g.bestRank())
 	g.now = now
 	return g.now
 }
 
+// idleAt returns the time for which slots will have been free at a time without
+// further decisions until then.
+func (g *Gate) idleAt(now time.Duration) time.Duration {
+	if now <= g.now || g.Headroom() == 0 {
+		return g.idle
+	}
+	return g.idle + now - g.now
+}
+
 // bestRank returns the class of the most important call that waits for lack of
 // slots, or ranksTracked if none does. Calls that wait because a comparison of
 // the limiter runs fewer for a while tell nothing about the load.
--- a/decision/boundary/boundary.go
+++ b/decision/boundary/boundary.go
@@ -26,8 +26,9 @@
 )
 
 // Boundary is the first priority that is shed. The zero value sheds nothing. It
-// is not safe for concurrent use. Without further shedding it opens, slowly at first so that
-// callers don't come back all at once.
+// is not safe for concurrent use. Without further shedding it opens, slowly at
+// first so that callers don't come back all at once. Times are of any clock that
+// never goes back, also of one that stands while there is no reason to open.
 type Boundary struct {
 	value float64
 	at    time.Duration // last time that a call was shed
