--- a/cmd/galenacart-node/main.go
+++ b/cmd/galenacart-node/main.go
@@ -24,6 +24,7 @@
 
 func register(commander *subcommands.Commander) {
 	commander.Register(&runCommand{}, "")
+	commander.Register(&serveCommand{}, "")
 	commander.Register(&checkCommand{}, "")
 }
 
--- /dev/null
+++ b/cmd/galenacart-node/serve.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"github.com/galenacart/galenacart/internal/meshnode"
+	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/version"
+	"github.com/galenacart/galenacart/platform"
+)
+
+// serveCommand runs a node on the platform until SIGTERM, the planned stop.
+type serveCommand struct {
+	settings string
+	check    bool
+}
+
+// Name returns the command's name.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis returns a line about the command.
+func (*serveCommand) Synopsis() string {
+	return "run a node for the clients of the platform until SIGTERM, the planned stop"
+}
+
+// Usage returns the command's usage.
+func (*serveCommand) Usage() string {
+	return "serve [-check] -settings FILE\n  Events go to standard error, one JSON object a line.\n"
+}
+
+// SetFlags declares the command's flags.
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "`file` with the node's settings")
+	f.BoolVar(&c.check, "check", false, "only check the settings")
+}
+
+// Execute runs the command.
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" {
+		fmt.Fprintln(os.Stderr, name+": -settings: name the settings file")
+		return subcommands.ExitUsageError
+	}
+	s, err := settings.ReadMeshFile(c.settings)
+	if err != nil {
+		return fail(err)
+	}
+	if c.check {
+		fmt.Printf("%s: settings of VM %s are valid\n", c.settings, s.VM)
+		return subcommands.ExitSuccess
+	}
+	n, err := meshnode.Start(meshnode.Config{
+		Settings:      s,
+		Headers:       platform.Headers(),
+		Source:        platform.NewFeed(s.PlatformAddress),
+		ReadinessPath: platform.ReadinessPath,
+		Version:       version.Text(),
+		Out:           os.Stderr,
+	})
+	if err != nil {
+		return fail(err)
+	}
+	if err := n.Run(ctx); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/decision/placement/placement.go
@@ -0,0 +1,144 @@
+// Package placement picks the endpoint for a call by how full each one is. It
+// answers endpoints of unequal speed: the one that is faster is less full, so it
+// gets more. Its own availability zone is preferred while it has room, because
+// bytes between zones are dear and zones may be cut off.
+package placement
+
+import "time"
+
+const (
+	// farPenalty is the share of its slots by which an endpoint of another zone
+	// has to be less full than one of the own zone.
+	farPenalty = 0.35
+	// fullFrom is the share of the slots from which on the own zone is no longer
+	// preferred.
+	fullFrom = 0.9
+	// failPenalty is what an endpoint that fails every call counts as fuller.
+	failPenalty = 3.0
+	// limitBefore is taken for the slots of an endpoint that has told none.
+	limitBefore = 16
+	// failWeight is the weight of one call in the share of failed ones.
+	failWeight = 1.0 / 16
+	// asideBase and asideMax bound the time for which an endpoint that could not
+	// be reached is left out.
+	asideBase = 250 * time.Millisecond
+	asideMax  = 2 * time.Second
+)
+
+// Candidate is an endpoint that may take a call.
+type Candidate struct {
+	// Near says that it stands in the own availability zone.
+	Near bool
+	// Barred says that the call must not go there.
+	Barred bool
+	// Slots is the published number of its slots, or 0.
+	Slots int
+	// State is what is known of it; nil stands for nothing.
+	State *State
+}
+
+// State is what a node knows of one endpoint. It is not safe for concurrent use.
+type State struct {
+	busy     int // told with the last reply
+	limit    int // told with the last reply
+	open     int // own calls without a reply
+	openThen int // the same when the last reply came
+	failed   float64
+	misses   int
+	until    time.Duration // left out until then
+}
+
+// Start counts a call that is sent.
+func (s *State) Start() {
+	s.open++
+}
+
+// End takes back a call. failed says that the endpoint broke it.
+func (s *State) End(failed bool) {
+	s.open--
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	s.failed += (value - s.failed) * failWeight
+}
+
+// Told takes in what a reply said of the endpoint.
+func (s *State) Told(busy, limit int) {
+	s.busy, s.limit, s.openThen = busy, limit, s.open
+	s.misses = 0
+	s.until = 0
+}
+
+// Missed takes in that the endpoint could not be reached.
+func (s *State) Missed(now time.Duration) {
+	pause := min(asideBase<<min(s.misses, 8), asideMax)
+	s.misses++
+	s.until = now + pause
+}
+
+// Doubt leaves the endpoint out for a moment: its node is silent.
+func (s *State) Doubt(now time.Duration) {
+	s.until = max(s.until, now+asideBase)
+}
+
+// Idle reports whether no call to the endpoint is open.
+func (s *State) Idle() bool {
+	return s.open == 0
+}
+
+// Aside reports whether the endpoint is left out for now.
+func (s *State) Aside(now time.Duration) bool {
+	return now < s.until
+}
+
+// load returns the share of the slots that a further call would take.
+func (c *Candidate) load() float64 {
+	limit := c.Slots
+	if limit == 0 {
+		limit = limitBefore
+	}
+	if c.State == nil {
+		return 1 / float64(limit)
+	}
+	if c.State.limit > 0 {
+		limit = c.State.limit
+	}
+	busy := max(c.State.busy+c.State.open-c.State.openThen, c.State.open)
+	return float64(busy+1) / float64(limit)
+}
+
+// Pick returns the index of the endpoint for a call, or -1. random breaks ties.
+// An endpoint that is left out is taken only when there is no other.
+func Pick(now time.Duration, candidates []Candidate, random uint64) int {
+	if at := pick(now, candidates, random, false); at >= 0 {
+		return at
+	}
+	return pick(now, candidates, random, true)
+}
+
+func pick(now time.Duration, candidates []Candidate, random uint64, aside bool) int {
+	best, bestScore := -1, 0.0
+	for i := range candidates {
+		at := int((random + uint64(i)) % uint64(len(candidates)))
+		c := &candidates[at]
+		if c.Barred || !aside && c.State != nil && c.State.Aside(now) {
+			continue
+		}
+		if score := c.score(); best < 0 || score < bestScore {
+			best, bestScore = at, score
+		}
+	}
+	return best
+}
+
+func (c *Candidate) score() float64 {
+	score := c.load()
+	if !c.Near && score < fullFrom {
+		score = min(score+farPenalty, fullFrom)
+	}
+	if c.State != nil {
+		score += failPenalty * c.State.failed
+	}
+	return score
+}
--- /dev/null
+++ b/decision/registry/registry.go
@@ -0,0 +1,152 @@
+// Package registry keeps the endpoints that are published in a store, although
+// entries come late, out of order, from other writers, or vanish while the store
+// is away. It answers planned stops and outages of the store: an endpoint that
+// has begun to leave never comes back under the same run, and an endpoint that
+// only lost its entry for a moment is kept.
+package registry
+
+import "time"
+
+// returnGrace is the time after the store's return in which entries that lapsed
+// meanwhile come back.
+const returnGrace = 2 * time.Second
+
+// Entry is one published endpoint.
+type Entry struct {
+	// ID names the endpoint; it may start again under the same one.
+	ID string
+	// Service is the service that the endpoint belongs to.
+	Service string
+	// Address is its IP address and port.
+	Address string
+	// AvailabilityZone is where it stands.
+	AvailabilityZone string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Leaving says that it takes no new work.
+	Leaving bool
+	// BornMs is the time of its start, in milliseconds of the Unix epoch.
+	BornMs int64
+	// Sequence orders what it said of itself since its start.
+	Sequence int64
+}
+
+// older reports whether e was said before other.
+func (e *Entry) older(other *Entry) bool {
+	if e.BornMs != other.BornMs {
+		return e.BornMs < other.BornMs
+	}
+	return e.Sequence < other.Sequence
+}
+
+type record struct {
+	entry   Entry
+	present bool // the store holds it
+	until   time.Duration
+	pending bool // vanished while the store was away; gone at until
+}
+
+// Book holds the endpoints. It is not safe for concurrent use.
+type Book struct {
+	records  map[string]*record
+	away     bool
+	returned time.Duration
+	ever     bool
+}
+
+// New returns an empty book.
+func New() *Book {
+	return &Book{records: make(map[string]*record)}
+}
+
+// Put takes in an entry. It reports whether anything changed.
+func (b *Book) Put(e Entry) bool {
+	r, known := b.records[e.ID]
+	if !known {
+		b.records[e.ID] = &record{entry: e, present: true}
+		return true
+	}
+	if e.older(&r.entry) {
+		return false
+	}
+	if e.BornMs == r.entry.BornMs {
+		e.Leaving = e.Leaving || r.entry.Leaving
+	}
+	changed := !r.present || r.entry.comparable() != e.comparable()
+	r.entry, r.present, r.pending = e, true, false
+	return changed
+}
+
+// comparable returns the entry without what changes all the time.
+func (e Entry) comparable() Entry {
+	e.Sequence = 0
+	return e
+}
+
+// Remove takes in that an entry is no longer in the store.
+func (b *Book) Remove(now time.Duration, id string) bool {
+	r, known := b.records[id]
+	if !known || !r.present || r.pending {
+		return false
+	}
+	if b.ever && now-b.returned < returnGrace {
+		r.pending = true
+		r.until = b.returned + returnGrace
+		return false
+	}
+	r.present = false
+	return true
+}
+
+// Replace takes in the whole list of entries.
+func (b *Book) Replace(now time.Duration, all []Entry) bool {
+	changed := false
+	listed := make(map[string]bool, len(all))
+	for _, e := range all {
+		listed[e.ID] = true
+		changed = b.Put(e) || changed
+	}
+	for id := range b.records {
+		if !listed[id] {
+			changed = b.Remove(now, id) || changed
+		}
+	}
+	return changed
+}
+
+// Away takes in that the store doesn't answer.
+func (b *Book) Away() {
+	b.away = true
+}
+
+// Back takes in that the store answers.
+func (b *Book) Back(now time.Duration) {
+	if b.away {
+		b.away = false
+		b.returned = now
+		b.ever = true
+	}
+}
+
+// Expire removes the entries that did not come back. It reports whether any was.
+func (b *Book) Expire(now time.Duration) bool {
+	changed := false
+	for _, r := range b.records {
+		if r.pending && now >= r.until {
+			r.pending, r.present = false, false
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Live returns the entries that the store holds or that may come back.
+func (b *Book) Live() []Entry {
+	live := make([]Entry, 0, len(b.records))
+	for _, r := range b.records {
+		if r.present {
+			live = append(live, r.entry)
+		}
+	}
+	return live
+}
--- /dev/null
+++ b/internal/calllink/frame.go
@@ -0,0 +1,160 @@
+// Package calllink carries calls between nodes: many side by side on one
+// WebSocket, as CBOR. A link tells for each call whether it was never sent,
+// answered, or lost on the way.
+package calllink
+
+import (
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/message"
+)
+
+// kind is the kind of a frame.
+type kind uint8
+
+const (
+	kindCall kind = iota + 1
+	kindReply
+	kindCancel
+	kindPing
+	kindPong
+)
+
+// frame is one unit on a link. Several travel in one WebSocket message.
+type frame struct {
+	Kind  kind   `cbor:"1,keyasint"`
+	ID    uint64 `cbor:"2,keyasint,omitempty"`
+	Call  *Call  `cbor:"3,keyasint,omitempty"`
+	Reply *Reply `cbor:"4,keyasint,omitempty"`
+}
+
+// Call is a request for the endpoint beside the node that receives it.
+type Call struct {
+	// Service is the service that the request is for.
+	Service string `cbor:"1,keyasint"`
+	// Endpoint is the run of the endpoint that is to run it.
+	Endpoint string `cbor:"2,keyasint"`
+	// Route is the name of the request's route.
+	Route string `cbor:"3,keyasint"`
+	// CallerService is the service of the VM where the request began.
+	CallerService string `cbor:"4,keyasint"`
+	// Rank is the request's class in the order of importance; 0 is the highest.
+	Rank uint8 `cbor:"5,keyasint,omitempty"`
+	// Idempotent says that running the request twice does no harm.
+	Idempotent bool `cbor:"6,keyasint,omitempty"`
+	// RemainingMs is the time left for the answer, in milliseconds.
+	RemainingMs uint32 `cbor:"7,keyasint"`
+	// Method, Target, Host, Fields and Body are the request.
+	Method string   `cbor:"8,keyasint"`
+	Target string   `cbor:"9,keyasint"`
+	Host   string   `cbor:"10,keyasint"`
+	Fields []string `cbor:"11,keyasint,omitempty"`
+	Body   []byte   `cbor:"12,keyasint,omitempty"`
+}
+
+// Request returns the request that the call carries.
+func (c *Call) Request() *message.Request {
+	return &message.Request{Method: c.Method, Target: c.Target, Host: c.Host, Header: header(c.Fields), Body: c.Body}
+}
+
+// SetRequest makes the call carry a request.
+func (c *Call) SetRequest(r *message.Request) {
+	c.Method, c.Target, c.Host, c.Body = r.Method, r.Target, r.Host, r.Body
+	c.Fields = fields(r.Header)
+}
+
+// Refusal says why a call was not run.
+type Refusal uint8
+
+// The refusals.
+const (
+	// RefusedNot means that the call was not refused.
+	RefusedNot Refusal = iota
+	// RefusedLeaving means that the endpoint or its node takes no new work.
+	RefusedLeaving
+	// RefusedFull means that the endpoint could not run the call in its time.
+	RefusedFull
+	// RefusedUnreachable means that the endpoint can't be reached.
+	RefusedUnreachable
+	// RefusedByEndpoint means that the endpoint itself refused.
+	RefusedByEndpoint
+)
+
+// Reply is the outcome of a call.
+type Reply struct {
+	// Status, Fields and Body are the endpoint's answer. Status is 0 without one.
+	Status int      `cbor:"1,keyasint,omitempty"`
+	Fields []string `cbor:"2,keyasint,omitempty"`
+	Body   []byte   `cbor:"3,keyasint,omitempty"`
+	// Refused says why the call was not run and never will be.
+	Refused Refusal `cbor:"4,keyasint,omitempty"`
+	// Detail explains a call without an answer.
+	Detail string `cbor:"5,keyasint,omitempty"`
+	// Load is the state of the node that replies.
+	Load Load `cbor:"6,keyasint"`
+}
+
+// Load is what a node says of itself with every reply.
+type Load struct {
+	// Busy counts the calls that the endpoint runs or that wait for it.
+	Busy int `cbor:"1,keyasint,omitempty"`
+	// Limit is the number of calls that the endpoint may run at once.
+	Limit int `cbor:"2,keyasint,omitempty"`
+	// Admitted is the level of importance up to which requests of the call's
+	// route are let in, in thousandths of a rank.
+	Admitted int `cbor:"3,keyasint,omitempty"`
+	// Inner says that only endpoints make calls of the route.
+	Inner bool `cbor:"4,keyasint,omitempty"`
+	// Leaving says that the endpoint takes no new work.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Answer returns the endpoint's answer, or nil.
+func (r *Reply) Answer() *message.Answer {
+	if r.Status == 0 {
+		return nil
+	}
+	return &message.Answer{Status: r.Status, Header: header(r.Fields), Body: r.Body}
+}
+
+// SetAnswer makes the reply carry an answer.
+func (r *Reply) SetAnswer(a *message.Answer) {
+	r.Status, r.Body = a.Status, a.Body
+	r.Fields = fields(a.Header)
+}
+
+// fields flattens headers into names and values in turn.
+func fields(h http.Header) []string {
+	out := make([]string, 0, 2*len(h))
+	for name, values := range h {
+		for _, value := range values {
+			out = append(out, name, value)
+		}
+	}
+	return out
+}
+
+func header(fields []string) http.Header {
+	h := make(http.Header, len(fields)/2)
+	for i := 0; i+1 < len(fields); i += 2 {
+		h[fields[i]] = append(h[fields[i]], fields[i+1])
+	}
+	return h
+}
+
+// decode calls take for each frame of a message.
+func decode(data []byte, take func(*frame)) error {
+	for len(data) > 0 {
+		f := &frame{}
+		rest, err := cbor.UnmarshalFirst(data, f)
+		if err != nil {
+			return errors.Wrap(err, "decode a frame")
+		}
+		take(f)
+		data = rest
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/calllink/link.go
@@ -0,0 +1,162 @@
+package calllink
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// Path is the path at which a node takes links.
+const Path = "/galenacart/calls"
+
+const (
+	// dialTimeout bounds the opening of a link.
+	dialTimeout = 700 * time.Millisecond
+	// redialPause is the time after a failed opening in which no other is tried.
+	redialPause = 300 * time.Millisecond
+	// pingAfter is the silence after which a link with open calls is probed.
+	pingAfter = 250 * time.Millisecond
+	// doubtAfter is the silence after which a link gets no new calls.
+	doubtAfter = 600 * time.Millisecond
+	// lostAfter is the silence after which the open calls of a link are lost.
+	lostAfter = 1200 * time.Millisecond
+)
+
+var (
+	errClosed = errors.New("the link is closed")
+	// ErrUnsent means that a call never left this node.
+	ErrUnsent = errors.New("the call was not sent")
+	// ErrLost means that a call was sent and its reply will not come.
+	ErrLost = errors.New("the link broke before the reply")
+)
+
+// Link is the way to one other node. It is opened when it is needed.
+type Link struct {
+	address string
+	now     func() time.Duration
+
+	mu       sync.Mutex
+	current  *session
+	opening  chan struct{}
+	failedAt time.Duration
+	failed   bool
+}
+
+// New returns the way to the node at an IP address and port. now is the time
+// since the process started.
+func New(address string, now func() time.Duration) *Link {
+	return &Link{address: address, now: now}
+}
+
+// Do sends a call and waits for its reply. The error is ErrUnsent, ErrLost or
+// that of ctx; with the latter the other node is told to give the call up.
+func (l *Link) Do(ctx context.Context, call *Call) (*Reply, error) {
+	s, err := l.session(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return s.do(ctx, call)
+}
+
+// Doubtful reports whether the node has been silent for so long, or could not
+// be reached so recently, that a call is better sent elsewhere.
+func (l *Link) Doubtful() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == nil {
+		return l.failed && l.now()-l.failedAt < redialPause
+	}
+	return l.current.open() > 0 && l.current.stream.silentFor(l.now()) > doubtAfter
+}
+
+// Watch probes a silent link and gives up one that stays silent. It is called
+// every few tens of milliseconds.
+func (l *Link) Watch() {
+	l.mu.Lock()
+	s := l.current
+	l.mu.Unlock()
+	if s == nil || s.open() == 0 {
+		return
+	}
+	silent := s.stream.silentFor(l.now())
+	switch {
+	case silent > lostAfter:
+		s.stream.close()
+	case silent > pingAfter:
+		s.ping()
+	}
+}
+
+// Idle reports whether no call is open.
+func (l *Link) Idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current == nil || l.current.open() == 0
+}
+
+// Close ends the link. Open calls are lost.
+func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != nil {
+		l.current.stream.close()
+	}
+}
+
+// session returns the open session, or opens one.
+func (l *Link) session(ctx context.Context) (*session, error) {
+	l.mu.Lock()
+	for l.current == nil {
+		if l.failed && l.now()-l.failedAt < redialPause {
+			l.mu.Unlock()
+			return nil, ErrUnsent
+		}
+		if l.opening == nil {
+			l.opening = make(chan struct{})
+			go l.dial()
+		}
+		opened := l.opening
+		l.mu.Unlock()
+		select {
+		case <-opened:
+		case <-ctx.Done():
+			return nil, ErrUnsent
+		}
+		l.mu.Lock()
+	}
+	defer l.mu.Unlock()
+	return l.current, nil
+}
+
+// dial opens a session for all calls that wait for it.
+func (l *Link) dial() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}
+	socket, _, err := websocket.Dial(ctx, "ws://"+l.address+Path, &websocket.DialOptions{HTTPClient: client}) //nolint:bodyclose // the library keeps the body
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.opening)
+	l.opening = nil
+	l.failed = err != nil
+	if err != nil {
+		l.failedAt = l.now()
+		return
+	}
+	l.current = newSession(socket, l.now)
+	go l.run(l.current)
+}
+
+// run reads replies until the session ends.
+func (l *Link) run(s *session) {
+	_ = s.stream.read(l.now, s.take) // the calls that are lost with it tell
+	l.mu.Lock()
+	l.current = nil
+	l.mu.Unlock()
+	s.abandon()
+}
--- /dev/null
+++ b/internal/calllink/session.go
@@ -0,0 +1,123 @@
+package calllink
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// session is one open WebSocket to another node, from the caller's side.
+type session struct {
+	stream *stream
+
+	mu     sync.Mutex
+	nextID uint64
+	calls  map[uint64]*open
+	ended  bool
+}
+
+// open is a call that waits for its reply.
+type open struct {
+	reply chan *Reply // closed without a reply when the session ends
+	sent  bool
+}
+
+func newSession(socket *websocket.Conn, now func() time.Duration) *session {
+	s := &session{stream: newStream(socket), calls: make(map[uint64]*open)}
+	s.stream.heard.Store(int64(now()))
+	s.stream.sent = s.markSent
+	return s
+}
+
+func (s *session) do(ctx context.Context, call *Call) (*Reply, error) {
+	id, one := s.register()
+	if one == nil {
+		return nil, ErrUnsent
+	}
+	_ = s.stream.send(&frame{Kind: kindCall, ID: id, Call: call}) // the session's end tells the same
+	select {
+	case reply := <-one.reply:
+		if reply != nil {
+			return reply, nil
+		}
+		return nil, s.lost(one)
+	case <-ctx.Done():
+		s.forget(id)
+		_ = s.stream.send(&frame{Kind: kindCancel, ID: id}) // a closed link cancels as well
+		return nil, ctx.Err()
+	}
+}
+
+func (s *session) register() (uint64, *open) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return 0, nil
+	}
+	s.nextID++
+	one := &open{reply: make(chan *Reply, 1)}
+	s.calls[s.nextID] = one
+	return s.nextID, one
+}
+
+// markSent notes that the bytes of a call may leave the node from now on.
+func (s *session) markSent(f *frame) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if one := s.calls[f.ID]; one != nil && f.Kind == kindCall {
+		one.sent = true
+	}
+}
+
+func (s *session) lost(one *open) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if one.sent {
+		return ErrLost
+	}
+	return ErrUnsent
+}
+
+func (s *session) forget(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, id)
+}
+
+// take hands a reply to the call that waits for it.
+func (s *session) take(f *frame) {
+	if f.Kind != kindReply || f.Reply == nil {
+		return
+	}
+	s.mu.Lock()
+	one := s.calls[f.ID]
+	delete(s.calls, f.ID)
+	s.mu.Unlock()
+	if one != nil {
+		one.reply <- f.Reply
+	}
+}
+
+// open returns the number of calls that wait for their reply.
+func (s *session) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
+func (s *session) ping() {
+	_ = s.stream.send(&frame{Kind: kindPing}) // the session's end tells the same
+}
+
+// abandon ends all calls that wait for a reply.
+func (s *session) abandon() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	for id, one := range s.calls {
+		close(one.reply)
+		delete(s.calls, id)
+	}
+}
--- a/internal/catalogue/index.go
+++ b/internal/catalogue/index.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,7 @@
 	ranks     map[string]priority.Rank
 	services  map[string]*Service
 	routes    map[string][]*Route // by method, the longest path first
+	hosts     map[string][]*Route // by host, the longest path first
 }
 
 // NewIndex returns the index of a valid catalogue.
@@ -29,6 +31,7 @@
 		ranks:     make(map[string]priority.Rank, len(c.Classes)),
 		services:  make(map[string]*Service, len(c.Services)),
 		routes:    make(map[string][]*Route),
+		hosts:     make(map[string][]*Route),
 	}
 	for i := range c.Classes {
 		x.ranks[c.Classes[i].Name] = priority.Rank(i)
@@ -43,15 +46,25 @@
 }
 
 func (x *Index) addRoute(r *Route) {
-	list := x.routes[r.Method]
+	if r.Host != "" {
+		x.hosts[r.Host] = insert(x.hosts[r.Host], r)
+		return
+	}
+	x.routes[r.Method] = insert(x.routes[r.Method], r)
+}
+
+// insert adds a route to a list that has the longest path first.
+func insert(list []*Route, r *Route) []*Route {
 	at := 0
 	for at < len(list) && len(list[at].Path) >= len(r.Path) {
 		at++
 	}
-	list = append(list, nil)
-	copy(list[at+1:], list[at:])
-	list[at] = r
-	x.routes[r.Method] = list
+	return slices.Insert(list, at, r)
+}
+
+// AtHost returns the route of a host with the longest matching path, or nil.
+func (x *Index) AtHost(host, path string) *Route {
+	return longest(x.hosts[host], path)
 }
 
 // Catalogue returns the document behind the index.
@@ -72,7 +85,11 @@
 
 // Route returns the route with the longest matching path, or nil.
 func (x *Index) Route(method, path string) *Route {
-	for _, r := range x.routes[method] {
+	return longest(x.routes[method], path)
+}
+
+func longest(list []*Route, path string) *Route {
+	for _, r := range list {
 		if matches(r.Path, path) {
 			return r
 		}
@@ -91,6 +108,23 @@
 	return path[len(prefix)] == '/'
 }
 
+// ServiceFor returns the service that answers a request. at, from 0 to under 1,
+// is the request's place among those of a route that is split.
+func (r *Route) ServiceFor(at float64) string {
+	total := 0
+	for _, p := range r.Split {
+		total += p.Weight
+	}
+	left := at * float64(total)
+	for _, p := range r.Split {
+		left -= float64(p.Weight)
+		if left < 0 {
+			return p.Service
+		}
+	}
+	return r.Service
+}
+
 // Timeout returns the time for the whole answer.
 func (r *Route) Timeout() time.Duration {
 	return time.Duration(r.Limits.TimeoutMs) * time.Millisecond
--- a/internal/catalogue/types.go
+++ b/internal/catalogue/types.go
@@ -79,6 +79,25 @@
 	Internal bool `json:"internal,omitempty"`
 	// Limits bound each call.
 	Limits RouteLimits `json:"limits"`
+
+	// What follows is no part of the document: a platform that publishes routes
+	// of its own gives it.
+
+	// Host is the host that requests ask for. Empty: routes go by Method.
+	Host string `json:"-"`
+	// Split shares the requests out over several services instead of Service.
+	Split []Part `json:"-"`
+	// AttemptsMax bounds the endpoints to which one request is sent. 0 stands
+	// for no bound of its own.
+	AttemptsMax int `json:"-"`
+}
+
+// Part is the share of a route's requests that goes to one service.
+type Part struct {
+	// Service names the service.
+	Service string
+	// Weight is the share, relative to those of the other parts.
+	Weight int
 }
 
 // RouteLimits bound one call.
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,194 @@
+// Package discovery keeps what a node knows of its deployment: the configuration
+// in force and the endpoints with their nodes. It never goes back to an older
+// configuration, and publishes each change as a view.
+package discovery
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/galenacart/galenacart/decision/registry"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// Configuration is one version of what operators declare.
+type Configuration struct {
+	// Version orders configurations.
+	Version uint64
+	// Catalogue holds routes, services and classes.
+	Catalogue *catalogue.Catalogue
+	// Bounds bound what clients may send.
+	Bounds view.ClientBounds
+}
+
+// Source feeds a Board until ctx ends.
+type Source interface {
+	Run(ctx context.Context, b *Board)
+}
+
+// Board takes in what a source reads. It is safe for concurrent use.
+type Board struct {
+	holder   *view.Holder
+	log      *event.Log
+	now      func() time.Duration
+	peerPort uint16
+
+	mu      sync.Mutex
+	book    *registry.Book
+	current *Configuration
+	index   *catalogue.Index
+	away    bool
+}
+
+// NewBoard returns an empty board. peerPort is the port at which each node
+// stands beside its endpoint.
+func NewBoard(holder *view.Holder, log *event.Log, now func() time.Duration, peerPort uint16) *Board {
+	return &Board{holder: holder, log: log, now: now, peerPort: peerPort, book: registry.New()}
+}
+
+// Configure takes a configuration into force unless a newer one is.
+func (b *Board) Configure(c *Configuration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current != nil && c.Version <= b.current.Version {
+		return
+	}
+	b.current = c
+	b.index = catalogue.NewIndex(c.Catalogue)
+	b.log.Emit(event.CatalogueInForce, "", event.F("revision", c.Version), event.F("routes", len(c.Catalogue.Routes)))
+	b.publish()
+}
+
+// Put takes in an endpoint.
+func (b *Board) Put(e registry.Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.book.Put(e) {
+		b.changed(e.ID, e.Leaving)
+	}
+}
+
+// Remove takes in that an endpoint is no longer published.
+func (b *Board) Remove(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.book.Remove(b.now(), id) {
+		b.changed(id, true)
+	}
+}
+
+func (b *Board) changed(id string, leaving bool) {
+	b.log.Emit(event.MemberChanged, "", event.F("vm", id), event.F("leaving", leaving))
+	b.publish()
+}
+
+// Replace takes in all endpoints at once.
+func (b *Board) Replace(all []registry.Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.book.Replace(b.now(), all) {
+		b.publish()
+	}
+}
+
+// Unreadable takes in that an entry of the source can't be read.
+func (b *Board) Unreadable(key string, why error) {
+	b.log.Emit(event.DocumentRefused, "", event.F("key", key), event.F("error", why))
+}
+
+// Away takes in that the source doesn't answer.
+func (b *Board) Away(why error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.book.Away()
+	if !b.away {
+		b.away = true
+		b.log.Emit(event.PlatformRead, "", event.F("error", why))
+	}
+}
+
+// Back takes in that the source answers.
+func (b *Board) Back() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.book.Back(b.now())
+	if b.away {
+		b.away = false
+		b.log.Emit(event.PlatformBack, "")
+	}
+}
+
+// expireInterval is the time between two looks at entries that lapsed.
+const expireInterval = 100 * time.Millisecond
+
+// Run drops entries that do not come back until ctx ends.
+func (b *Board) Run(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.expire()
+		}
+	}
+}
+
+func (b *Board) expire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.book.Expire(b.now()) {
+		b.publish()
+	}
+}
+
+// publish makes the view that traffic reads.
+func (b *Board) publish() {
+	v := &view.View{
+		Index:     b.index,
+		ByService: make(map[string][]*view.Member),
+		ByVM:      make(map[string]*view.Member),
+	}
+	if b.current != nil {
+		v.Revision = b.current.Version
+		v.Bounds = b.current.Bounds
+	}
+	for _, e := range b.book.Live() {
+		m := b.member(&e)
+		if m == nil {
+			continue
+		}
+		v.ByService[m.Service] = append(v.ByService[m.Service], m)
+		v.ByVM[m.VM] = m
+	}
+	for _, members := range v.ByService {
+		slices.SortFunc(members, func(x, y *view.Member) int { return cmp.Compare(x.Endpoint, y.Endpoint) })
+	}
+	b.holder.Store(v)
+}
+
+// member returns the VM of an endpoint. The platform names endpoints only, so
+// the endpoint's name stands for its VM.
+func (b *Board) member(e *registry.Entry) *view.Member {
+	address, err := netip.ParseAddrPort(e.Address)
+	if err != nil {
+		return nil
+	}
+	return &view.Member{
+		VM:               e.ID,
+		AvailabilityZone: e.AvailabilityZone,
+		Service:          e.Service,
+		PeerAddress:      netip.AddrPortFrom(address.Addr(), b.peerPort).String(),
+		Leaving:          e.Leaving,
+		Endpoint:         e.ID,
+		EndpointAddress:  e.Address,
+		Slots:            e.Slots,
+	}
+}
--- a/internal/docpage/structs.go
+++ b/internal/docpage/structs.go
@@ -24,6 +24,9 @@
 	for _, field := range structOf(t, parsed, name).Fields.List {
 		tag := reflect.StructTag(strings.Trim(field.Tag.Value, "`"))
 		jsonName, _, _ := strings.Cut(tag.Get("json"), ",")
+		if jsonName == "-" {
+			continue
+		}
 		kind := typeText(field.Type)
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", jsonName, kind, bounds(tag.Get("validate"), kind), meaning(field.Doc.Text()))
 	}
--- /dev/null
+++ b/internal/endpointlink/conn.go
@@ -0,0 +1,84 @@
+package endpointlink
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// readBufferBytes holds a usual answer.
+const readBufferBytes = 4 << 10
+
+// conn is one connection to the endpoint. It carries one request at a time.
+type conn struct {
+	raw       net.Conn
+	in        *bufio.Reader
+	idleMax   time.Duration
+	idleSince time.Time
+}
+
+func newConn(raw net.Conn) *conn {
+	return &conn{raw: raw, in: bufio.NewReaderSize(raw, readBufferBytes), idleMax: idleBefore}
+}
+
+func (c *conn) close() {
+	_ = c.raw.Close() // nothing is expected of it any more
+}
+
+// young reports whether the endpoint has no reason yet to close the connection.
+func (c *conn) young(now time.Time) bool {
+	return now.Sub(c.idleSince) < c.idleMax
+}
+
+// fit reports whether the connection can take a request: it is young, open, and
+// no bytes lie on it that belong to no request.
+func (c *conn) fit(now time.Time, idempotent bool) bool {
+	if !c.young(now) || (!idempotent && now.Sub(c.idleSince) > idleNonIdempotent) {
+		return false
+	}
+	return c.in.Buffered() == 0 && c.quiet()
+}
+
+// quiet reports whether the connection is open with nothing to read.
+func (c *conn) quiet() bool {
+	socket, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keep takes in how long the endpoint keeps the connection when it is idle, and
+// reports whether it may be used again.
+func (c *conn) keep(r *http.Response) bool {
+	if r.Close || c.in.Buffered() > 0 {
+		return false
+	}
+	for _, list := range r.Header["Keep-Alive"] {
+		for one := range strings.SplitSeq(list, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(one), "=")
+			seconds, err := strconv.Atoi(value)
+			if strings.EqualFold(name, "timeout") && err == nil {
+				c.idleMax = time.Duration(seconds)*time.Second - idleMargin
+			}
+		}
+	}
+	return c.idleMax > 0
+}
--- /dev/null
+++ b/internal/endpointlink/pool.go
@@ -0,0 +1,115 @@
+// Package endpointlink carries requests to the local endpoint over HTTP/1.1
+// connections of its own. It tells what a failed exchange proves, and lets no
+// byte of one answer pass for another.
+package endpointlink
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/galenacart/galenacart/internal/message"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection on the same machine.
+	dialTimeout = 300 * time.Millisecond
+	// idleBefore is the idle time of a connection whose endpoint names none.
+	idleBefore = 8 * time.Second
+	// idleMargin is kept to the idle time that the endpoint names.
+	idleMargin = time.Second
+	// idleNonIdempotent bounds the idle time of a connection for a request that
+	// must not run twice: a lost answer to it can't be mended.
+	idleNonIdempotent = 3 * time.Second
+)
+
+// Pool holds the connections to the local endpoint.
+type Pool struct {
+	address string
+	headers message.Headers
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle []*conn // the one used last at the end
+}
+
+// New returns a pool for an IP address and port.
+func New(address string, headers message.Headers) *Pool {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &Pool{
+		address: address,
+		headers: headers,
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+	}
+}
+
+// Call is one request for the endpoint.
+type Call struct {
+	// Request is the request as the client sent it.
+	Request *message.Request
+	// Endpoint is the run of the endpoint that is to run it.
+	Endpoint string
+	// CallerService is the service of the VM where the request began.
+	CallerService string
+	// Remaining is the time that the endpoint may take.
+	Remaining time.Duration
+	// Idempotent says that running the request twice does no harm.
+	Idempotent bool
+}
+
+// take returns a connection that is fit for use, or a new one.
+func (p *Pool) take(ctx context.Context, idempotent bool) (*conn, error) {
+	for {
+		c := p.pop()
+		if c == nil {
+			break
+		}
+		if c.fit(time.Now(), idempotent) {
+			return c, nil
+		}
+		c.close()
+	}
+	raw, err := p.dial(ctx, p.address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw), nil
+}
+
+func (p *Pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle = p.idle[:last]
+	return c
+}
+
+// put keeps a connection for the next request. Connections that have been idle
+// for too long are closed.
+func (p *Pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(p.idle, c)
+	for len(p.idle) > 0 && !p.idle[0].young(c.idleSince) {
+		p.idle[0].close()
+		p.idle = p.idle[1:]
+	}
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.idle = nil
+}
--- /dev/null
+++ b/internal/ingress/read.go
@@ -0,0 +1,138 @@
+package ingress
+
+import (
+	"bytes"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/message"
+)
+
+// unlimited lets any number of bytes pass.
+const unlimited = math.MaxInt64
+
+// bodyTimeout bounds the time in which a body must arrive.
+const bodyTimeout = 30 * time.Second
+
+var errTooLarge = errors.New("more bytes than the limit")
+
+// limitedReader fails once more bytes than remaining were read.
+type limitedReader struct {
+	source    io.Reader
+	remaining int64
+}
+
+// Read reads from the source within the limit.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errTooLarge
+	}
+	if int64(len(p)) > l.remaining {
+		p = p[:l.remaining]
+	}
+	n, err := l.source.Read(p)
+	l.remaining -= int64(n)
+	return n, err
+}
+
+// readRequest reads one whole request. Without a request and without an answer
+// the connection is to be closed.
+func (c *conn) readRequest() (r *message.Request, last bool, refused *message.Answer) {
+	limits := c.server.config.Limits()
+	c.limit.remaining = max(int64(limits.HeaderBytes-c.in.Buffered()), 0)
+	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only on a closed connection
+	parsed, err := http.ReadRequest(c.in)
+	if err != nil {
+		return nil, true, refuseHead(err)
+	}
+	body, whole, refused := c.readBody(parsed, limits.BodyBytes)
+	if !whole {
+		return nil, true, refused
+	}
+	last = parsed.Close || !parsed.ProtoAtLeast(1, 1)
+	message.DropHopByHop(parsed.Header)
+	return &message.Request{
+		Method: parsed.Method,
+		Target: parsed.RequestURI,
+		Host:   parsed.Host,
+		Header: parsed.Header,
+		Body:   body,
+	}, last, nil
+}
+
+// refuseHead returns the answer to a head that can't be read, or nil when the
+// connection broke.
+func refuseHead(err error) *message.Answer {
+	var network net.Error
+	switch {
+	case errors.Is(err, errTooLarge):
+		return message.Failed(http.StatusRequestHeaderFieldsTooLarge, "the head is larger than the limit")
+	case isTimeout(err):
+		return message.Failed(http.StatusRequestTimeout, "the head took too long")
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
+		return nil
+	default:
+		return message.Failed(http.StatusBadRequest, "not an HTTP/1.1 request")
+	}
+}
+
+// readBody reads a body whole. If it can't, the answer says why; without an
+// answer the connection broke.
+func (c *conn) readBody(r *http.Request, limit int64) (body []byte, whole bool, refused *message.Answer) {
+	c.limit.remaining = unlimited
+	if r.ContentLength > limit {
+		return nil, false, message.Failed(http.StatusRequestEntityTooLarge, "the body is larger than the limit")
+	}
+	if r.ContentLength == 0 {
+		return nil, true, nil
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only on a closed connection
+	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") && c.outstanding() == 0 {
+		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, false, nil
+		}
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, false, refuseHead(err)
+	case int64(len(body)) > limit:
+		return nil, false, message.Failed(http.StatusRequestEntityTooLarge, "the body is larger than the limit")
+	default:
+		return body, true, nil
+	}
+}
+
+func isTimeout(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
+}
+
+// headGuess is the usual size of an answer's head, in bytes.
+const headGuess = 512
+
+// encode returns an answer as it is written. Its length is always told.
+func encode(a *message.Answer, head, closes bool) []byte {
+	var b bytes.Buffer // writing to memory never fails
+	b.Grow(len(a.Body) + headGuess)
+	b.WriteString("HTTP/1.1 " + strconv.Itoa(a.Status) + " " + http.StatusText(a.Status) + "\r\n")
+	_ = a.Header.Write(&b)
+	if closes {
+		b.WriteString("Connection: close\r\n")
+	}
+	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(a.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	if !head {
+		b.Write(a.Body)
+	}
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/mesh/carry.go
@@ -0,0 +1,177 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/calllink"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/message"
+	"github.com/galenacart/galenacart/internal/problem"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+const (
+	// replySlack is the time past a request's deadline in which the reply of the
+	// endpoint's node, which keeps the same deadline, is awaited.
+	replySlack = 60 * time.Millisecond
+	// refusalsMax bounds the endpoints that may turn one request away.
+	refusalsMax = 8
+	// repeatShare is the part of the fleet's budget for repeats that is used: a
+	// repeat of a request repeats its calls further down too.
+	repeatShare = 0.4
+)
+
+// carry sends a request to endpoints until one answers or no further attempt is
+// allowed.
+func (p *passage) carry(ctx context.Context) *message.Answer {
+	e := p.entrance
+	ctx, cancel := context.WithTimeout(ctx, p.deadline+replySlack-e.config.Now())
+	defer cancel()
+	e.targets.first(p.service, e.config.Settings.RetryTime())
+	for range refusalsMax {
+		member := e.targets.pick(p.view.ByService[p.service], p.tried)
+		if member == nil {
+			break
+		}
+		a, again := p.attempt(ctx, member)
+		if a != nil {
+			return a
+		}
+		if !again || ctx.Err() != nil || e.config.Now() >= p.deadline {
+			break
+		}
+	}
+	return p.giveUp(ctx)
+}
+
+// giveUp answers a request that no endpoint answered.
+func (p *passage) giveUp(ctx context.Context) *message.Answer {
+	switch {
+	case p.last != nil:
+		return p.last
+	case !p.ran && p.reason != nil:
+		return p.refuse(problem.New(p.reason.Kind, problem.RanNo, "%s", p.reason.Detail))
+	case !p.ran:
+		return p.refuse(problem.New(problem.KindUnreachable, problem.RanNo, "no endpoint of service %s is there", p.service))
+	case ctx.Err() != nil || p.entrance.config.Now() >= p.deadline:
+		return p.refuse(problem.New(problem.KindTimeout, problem.RanUnknown, "no answer of service %s in time", p.service))
+	default:
+		return p.refuse(p.reason)
+	}
+}
+
+// attempt sends the request to one endpoint. It returns the answer for the
+// client, or whether another attempt may follow.
+func (p *passage) attempt(ctx context.Context, m *view.Member) (a *message.Answer, again bool) {
+	e := p.entrance
+	p.tried = append(p.tried, m.Endpoint)
+	reply, err := p.send(ctx, m)
+	switch {
+	case err != nil:
+		return nil, p.broken(ctx, m, err)
+	case reply.Refused != calllink.RefusedNot:
+		return nil, p.refused(m, reply)
+	}
+	e.levels.take(p.route.Name, m.VM, &reply.Load)
+	a = reply.Answer()
+	bad := a == nil || a.Status >= http.StatusInternalServerError
+	e.targets.done(m, outcome{load: &reply.Load, failed: bad})
+	p.ran = true
+	p.sent++
+	if a == nil {
+		p.reason = problem.New(problem.KindConnectionLost, problem.RanUnknown, "%s", reply.Detail)
+		return nil, p.mayRepeat(m)
+	}
+	if a.Status == http.StatusInternalServerError && p.calm() && p.mayRepeat(m) {
+		p.last = a
+		return nil, true
+	}
+	return a, false
+}
+
+// send hands the call to the node of an endpoint, which may be this one.
+func (p *passage) send(ctx context.Context, m *view.Member) (*calllink.Reply, error) {
+	e := p.entrance
+	call := &calllink.Call{
+		Service:       p.service,
+		Endpoint:      m.Endpoint,
+		Route:         p.route.Name,
+		CallerService: e.config.Settings.Service,
+		Rank:          p.rank,
+		Idempotent:    p.route.Idempotent,
+		RemainingMs:   uint32(max((p.deadline - e.config.Now()).Milliseconds(), 1)),
+	}
+	call.SetRequest(p.request)
+	if m.VM == e.config.Settings.VM || m.EndpointAddress == e.config.Settings.EndpointAddress {
+		return e.local(ctx, call), nil
+	}
+	return e.targets.link(m.PeerAddress).Do(ctx, call)
+}
+
+// broken takes in a call without a reply. It reports whether another attempt may
+// follow.
+func (p *passage) broken(ctx context.Context, m *view.Member, err error) bool {
+	unsent := errors.Is(err, calllink.ErrUnsent)
+	gone := ctx.Err() != nil && !unsent
+	p.entrance.targets.done(m, outcome{unreachable: !gone, failed: !gone})
+	if unsent {
+		p.reason = problem.New(problem.KindUnreachable, problem.RanNo, "VM %s can't be reached", m.VM)
+		return true
+	}
+	p.ran = true
+	p.sent++
+	p.reason = problem.New(problem.KindConnectionLost, problem.RanUnknown, "VM %s: %v", m.VM, err)
+	return !gone && p.mayRepeat(m)
+}
+
+// refused takes in a reply that the call was not run. It reports whether another
+// attempt may follow.
+func (p *passage) refused(m *view.Member, reply *calllink.Reply) bool {
+	o := outcome{load: &reply.Load, unreachable: reply.Refused == calllink.RefusedUnreachable}
+	o.failed = reply.Refused == calllink.RefusedByEndpoint || o.unreachable
+	p.entrance.targets.done(m, o)
+	kind := problem.KindOverloaded
+	switch reply.Refused {
+	case calllink.RefusedLeaving:
+		kind = problem.KindLeaving
+	case calllink.RefusedUnreachable:
+		kind = problem.KindUnreachable
+	case calllink.RefusedByEndpoint:
+		kind = problem.KindEndpointRefused
+	}
+	p.reason = problem.New(kind, problem.RanNo, "VM %s: %s", m.VM, reply.Detail)
+	if reply.Refused == calllink.RefusedByEndpoint {
+		return p.affords(m)
+	}
+	return true
+}
+
+// calm reports whether the chain of the request is not overloaded.
+func (p *passage) calm() bool {
+	return p.entrance.levels.level(p.route.Name) >= float64(p.rank)+1
+}
+
+// mayRepeat reports whether a request that may have run goes to another endpoint.
+func (p *passage) mayRepeat(m *view.Member) bool {
+	if !p.route.Idempotent || p.route.AttemptsMax > 0 && p.sent >= p.route.AttemptsMax {
+		return false
+	}
+	return p.affords(m)
+}
+
+// affords takes a repeat out of this node's part of the fleet's budget.
+func (p *passage) affords(m *view.Member) bool {
+	e := p.entrance
+	s := e.config.Settings
+	nodes := float64(max(len(p.view.ByVM), 1))
+	if !e.targets.mayRepeat(p.service, s.RetryTime(), s.RetryRatio*repeatShare, s.RetryAllowance*repeatShare/nodes) {
+		return false
+	}
+	e.config.Metrics.Retry()
+	e.config.Log.Emit(event.CallRetried, p.id, event.F("route", p.route.Name), event.F("after", m.VM))
+	return true
+}
--- /dev/null
+++ b/internal/mesh/entrance.go
@@ -0,0 +1,166 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/galenacart/galenacart/internal/calllink"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/message"
+	"github.com/galenacart/galenacart/internal/problem"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+const (
+	// comeBackMin and comeBackMax bound the time after which a refused client is
+	// asked to come back. It is drawn, so that clients don't return together.
+	comeBackMin = 300 * time.Millisecond
+	comeBackMax = 1200 * time.Millisecond
+	// comeBackShare is the part of its remaining time, one in comeBackShare, for
+	// which a client waits at most.
+	comeBackShare = 3
+)
+
+// entrance is where requests of clients and of the local endpoint begin.
+type entrance struct {
+	config  Config
+	targets *targets
+	levels  *levels
+	callers callObserver
+	local   calllink.Handler
+	applied atomic.Pointer[view.View]
+}
+
+// callObserver learns of the local endpoint's own calls.
+type callObserver interface {
+	called(route string)
+}
+
+func newEntrance(c Config) *entrance {
+	return &entrance{config: c, targets: newTargets(c), levels: newLevels(c.Now)}
+}
+
+// passage is one request on its way through the entrance.
+type passage struct {
+	entrance *entrance
+	view     *view.View
+	request  *message.Request
+	id       string
+	route    *catalogue.Route
+	service  string
+	rank     uint8
+	deadline time.Duration // when the client gets its answer at the latest
+	patience time.Duration // when the client itself gives up
+	tried    []string      // runs of endpoints
+	ran      bool          // an endpoint may have run the request
+	sent     int           // endpoints that may have run it
+	last     *message.Answer
+	reason   *problem.Error
+}
+
+func (e *entrance) serve(ctx context.Context, r *message.Request) *message.Answer {
+	v := e.config.View.Load()
+	p := &passage{entrance: e, view: v, request: r, id: r.Header.Get(e.config.Headers.RequestID)}
+	if v.Index == nil {
+		return p.refuse(problem.New(problem.KindNotReady, problem.RanNo, "no configuration is in force yet"))
+	}
+	p.route = v.Index.AtHost(r.Host, r.Path())
+	if p.route == nil {
+		return p.refuse(problem.New(problem.KindNoRoute, problem.RanNo, "no route for %s%s", r.Host, r.Path()))
+	}
+	p.begin()
+	if e.shed(p) {
+		return p.refuse(problem.New(problem.KindOverloaded, problem.RanNo, "requests of route %s are shed", p.route.Name))
+	}
+	return p.carry(ctx)
+}
+
+// begin sets the request's times and its service.
+func (p *passage) begin() {
+	e := p.entrance
+	now := e.config.Now()
+	remaining := p.route.Timeout()
+	if ms, err := strconv.ParseInt(p.request.Header.Get(e.config.Headers.RemainingMs), 10, 32); err == nil && ms >= 0 {
+		remaining = time.Duration(ms) * time.Millisecond
+	}
+	p.patience = now + remaining
+	p.deadline = now + min(remaining, p.route.Timeout())
+	p.service = p.route.ServiceFor(rand.Float64())
+	rank, _ := p.view.Index.Rank(p.route.Class) // a configuration in force names its classes
+	p.rank = uint8(rank)
+	if e.levels.inner(p.route.Name) {
+		e.callers.called(p.route.Name)
+	}
+}
+
+// shed reports whether a request is refused before anything of it ran: its chain
+// is overloaded and others are more important. Calls of endpoints belong to
+// requests that were begun and are not shed.
+func (e *entrance) shed(p *passage) bool {
+	if e.levels.inner(p.route.Name) {
+		return false
+	}
+	place := float64(p.rank) + float64(xxhash.Sum64String(p.id)>>11)/(1<<53)
+	return place >= e.levels.level(p.route.Name)
+}
+
+// refuse answers in place of an endpoint.
+func (p *passage) refuse(why *problem.Error) *message.Answer {
+	e := p.entrance
+	e.config.Metrics.Refusal(why.Kind)
+	e.config.Log.Emit(event.CallRefused, p.id, event.F("kind", why.Kind.String()),
+		event.F("ran", why.Ran.String()), event.F("detail", why.Detail))
+	a := message.Failed(p.status(why), why.Detail)
+	if p.id != "" {
+		a.Header.Set(e.config.Headers.RequestID, p.id)
+	}
+	if a.Status == http.StatusServiceUnavailable {
+		a.After(p.comeBack())
+	}
+	return a
+}
+
+// status returns the status of an answer in place of an endpoint: 503 only if
+// the request has not run and never will.
+func (p *passage) status(why *problem.Error) int {
+	switch {
+	case why.Kind == problem.KindNoRoute:
+		return http.StatusNotFound
+	case why.Ran == problem.RanNo:
+		return http.StatusServiceUnavailable
+	case why.Kind == problem.KindTimeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// comeBack returns the time after which the client may try again: within the
+// part of its remaining time for which it waits.
+func (p *passage) comeBack() time.Duration {
+	wait := comeBackMin + rand.N(comeBackMax-comeBackMin)
+	if left := p.patience - p.entrance.config.Now(); p.patience > 0 {
+		wait = min(wait, max(left, 0)/comeBackShare)
+	}
+	return wait
+}
+
+// tick looks after links and follows the view.
+func (e *entrance) tick() {
+	e.targets.watch()
+	v := e.config.View.Load()
+	if e.applied.Swap(v) != v {
+		e.targets.retain(v)
+	}
+}
+
+func (e *entrance) close() {
+	e.targets.close()
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,134 @@
+// Package mesh carries the requests of a platform's clients through a call graph:
+// from the node where they begin to the node beside the endpoint that runs them.
+// Requests name no parent, so importance travels back instead of forth: with
+// every reply a node tells up to which level of importance its chain lets
+// requests in, and work is refused where it begins.
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/galenacart/galenacart/internal/calllink"
+	"github.com/galenacart/galenacart/internal/endpointlink"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/message"
+	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// Config is what a Mesh needs from the node around it.
+type Config struct {
+	// Settings are the node's settings.
+	Settings *settings.Mesh
+	// Headers names the deployment's headers.
+	Headers message.Headers
+	// View holds the configuration and the endpoints in force.
+	View *view.Holder
+	// Log takes events.
+	Log *event.Log
+	// Metrics holds the instruments.
+	Metrics *metrics.Set
+	// Now returns the time since the process started. It never goes back.
+	Now func() time.Duration
+}
+
+// Mesh carries the requests of one node.
+type Mesh struct {
+	config   Config
+	entrance *entrance
+	server   *endpointServer
+	acceptor *calllink.Acceptor
+	leaving  atomic.Bool
+}
+
+// New returns the traffic side of a node.
+func New(c Config) *Mesh {
+	m := &Mesh{config: c}
+	pool := endpointlink.New(c.Settings.EndpointAddress, c.Headers)
+	m.entrance = newEntrance(c)
+	m.server = newEndpointServer(c, pool, m.entrance, m.leaving.Load)
+	m.entrance.local = m.server.handle
+	m.acceptor = calllink.NewAcceptor(m.server.handle, c.Now)
+	m.registerGauges()
+	return m
+}
+
+// watchInterval is the time between two looks at links and queues.
+const watchInterval = 50 * time.Millisecond
+
+// Run looks after links and learns from counts until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.entrance.tick()
+			m.server.tick()
+		}
+	}
+}
+
+// Serve answers a request of a client or of the local endpoint. ctx ends when
+// its sender has gone.
+func (m *Mesh) Serve(ctx context.Context, r *message.Request) *message.Answer {
+	started := m.config.Now()
+	a := m.entrance.serve(ctx, r)
+	m.config.Metrics.Call(metrics.RoleCaller, m.config.Now()-started)
+	return a
+}
+
+// PeerHandler takes the links of other nodes.
+func (m *Mesh) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(calllink.Path, m.acceptor)
+	return mux
+}
+
+// Leave begins the planned stop: the local endpoint takes no new work from now
+// on.
+func (m *Mesh) Leave() {
+	m.leaving.Store(true)
+}
+
+// Busy returns the number of calls at the local endpoint.
+func (m *Mesh) Busy() int {
+	return m.server.busy()
+}
+
+// Close ends links and connections.
+func (m *Mesh) Close() {
+	m.acceptor.Close()
+	m.entrance.close()
+	m.server.close()
+}
+
+// State is the state of traffic for status pages.
+type State struct {
+	// Running counts calls at the local endpoint.
+	Running int `json:"running"`
+	// Queued counts calls that wait for a slot.
+	Queued int `json:"queued"`
+	// Limit is the number of calls that may run at once.
+	Limit int `json:"limit"`
+	// Level is the level of importance up to which requests are let in, in ranks.
+	Level float64 `json:"level"`
+}
+
+// State returns the state of traffic.
+func (m *Mesh) State() State {
+	return m.server.state()
+}
+
+func (m *Mesh) registerGauges() {
+	set := m.config.Metrics
+	set.GaugeFunc(metrics.NameInFlight, func() int64 { return int64(m.State().Running) })
+	set.GaugeFunc(metrics.NameQueued, func() int64 { return int64(m.State().Queued) })
+	set.GaugeFunc(metrics.NameRevision, func() int64 { return int64(m.config.View.Load().Revision) })
+}
--- /dev/null
+++ b/internal/mesh/serving.go
@@ -0,0 +1,199 @@
+package mesh
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/decision/callgraph"
+	"github.com/galenacart/galenacart/decision/pressure"
+	"github.com/galenacart/galenacart/decision/slotqueue"
+	"github.com/galenacart/galenacart/internal/calllink"
+	"github.com/galenacart/galenacart/internal/endpointlink"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+const (
+	// slotsBefore is taken for the slots of the local endpoint until the platform
+	// publishes them.
+	slotsBefore = 16
+	// needsWeight is the weight of one call in the usual time of its route.
+	needsWeight = 1.0 / 16
+)
+
+var errDeadline = errors.New("no answer of the endpoint in time")
+
+// endpointServer runs calls at the local endpoint, within its slots.
+type endpointServer struct {
+	config  Config
+	pool    *endpointlink.Pool
+	levels  *levels
+	origins *origins
+	leaving func() bool
+
+	mu       sync.Mutex
+	gate     *slotqueue.Gate
+	pressure *pressure.Controller
+	graph    *callgraph.Graph
+	needs    map[string]time.Duration // usual time of a call, by route
+	nextID   uint64
+	waiting  map[uint64]chan slotqueue.Verdict
+	releases []slotqueue.Release
+	applied  *view.View
+	draining bool // the platform says that the endpoint leaves
+}
+
+func newEndpointServer(c Config, pool *endpointlink.Pool, e *entrance, leaving func() bool) *endpointServer {
+	s := &endpointServer{
+		config:   c,
+		pool:     pool,
+		levels:   e.levels,
+		origins:  newOrigins(),
+		leaving:  leaving,
+		gate:     slotqueue.New(slotsBefore),
+		pressure: pressure.New(1),
+		graph:    callgraph.New(),
+		needs:    make(map[string]time.Duration),
+		waiting:  make(map[uint64]chan slotqueue.Verdict),
+	}
+	e.callers = s
+	return s
+}
+
+// called takes in a call that the local endpoint made.
+func (s *endpointServer) called(route string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.graph.Called(route)
+}
+
+// follow takes the endpoint's slots and the number of classes from the view.
+func (s *endpointServer) follow() {
+	v := s.config.View.Load()
+	if s.applied == v {
+		return
+	}
+	s.applied = v
+	if v.Index != nil {
+		s.pressure.SetRanks(len(v.Index.Catalogue().Classes))
+	}
+	for _, m := range v.ByService[s.config.Settings.Service] {
+		if m.EndpointAddress == s.config.Settings.EndpointAddress {
+			s.gate.SetSlots(m.Slots)
+			s.draining = m.Leaving
+		}
+	}
+}
+
+// handle runs a call of this or another node. A call that must not run twice
+// goes on after its sender has given it up: it may be a booking that holds.
+func (s *endpointServer) handle(ctx context.Context, call *calllink.Call) *calllink.Reply {
+	inner := s.origins.take(call.Route, call.CallerService)
+	reply := s.run(ctx, call)
+	s.describe(call, inner, reply)
+	return reply
+}
+
+func (s *endpointServer) run(ctx context.Context, call *calllink.Call) *calllink.Reply {
+	now := s.config.Now()
+	deadline := now + time.Duration(call.RemainingMs)*time.Millisecond
+	if call.Service != s.config.Settings.Service {
+		return refusal(calllink.RefusedUnreachable, "the VM serves "+s.config.Settings.Service)
+	}
+	if s.leaving() {
+		return refusal(calllink.RefusedLeaving, "the node is stopping")
+	}
+	if !s.enter(ctx, call, deadline) {
+		return refusal(calllink.RefusedFull, "the endpoint has no slot in time")
+	}
+	s.started(call.Route)
+	started := s.config.Now()
+	reply, whole := s.exchange(ctx, call, deadline)
+	s.leave(call.Route, s.config.Now()-started, whole)
+	return reply
+}
+
+func refusal(why calllink.Refusal, detail string) *calllink.Reply {
+	return &calllink.Reply{Refused: why, Detail: detail}
+}
+
+// exchange hands a call to the endpoint. whole says that it ran to its end.
+func (s *endpointServer) exchange(ctx context.Context, call *calllink.Call, deadline time.Duration) (reply *calllink.Reply, whole bool) {
+	remaining := deadline - s.config.Now()
+	if !call.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, remaining, errDeadline)
+	defer cancel()
+	answer, fate, err := s.pool.Do(ctx, &endpointlink.Call{
+		Request:       call.Request(),
+		Endpoint:      call.Endpoint,
+		CallerService: call.CallerService,
+		Remaining:     remaining,
+		Idempotent:    call.Idempotent,
+	})
+	switch {
+	case fate == endpointlink.Answered:
+		reply = &calllink.Reply{}
+		reply.SetAnswer(answer)
+		return reply, answer.Status < 300
+	case fate == endpointlink.NotRun && answer == nil && errors.Is(err, endpointlink.ErrRefused):
+		return refusal(calllink.RefusedByEndpoint, err.Error()), false
+	case fate == endpointlink.NotRun:
+		return refusal(calllink.RefusedUnreachable, err.Error()), false
+	case ctx.Err() != nil:
+		return &calllink.Reply{Detail: context.Cause(ctx).Error()}, false
+	default:
+		s.config.Log.Emit(event.AnswerBroken, call.Request().Header.Get(s.config.Headers.RequestID), event.F("error", err))
+		return &calllink.Reply{Detail: err.Error()}, false
+	}
+}
+
+// describe adds to a reply what the node says of itself.
+func (s *endpointServer) describe(call *calllink.Call, inner bool, reply *calllink.Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	level := s.pressure.Level(s.config.Now())
+	for _, callee := range s.graph.Callees(call.Route) {
+		level = min(level, s.levels.level(callee))
+	}
+	reply.Load = calllink.Load{
+		Busy:     s.gate.Busy(),
+		Limit:    s.gate.Limit(),
+		Admitted: int(level * thousandths),
+		Inner:    inner,
+		Leaving:  s.draining || s.leaving(),
+	}
+}
+
+// tick lets calls that waited go when their time is over.
+func (s *endpointServer) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow()
+	s.graph.Tick(s.config.Now())
+}
+
+func (s *endpointServer) busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Busy()
+}
+
+func (s *endpointServer) state() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return State{
+		Running: s.gate.Running(),
+		Queued:  s.gate.Busy() - s.gate.Running(),
+		Limit:   s.gate.Limit(),
+		Level:   s.pressure.Level(s.config.Now()),
+	}
+}
+
+func (s *endpointServer) close() {
+	s.pool.Close()
+}
--- /dev/null
+++ b/internal/mesh/slots.go
@@ -0,0 +1,95 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/galenacart/galenacart/decision/slotqueue"
+	"github.com/galenacart/galenacart/internal/calllink"
+)
+
+// enter waits until a call has a slot of the endpoint. It returns false when the
+// call will not get one.
+func (s *endpointServer) enter(ctx context.Context, call *calllink.Call, deadline time.Duration) bool {
+	id, verdict, wait := s.offer(call, deadline)
+	if verdict != slotqueue.Wait {
+		return verdict == slotqueue.Run
+	}
+	timer := time.NewTimer(deadline - s.config.Now())
+	defer timer.Stop()
+	select {
+	case verdict = <-wait:
+		return verdict == slotqueue.Run
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return s.withdraw(id, wait)
+}
+
+func (s *endpointServer) offer(call *calllink.Call, deadline time.Duration) (uint64, slotqueue.Verdict, chan slotqueue.Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow()
+	now := s.config.Now()
+	s.nextID++
+	id := s.nextID
+	verdict := s.gate.Offer(now, slotqueue.Call{ID: id, Rank: call.Rank, Deadline: deadline, Needs: s.needs[call.Route]})
+	s.observe(now)
+	if verdict != slotqueue.Wait {
+		return id, verdict, nil
+	}
+	wait := make(chan slotqueue.Verdict, 1)
+	s.waiting[id] = wait
+	return id, verdict, wait
+}
+
+// withdraw takes back a call that waits. If it has got a slot in the meantime,
+// it gives the slot back.
+func (s *endpointServer) withdraw(id uint64, wait chan slotqueue.Verdict) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, id)
+	if s.gate.Cancel(id) {
+		s.observe(s.config.Now())
+		return false
+	}
+	if verdict := <-wait; verdict == slotqueue.Run {
+		s.release(0)
+	}
+	return false
+}
+
+// started takes in that the endpoint begins to run a call of a route.
+func (s *endpointServer) started(route string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.graph.Started(route)
+}
+
+// leave gives the slot of a call back. whole says that the call ran to its end.
+func (s *endpointServer) leave(route string, took time.Duration, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if whole {
+		s.graph.Ended(route)
+		known := s.needs[route]
+		s.needs[route] = known + time.Duration(float64(took-known)*needsWeight)
+	}
+	s.release(took)
+}
+
+// release frees a slot that was held for a time.
+func (s *endpointServer) release(took time.Duration) {
+	now := s.config.Now()
+	s.releases = s.gate.Done(now, took, s.releases[:0])
+	for _, r := range s.releases {
+		s.waiting[r.ID] <- r.Verdict
+		delete(s.waiting, r.ID)
+	}
+	s.observe(now)
+}
+
+// observe tells the pressure how full the endpoint is.
+func (s *endpointServer) observe(now time.Duration) {
+	s.pressure.Observe(now, s.gate.Busy(), s.gate.Limit())
+}
--- /dev/null
+++ b/internal/mesh/targets.go
@@ -0,0 +1,184 @@
+package mesh
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/galenacart/galenacart/decision/placement"
+	"github.com/galenacart/galenacart/decision/retry"
+	"github.com/galenacart/galenacart/internal/calllink"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// targets knows the endpoints that this node sends calls to.
+type targets struct {
+	now  func() time.Duration
+	own  string // VM
+	zone string
+
+	mu         sync.Mutex
+	states     map[string]*target // by the endpoint's run
+	links      map[string]*calllink.Link
+	candidates []placement.Candidate
+	budgets    map[string]*retry.Window
+}
+
+// leaverPause is the time after which an endpoint that said it leaves is asked
+// again: its node may have been replaced beside it.
+const leaverPause = time.Second
+
+// target is what is known of one endpoint.
+type target struct {
+	load         placement.State
+	leavingUntil time.Duration
+}
+
+func newTargets(c Config) *targets {
+	return &targets{
+		now:     c.Now,
+		own:     c.Settings.VM,
+		zone:    c.Settings.AvailabilityZone,
+		states:  make(map[string]*target),
+		links:   make(map[string]*calllink.Link),
+		budgets: make(map[string]*retry.Window),
+	}
+}
+
+// pick chooses the endpoint for a call and counts the call. tried holds the runs
+// of endpoints that had it before.
+func (t *targets) pick(members []*view.Member, tried []string) *view.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.candidates = t.candidates[:0]
+	for _, m := range members {
+		c := placement.Candidate{Near: m.AvailabilityZone == t.zone, Slots: m.Slots}
+		c.Barred = m.Leaving || slices.Contains(tried, m.Endpoint)
+		if s := t.states[m.Endpoint]; s != nil {
+			c.State = &s.load
+			c.Barred = c.Barred || t.now() < s.leavingUntil
+		}
+		if l := t.links[m.PeerAddress]; l != nil && l.Doubtful() && !c.Barred {
+			t.state(m.Endpoint).load.Doubt(t.now())
+		}
+		t.candidates = append(t.candidates, c)
+	}
+	at := placement.Pick(t.now(), t.candidates, rand.Uint64())
+	if at < 0 {
+		return nil
+	}
+	t.state(members[at].Endpoint).load.Start()
+	return members[at]
+}
+
+func (t *targets) state(endpoint string) *target {
+	s, ok := t.states[endpoint]
+	if !ok {
+		s = &target{}
+		t.states[endpoint] = s
+	}
+	return s
+}
+
+// outcome is what a call told of its endpoint.
+type outcome struct {
+	load        *calllink.Load // nil without a reply
+	failed      bool           // the endpoint broke the call
+	unreachable bool           // no call gets there
+}
+
+// done takes a call back and learns from its end.
+func (t *targets) done(m *view.Member, o outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(m.Endpoint)
+	s.load.End(o.failed)
+	if o.unreachable {
+		s.load.Missed(t.now())
+	}
+	if o.load == nil {
+		return
+	}
+	if o.load.Leaving {
+		s.leavingUntil = t.now() + leaverPause
+	}
+	if !o.unreachable {
+		s.load.Told(o.load.Busy, o.load.Limit)
+	}
+}
+
+// link returns the way to a node.
+func (t *targets) link(address string) *calllink.Link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l, ok := t.links[address]
+	if !ok {
+		l = calllink.New(address, t.now)
+		t.links[address] = l
+	}
+	return l
+}
+
+// retain forgets endpoints and links that left the view.
+func (t *targets) retain(v *view.View) {
+	endpoints := make(map[string]bool, len(v.ByVM))
+	addresses := make(map[string]bool, len(v.ByVM))
+	for _, m := range v.ByVM {
+		endpoints[m.Endpoint] = true
+		addresses[m.PeerAddress] = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for endpoint, s := range t.states {
+		if !endpoints[endpoint] && s.load.Idle() {
+			delete(t.states, endpoint)
+		}
+	}
+	for address, l := range t.links {
+		if !addresses[address] && l.Idle() {
+			l.Close()
+			delete(t.links, address)
+		}
+	}
+}
+
+// watch probes silent links.
+func (t *targets) watch() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.links {
+		l.Watch()
+	}
+}
+
+func (t *targets) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.links {
+		l.Close()
+	}
+}
+
+func (t *targets) budget(service string) *retry.Window {
+	w, ok := t.budgets[service]
+	if !ok {
+		w = &retry.Window{}
+		t.budgets[service] = w
+	}
+	return w
+}
+
+// first counts the first attempt of a call to a service.
+func (t *targets) first(service string, span time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.budget(service).Call(t.now(), span)
+}
+
+// mayRepeat takes one repeat out of the budget of a service.
+func (t *targets) mayRepeat(service string, span time.Duration, ratio, allowance float64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.budget(service).Spend(t.now(), span, ratio, allowance)
+}
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -3,12 +3,12 @@
 import (
 	"io"
 	"net/http"
-	"net/textproto"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/galenacart/galenacart/internal/call"
+	"github.com/galenacart/galenacart/internal/message"
 	"github.com/galenacart/galenacart/internal/problem"
 )
 
@@ -64,12 +64,6 @@
 	return d.Sum64()
 }
 
-// hopByHop lists the headers that concern one connection only (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
 // endToEnd returns the headers that travel on with a message. Headers that only
 // nodes set are left out, so nobody outside can forge them.
 func endToEnd(h http.Header) http.Header {
@@ -79,13 +73,6 @@
 			out[name] = values
 		}
 	}
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(out, name)
-	}
+	message.DropHopByHop(out)
 	return out
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/galenacart/galenacart/internal/catalogue"
 )
@@ -24,6 +25,15 @@
 	Incarnation uint64
 	// Leaving says that the VM takes no new work.
 	Leaving bool
+	// Endpoint identifies the run of the VM's endpoint, where the platform
+	// publishes it.
+	Endpoint string
+	// EndpointAddress is the IP address and port of the VM's endpoint, where the
+	// platform publishes it.
+	EndpointAddress string
+	// Slots is the number of calls that the endpoint runs at once, where the
+	// platform publishes it.
+	Slots int
 }
 
 // View is one immutable snapshot.
@@ -41,6 +51,21 @@
 	Suspects map[uint64]int
 	// Leaving says that this node is stopping.
 	Leaving bool
+	// Bounds are limits for clients' connections, where the platform publishes
+	// them.
+	Bounds ClientBounds
+}
+
+// ClientBounds bound what a client may send and how long it may take.
+type ClientBounds struct {
+	// HeaderBytes is the largest head of a request.
+	HeaderBytes int
+	// BodyBytes is the largest body of a request.
+	BodyBytes int64
+	// HeaderTimeout is the time for the head of a request.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the time after which an idle connection is closed.
+	IdleTimeout time.Duration
 }
 
 // Holder publishes views. The zero value holds an empty view.
