Let pressure travel up the chain; throttle each route by its class

Besides, links that had been idle for over 1.2 s were given up at their next call ('the link broke before the reply'), and SIGHUP ended the process.

Change: nodes tell the pressure of their chain with each reply; each entrance holds a route by a throttle whose target stands higher for more important classes. The call graph draws routes alike until their runs tell them apart. Silence of a link counts from its first open call. Settings are read anew at SIGHUP or when the file changes, whole or not at all. A stopping node lends its endpoint's slots for 2.2 s.

--- a/cmd/galenacart-node/serve.go
+++ b/cmd/galenacart-node/serve.go
@@ -45,18 +45,18 @@
 		fmt.Fprintln(os.Stderr, name+": -settings: name the settings file")
 		return subcommands.ExitUsageError
 	}
-	s, err := settings.ReadMeshFile(c.settings)
+	s, err := settings.NewLive(c.settings)
 	if err != nil {
 		return fail(err)
 	}
 	if c.check {
-		fmt.Printf("%s: settings of VM %s are valid\n", c.settings, s.VM)
+		fmt.Printf("%s: settings of VM %s are valid\n", c.settings, s.Load().VM)
 		return subcommands.ExitSuccess
 	}
 	n, err := meshnode.Start(meshnode.Config{
 		Settings:      s,
 		Headers:       platform.Headers(),
-		Source:        platform.NewFeed(s.PlatformAddress),
+		Source:        platform.NewFeed(s.Load().PlatformAddress),
 		ReadinessPath: platform.ReadinessPath,
 		Version:       version.Text(),
 		Out:           os.Stderr,
--- a/decision/callgraph/callgraph.go
+++ b/decision/callgraph/callgraph.go
@@ -20,15 +20,21 @@
 	// forget is the weight of what was known when a stretch is added; half of it
 	// is gone after about 14 s.
 	forget = 0.975
-	// callsMin is the least number of calls that a run makes of a callee, taken
-	// off its standard error.
+	// callsMin is the least number of calls of a callee that a run makes.
 	callsMin = 0.3
+	// callsShare is the same as a share of the calls that runs make on average.
+	callsShare = 0.3
+	// runsMin is the least mean square of the runs in a stretch that tells
+	// something of a route.
+	runsMin = 0.5
 	// stretchesMin is the number of stretches from which on the factors count.
 	stretchesMin = 3
 	// routesMax bounds the routes on each side.
 	routesMax = 16
-	// ridge keeps the equations soluble while a route has no runs.
+	// ridge keeps the equations soluble while routes run in step.
 	ridge = 1e-3
+	// pivotMin is the least pivot of equations that can be solved.
+	pivotMin = 1e-9
 )
 
 // Graph learns the calls of one endpoint. It is not safe for concurrent use.
@@ -37,9 +43,9 @@
 	callees []string
 	runs    [routesMax]float64 // of each served route in this stretch
 	calls   [routesMax]float64 // of each callee in this stretch
-	squares [routesMax][routesMax]float64
-	crossed [routesMax][routesMax]float64 // served by callee
-	power   [routesMax]float64            // of each callee
+	squares matrix
+	crossed matrix             // served by callee
+	power   [routesMax]float64 // of each callee
 	count   float64
 	began   time.Duration
 	edges   map[string][]string
@@ -122,62 +128,111 @@
 	}
 }
 
-// solve finds the calls that a run makes and draws the edges anew.
+// solve finds the calls that a run makes and draws the edges anew. With little
+// to go by all routes count alike; each one's own runs then tell it apart.
 func (g *Graph) solve() {
 	clear(g.edges)
-	if g.count < stretchesMin {
-		return
-	}
-	n := len(g.served)
-	inverse, ok := invert(&g.squares, n)
-	if !ok {
+	active := g.active()
+	if g.count < stretchesMin || len(active) == 0 {
 		return
 	}
 	for k, callee := range g.callees {
-		var factors [routesMax]float64
-		explained := 0.0
-		for i := range n {
-			for j := range n {
-				factors[i] += inverse[i][j] * g.crossed[j][k]
-			}
-			explained += factors[i] * g.crossed[i][k]
+		usual := g.usual(active, k)
+		if usual == 0 {
+			continue
 		}
-		noise := max(g.power[k]-explained, 0) / max(g.count-float64(n), 1)
-		for i, route := range g.served {
-			spread := math.Sqrt(noise * max(inverse[i][i], 0))
-			if factors[i]-spread > callsMin {
-				g.edges[route] = append(g.edges[route], callee)
+		noise := g.noise(active, k)
+		factors, ok := g.factors(active, k, noise/(usual*usual), usual)
+		if !ok {
+			continue
+		}
+		for at, i := range active {
+			if factors[at] > max(callsMin, usual*callsShare) {
+				g.edges[g.served[i]] = append(g.edges[g.served[i]], callee)
 			}
 		}
 	}
 }
 
-// invert returns the inverse of the first n rows and columns of a matrix.
-func invert(m *[routesMax][routesMax]float64, n int) (out [routesMax][routesMax]float64, ok bool) {
-	work := *m
-	for i := range n {
-		work[i][i] += ridge
-		out[i][i] = 1
+// active returns the served routes that have runs.
+func (g *Graph) active() []int {
+	var out []int
+	for i := range g.served {
+		if g.squares[i][i] >= runsMin*g.count {
+			out = append(out, i)
+		}
 	}
-	for i := range n {
-		pivot := work[i][i]
-		if math.Abs(pivot) < ridge/2 {
-			return out, false
+	return out
+}
+
+// usual returns the calls of a callee for each run, over all routes alike.
+func (g *Graph) usual(active []int, k int) float64 {
+	calls, runs := 0.0, 0.0
+	for _, i := range active {
+		calls += g.crossed[i][k]
+		for _, j := range active {
+			runs += g.squares[i][j]
+		}
+	}
+	if runs == 0 {
+		return 0
+	}
+	return calls / runs
+}
+
+// noise returns the variance of a callee's calls in a stretch that the runs do
+// not explain.
+func (g *Graph) noise(active []int, k int) float64 {
+	factors, ok := g.factors(active, k, ridge, 0)
+	if !ok {
+		return g.power[k] / g.count
+	}
+	explained := 0.0
+	for at, i := range active {
+		explained += factors[at] * g.crossed[i][k]
+	}
+	return max(g.power[k]-explained, ridge) / max(g.count-float64(len(active)), 1)
+}
+
+// factors solves the normal equations. weight draws each factor towards usual.
+func (g *Graph) factors(active []int, k int, weight, usual float64) ([]float64, bool) {
+	n := len(active)
+	var m matrix
+	right := make([]float64, n)
+	for at, i := range active {
+		for to, j := range active {
+			m[at][to] = g.squares[i][j]
 		}
-		for j := range n {
-			work[i][j] /= pivot
-			out[i][j] /= pivot
+		m[at][at] += weight
+		right[at] = g.crossed[i][k] + weight*usual
+	}
+	return solve(&m, right)
+}
+
+type matrix [routesMax][routesMax]float64
+
+// solve returns the solution of a system of linear equations, and false when
+// there is none.
+func solve(m *matrix, right []float64) ([]float64, bool) {
+	n := len(right)
+	for i := range n {
+		pivot := m[i][i]
+		if math.Abs(pivot) < pivotMin {
+			return nil, false
 		}
 		for r := range n {
 			if r == i {
 				continue
 			}
-			factor := work[r][i]
-			for j := range n {
-				work[r][j] -= factor * work[i][j]
-				out[r][j] -= factor * out[i][j]
+			factor := m[r][i] / pivot
+			for j := i; j < n; j++ {
+				m[r][j] -= factor * m[i][j]
 			}
+			right[r] -= factor * right[i]
 		}
 	}
-	return out, true
+	for i := range n {
+		right[i] /= m[i][i]
+	}
+	return right, true
 }
--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -103,9 +103,9 @@
 	Busy int `cbor:"1,keyasint,omitempty"`
 	// Limit is the number of calls that the endpoint may run at once.
 	Limit int `cbor:"2,keyasint,omitempty"`
-	// Admitted is the level of importance up to which requests of the call's
-	// route are let in, in thousandths of a rank.
-	Admitted int `cbor:"3,keyasint,omitempty"`
+	// Pressure is the highest pressure along the chain of the call's route, in
+	// thousandths.
+	Pressure int `cbor:"3,keyasint,omitempty"`
 	// Inner says that only endpoints make calls of the route.
 	Inner bool `cbor:"4,keyasint,omitempty"`
 	// Leaving says that the endpoint takes no new work.
--- a/internal/calllink/session.go
+++ b/internal/calllink/session.go
@@ -11,6 +11,7 @@
 // session is one open WebSocket to another node, from the caller's side.
 type session struct {
 	stream *stream
+	now    func() time.Duration
 
 	mu     sync.Mutex
 	nextID uint64
@@ -25,8 +26,7 @@
 }
 
 func newSession(socket *websocket.Conn, now func() time.Duration) *session {
-	s := &session{stream: newStream(socket), calls: make(map[uint64]*open)}
-	s.stream.heard.Store(int64(now()))
+	s := &session{stream: newStream(socket), now: now, calls: make(map[uint64]*open)}
 	s.stream.sent = s.markSent
 	return s
 }
@@ -57,6 +57,9 @@
 		return 0, nil
 	}
 	s.nextID++
+	if len(s.calls) == 0 {
+		s.stream.heard.Store(int64(s.now())) // nothing was due while no call was open
+	}
 	one := &open{reply: make(chan *Reply, 1)}
 	s.calls[s.nextID] = one
 	return s.nextID, one
--- a/internal/event/lifecycle.go
+++ b/internal/event/lifecycle.go
@@ -10,6 +10,10 @@
 	NodeLeaving Number = 3002
 	// NodeStopped means that a planned stop has ended.
 	NodeStopped Number = 3003
+	// SettingsReloaded means that other settings are in force.
+	SettingsReloaded Number = 3004
+	// SettingsRefused means that a changed settings file was not taken.
+	SettingsRefused Number = 3005
 )
 
 // lifecycleEvents holds the definitions numbered from 3000.
@@ -17,4 +21,6 @@
 	{Number: NodeStarted, Name: "node_started", Level: zerolog.InfoLevel, Exact: true, Meaning: "The node's listeners are open. It serves once a catalogue is in force."},
 	{Number: NodeLeaving, Name: "node_leaving", Level: zerolog.InfoLevel, Exact: true, Meaning: "A planned stop has begun: the node takes no new work and finishes what is in flight."},
 	{Number: NodeStopped, Name: "node_stopped", Level: zerolog.InfoLevel, Exact: true, Meaning: "A planned stop has ended. The field clean is false when work was cut off by stopTimeoutMs."},
+	{Number: SettingsReloaded, Name: "settings_reloaded", Level: zerolog.InfoLevel, Exact: true, Meaning: "The settings file has changed and is in force."},
+	{Number: SettingsRefused, Name: "settings_refused", Level: zerolog.WarnLevel, Exact: true, Meaning: "The settings file has changed and can't be taken: it has faults, or another name or address, which needs a restart. The settings from before stay."},
 }
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -31,7 +31,7 @@
 	e := p.entrance
 	ctx, cancel := context.WithTimeout(ctx, p.deadline+replySlack-e.config.Now())
 	defer cancel()
-	e.targets.first(p.service, e.config.Settings.RetryTime())
+	e.targets.first(p.service, e.config.Repeats().Window)
 	for range refusalsMax {
 		member := e.targets.pick(p.view.ByService[p.service], p.tried)
 		if member == nil {
@@ -76,7 +76,7 @@
 	case reply.Refused != calllink.RefusedNot:
 		return nil, p.refused(m, reply)
 	}
-	e.levels.take(p.route.Name, m.VM, &reply.Load)
+	e.pressures.take(p.route.Name, m.VM, &reply.Load)
 	a = reply.Answer()
 	bad := a == nil || a.Status >= http.StatusInternalServerError
 	e.targets.done(m, outcome{load: &reply.Load, failed: bad})
@@ -134,6 +134,7 @@
 	o := outcome{load: &reply.Load, unreachable: reply.Refused == calllink.RefusedUnreachable}
 	o.failed = reply.Refused == calllink.RefusedByEndpoint || o.unreachable
 	p.entrance.targets.done(m, o)
+	p.entrance.pressures.take(p.route.Name, m.VM, &reply.Load)
 	kind := problem.KindOverloaded
 	switch reply.Refused {
 	case calllink.RefusedLeaving:
@@ -152,7 +153,7 @@
 
 // calm reports whether the chain of the request is not overloaded.
 func (p *passage) calm() bool {
-	return p.entrance.levels.level(p.route.Name) >= float64(p.rank)+1
+	return p.entrance.pressures.pressure(p.route.Name) < 1
 }
 
 // mayRepeat reports whether a request that may have run goes to another endpoint.
@@ -166,9 +167,9 @@
 // affords takes a repeat out of this node's part of the fleet's budget.
 func (p *passage) affords(m *view.Member) bool {
 	e := p.entrance
-	s := e.config.Settings
+	fleet := e.config.Repeats()
 	nodes := float64(max(len(p.view.ByVM), 1))
-	if !e.targets.mayRepeat(p.service, s.RetryTime(), s.RetryRatio*repeatShare, s.RetryAllowance*repeatShare/nodes) {
+	if !e.targets.mayRepeat(p.service, fleet.Window, fleet.Ratio*repeatShare, fleet.Allowance*repeatShare/nodes) {
 		return false
 	}
 	e.config.Metrics.Retry()
--- a/internal/mesh/entrance.go
+++ b/internal/mesh/entrance.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/galenacart/galenacart/decision/pressure"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/event"
@@ -30,12 +31,12 @@
 
 // entrance is where requests of clients and of the local endpoint begin.
 type entrance struct {
-	config  Config
-	targets *targets
-	levels  *levels
-	callers callObserver
-	local   calllink.Handler
-	applied atomic.Pointer[view.View]
+	config    Config
+	targets   *targets
+	pressures *chainPressures
+	callers   callObserver
+	local     calllink.Handler
+	applied   atomic.Pointer[view.View]
 }
 
 // callObserver learns of the local endpoint's own calls.
@@ -44,7 +45,7 @@
 }
 
 func newEntrance(c Config) *entrance {
-	return &entrance{config: c, targets: newTargets(c), levels: newLevels(c.Now)}
+	return &entrance{config: c, targets: newTargets(c), pressures: newChainPressures(c.Now)}
 }
 
 // passage is one request on its way through the entrance.
@@ -95,7 +96,7 @@
 	p.service = p.route.ServiceFor(rand.Float64())
 	rank, _ := p.view.Index.Rank(p.route.Class) // a configuration in force names its classes
 	p.rank = uint8(rank)
-	if e.levels.inner(p.route.Name) {
+	if e.pressures.inner(p.route.Name) {
 		e.callers.called(p.route.Name)
 	}
 }
@@ -104,11 +105,12 @@
 // is overloaded and others are more important. Calls of endpoints belong to
 // requests that were begun and are not shed.
 func (e *entrance) shed(p *passage) bool {
-	if e.levels.inner(p.route.Name) {
+	if e.pressures.inner(p.route.Name) {
 		return false
 	}
-	place := float64(p.rank) + float64(xxhash.Sum64String(p.id)>>11)/(1<<53)
-	return place >= e.levels.level(p.route.Name)
+	ranks := len(p.view.Index.Catalogue().Classes)
+	place := float64(xxhash.Sum64String(p.id)>>11) / (1 << 53)
+	return place >= e.pressures.share(p.route.Name, pressure.Target(int(p.rank), ranks))
 }
 
 // refuse answers in place of an endpoint.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -1,8 +1,8 @@
 // Package mesh carries the requests of a platform's clients through a call graph:
 // from the node where they begin to the node beside the endpoint that runs them.
-// Requests name no parent, so importance travels back instead of forth: with
-// every reply a node tells up to which level of importance its chain lets
-// requests in, and work is refused where it begins.
+// Requests name no parent, so overload travels back instead of importance forth:
+// with every reply a node tells the pressure of its chain, and work is refused
+// where it begins.
 package mesh
 
 import (
@@ -24,6 +24,8 @@
 type Config struct {
 	// Settings are the node's settings.
 	Settings *settings.Mesh
+	// Repeats returns the fleet's budget for repeats.
+	Repeats func() Repeats
 	// Headers names the deployment's headers.
 	Headers message.Headers
 	// View holds the configuration and the endpoints in force.
@@ -36,6 +38,16 @@
 	Now func() time.Duration
 }
 
+// Repeats bounds the repeated requests of the whole fleet towards one service.
+type Repeats struct {
+	// Ratio is the share of the requests for the service.
+	Ratio float64
+	// Allowance is a number of repeats beside that share.
+	Allowance float64
+	// Window is the time over which they are counted.
+	Window time.Duration
+}
+
 // Mesh carries the requests of one node.
 type Mesh struct {
 	config   Config
@@ -117,8 +129,8 @@
 	Queued int `json:"queued"`
 	// Limit is the number of calls that may run at once.
 	Limit int `json:"limit"`
-	// Level is the level of importance up to which requests are let in, in ranks.
-	Level float64 `json:"level"`
+	// Pressure is the share of the limit that calls take or wait for.
+	Pressure float64 `json:"pressure"`
 }
 
 // State returns the state of traffic.
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -28,15 +28,15 @@
 
 // endpointServer runs calls at the local endpoint, within its slots.
 type endpointServer struct {
-	config  Config
-	pool    *endpointlink.Pool
-	levels  *levels
-	origins *origins
-	leaving func() bool
+	config    Config
+	pool      *endpointlink.Pool
+	pressures *chainPressures
+	origins   *origins
+	leaving   func() bool
 
 	mu       sync.Mutex
 	gate     *slotqueue.Gate
-	pressure *pressure.Controller
+	pressure pressure.Gauge
 	graph    *callgraph.Graph
 	needs    map[string]time.Duration // usual time of a call, by route
 	nextID   uint64
@@ -48,16 +48,15 @@
 
 func newEndpointServer(c Config, pool *endpointlink.Pool, e *entrance, leaving func() bool) *endpointServer {
 	s := &endpointServer{
-		config:   c,
-		pool:     pool,
-		levels:   e.levels,
-		origins:  newOrigins(),
-		leaving:  leaving,
-		gate:     slotqueue.New(slotsBefore),
-		pressure: pressure.New(1),
-		graph:    callgraph.New(),
-		needs:    make(map[string]time.Duration),
-		waiting:  make(map[uint64]chan slotqueue.Verdict),
+		config:    c,
+		pool:      pool,
+		pressures: e.pressures,
+		origins:   newOrigins(),
+		leaving:   leaving,
+		gate:      slotqueue.New(slotsBefore),
+		graph:     callgraph.New(),
+		needs:     make(map[string]time.Duration),
+		waiting:   make(map[uint64]chan slotqueue.Verdict),
 	}
 	e.callers = s
 	return s
@@ -70,16 +69,13 @@
 	s.graph.Called(route)
 }
 
-// follow takes the endpoint's slots and the number of classes from the view.
+// follow takes the endpoint's slots from the view.
 func (s *endpointServer) follow() {
 	v := s.config.View.Load()
 	if s.applied == v {
 		return
 	}
 	s.applied = v
-	if v.Index != nil {
-		s.pressure.SetRanks(len(v.Index.Catalogue().Classes))
-	}
 	for _, m := range v.ByService[s.config.Settings.Service] {
 		if m.EndpointAddress == s.config.Settings.EndpointAddress {
 			s.gate.SetSlots(m.Slots)
@@ -156,14 +152,14 @@
 func (s *endpointServer) describe(call *calllink.Call, inner bool, reply *calllink.Reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	level := s.pressure.Level(s.config.Now())
+	most := s.pressure.Pressure(s.config.Now())
 	for _, callee := range s.graph.Callees(call.Route) {
-		level = min(level, s.levels.level(callee))
+		most = max(most, s.pressures.pressure(callee))
 	}
 	reply.Load = calllink.Load{
 		Busy:     s.gate.Busy(),
 		Limit:    s.gate.Limit(),
-		Admitted: int(level * thousandths),
+		Pressure: int(most * thousandths),
 		Inner:    inner,
 		Leaving:  s.draining || s.leaving(),
 	}
@@ -187,10 +183,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return State{
-		Running: s.gate.Running(),
-		Queued:  s.gate.Busy() - s.gate.Running(),
-		Limit:   s.gate.Limit(),
-		Level:   s.pressure.Level(s.config.Now()),
+		Running:  s.gate.Running(),
+		Queued:   s.gate.Busy() - s.gate.Running(),
+		Limit:    s.gate.Limit(),
+		Pressure: s.pressure.Pressure(s.config.Now()),
 	}
 }
 
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -45,7 +45,7 @@
 // Config is what a node needs from its program.
 type Config struct {
 	// Settings are the node's settings.
-	Settings *settings.Mesh
+	Settings *settings.Live
 	// Headers names the deployment's headers.
 	Headers message.Headers
 	// Source feeds configuration and endpoints.
@@ -84,7 +84,8 @@
 func Start(c Config) (*Node, error) {
 	started := time.Now()
 	n := &Node{config: c, holder: &view.Holder{}, now: func() time.Duration { return time.Since(started) }}
-	peer, err := netip.ParseAddrPort(c.Settings.PeerAddress)
+	s := c.Settings.Load()
+	peer, err := netip.ParseAddrPort(s.PeerAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "peerAddress")
 	}
@@ -92,11 +93,11 @@
 	// A reader of the output that hangs must not hold up requests.
 	lines := event.NewAsyncWriter(unclosed{c.Out}, func(int) {})
 	n.lines = lines
-	n.log = event.NewLog(io.MultiWriter(lines, ring), "node", c.Settings.VM, c.Settings.Level()).LimitRate(eventsPerSecond)
+	n.log = event.NewLog(io.MultiWriter(lines, ring), "node", s.VM, s.Level()).LimitRate(eventsPerSecond)
 	instruments := metrics.NewSet()
 	n.board = discovery.NewBoard(n.holder, n.log, n.now, peer.Port())
 	n.mesh = mesh.New(mesh.Config{
-		Settings: c.Settings, Headers: c.Headers, View: n.holder,
+		Settings: s, Repeats: n.repeats, Headers: c.Headers, View: n.holder,
 		Log: n.log, Metrics: instruments, Now: n.now,
 	})
 	n.clients = ingress.New(ingress.Config{Limits: n.limits, Handler: n.mesh.Serve})
@@ -104,7 +105,7 @@
 		n.abort()
 		return nil, err
 	}
-	n.log.Emit(event.NodeStarted, "", event.F("client_address", c.Settings.ClientAddress))
+	n.log.Emit(event.NodeStarted, "", event.F("client_address", s.ClientAddress))
 	return n, nil
 }
 
@@ -115,7 +116,7 @@
 }
 
 func (n *Node) statusHandler(ring *event.Ring, instruments *metrics.Set) http.Handler {
-	s := n.config.Settings
+	s := n.config.Settings.Load()
 	return status.New(status.Config{
 		Identity: status.Node{
 			VM: s.VM, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
@@ -130,7 +131,7 @@
 
 // listen opens every listener, so that an address in use is found at start.
 func (n *Node) listen(statusPages http.Handler) error {
-	s := n.config.Settings
+	s := n.config.Settings.Load()
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET "+n.config.ReadinessPath, n.serveReadiness)
 	for _, one := range []struct {
@@ -191,6 +192,12 @@
 	return l
 }
 
+// repeats returns the fleet's budget for repeats that is in force.
+func (n *Node) repeats() mesh.Repeats {
+	s := n.config.Settings.Load()
+	return mesh.Repeats{Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryTime()}
+}
+
 // serveReadiness says whether clients may send requests to this node.
 func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if n.stop.begun() || n.holder.Load().Index == nil {
@@ -206,7 +213,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, work := range []func(context.Context){
-		n.mesh.Run, n.board.Run,
+		n.mesh.Run, n.board.Run, n.reload,
 		func(ctx context.Context) { n.config.Source.Run(ctx, n.board) },
 	} {
 		group.Go(func() error {
--- a/internal/meshnode/stop.go
+++ b/internal/meshnode/stop.go
@@ -13,6 +13,9 @@
 	// platform, which asks once a second and believes two misses, takes clients
 	// away from the node.
 	noticeTime = 2500 * time.Millisecond
+	// lendTime is the time from then in which the local endpoint still takes
+	// calls of other nodes: its slots are missed until the next process is there.
+	lendTime = 2200 * time.Millisecond
 	// stopShare is the part of the time for a stop, in percent, after which the
 	// node ends whatever is still in flight.
 	stopShare = 85
@@ -35,9 +38,10 @@
 	begun := n.now()
 	n.log.Emit(event.NodeLeaving, "")
 	n.stop.leaving.Store(true)
-	n.mesh.Leave()
 	n.clients.Leave()
-	latest := begun + n.config.Settings.StopTime()*stopShare/100
+	sleep(ctx, lendTime)
+	n.mesh.Leave()
+	latest := begun + n.config.Settings.Load().StopTime()*stopShare/100
 	clean := false
 	for !clean && n.now() < latest {
 		sleep(ctx, idlePoll)
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -51,11 +51,6 @@
 	return strictjson.DecodeChecked(file, data, (*Mesh).check)
 }
 
-// ReadMeshFile reads and checks the settings in a file.
-func ReadMeshFile(file string) (*Mesh, error) {
-	return strictjson.Load(file, maxBytes, DecodeMesh)
-}
-
 func (m *Mesh) check() []strictjson.Fault {
 	k := &checker{faults: strictjson.Validate(m), owners: make(map[netip.AddrPort]string)}
 	own := []struct{ pointer, value string }{
