Bound begun requests by windows that follow the chain's pressure

Change: each endpoint's node bounds the begun requests of a client route by a window: it stops a surge without news, since longer calls keep it full, and the pressure of the chain sets its size, later and slower for more important classes. A route is the endpoints' own if some service never asks for it. Endpoints much slower than the fastest count as fuller.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -15,6 +15,9 @@
 	fullFrom = 0.9
 	// failPenalty is what an endpoint that fails every call counts as fuller.
 	failPenalty = 3.0
+	// slowFrom is how many times as long as the fastest an endpoint may take
+	// before it counts as fuller: unequal machines are no fault.
+	slowFrom = 2.5
 	// limitBefore is taken for the slots of an endpoint that has told none.
 	limitBefore = 16
 	// failWeight is the weight of one call in the share of failed ones.
@@ -33,6 +36,8 @@
 	Barred bool
 	// Slots is the published number of its slots, or 0.
 	Slots int
+	// Usual is the time that such a call usually takes there, or 0.
+	Usual time.Duration
 	// State is what is known of it; nil stands for nothing.
 	State *State
 }
@@ -119,22 +124,36 @@
 
 func pick(now time.Duration, candidates []Candidate, random uint64, aside bool) int {
 	best, bestScore := -1, 0.0
+	fastest := fastestOf(candidates)
 	for i := range candidates {
 		at := int((random + uint64(i)) % uint64(len(candidates)))
 		c := &candidates[at]
 		if c.Barred || !aside && c.State != nil && c.State.Aside(now) {
 			continue
 		}
-		if score := c.score(); best < 0 || score < bestScore {
+		if score := c.score(fastest); best < 0 || score < bestScore {
 			best, bestScore = at, score
 		}
 	}
 	return best
 }
 
-func (c *Candidate) score() float64 {
+// fastestOf returns the least time that a call takes at any of them, or 0.
+func fastestOf(candidates []Candidate) time.Duration {
+	fastest := time.Duration(0)
+	for i := range candidates {
+		if usual := candidates[i].Usual; usual > 0 && (fastest == 0 || usual < fastest) {
+			fastest = usual
+		}
+	}
+	return fastest
+}
+
+func (c *Candidate) score(fastest time.Duration) float64 {
 	score := c.load()
-	if !c.Near && score < fullFrom {
+	if slow := c.slowness(fastest); slow > 1 {
+		score *= slow * slow
+	} else if !c.Near && score < fullFrom {
 		score = min(score+farPenalty, fullFrom)
 	}
 	if c.State != nil {
@@ -142,3 +161,11 @@
 	}
 	return score
 }
+
+// slowness returns how much slower the endpoint is than unequal machines are.
+func (c *Candidate) slowness(fastest time.Duration) float64 {
+	if fastest == 0 {
+		return 0
+	}
+	return float64(c.Usual) / (slowFrom * float64(fastest))
+}
--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -77,6 +77,8 @@
 	RefusedLeaving
 	// RefusedFull means that the endpoint could not run the call in its time.
 	RefusedFull
+	// RefusedOverloaded means that the chain below the endpoint is overloaded.
+	RefusedOverloaded
 	// RefusedUnreachable means that the endpoint can't be reached.
 	RefusedUnreachable
 	// RefusedByEndpoint means that the endpoint itself refused.
@@ -110,6 +112,9 @@
 	Inner bool `cbor:"4,keyasint,omitempty"`
 	// Leaving says that the endpoint takes no new work.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// UsualMs is the time that a call of the route usually takes at the endpoint,
+	// in milliseconds.
+	UsualMs int `cbor:"6,keyasint,omitempty"`
 }
 
 // Answer returns the endpoint's answer, or nil.
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	e.targets.first(p.service, e.config.Repeats().Window)
 	for range refusalsMax {
-		member := e.targets.pick(p.view.ByService[p.service], p.tried)
+		member := e.targets.pick(p.view.ByService[p.service], p.route.Name, p.tried)
 		if member == nil {
 			break
 		}
@@ -79,7 +79,7 @@
 	e.pressures.take(p.route.Name, m.VM, &reply.Load)
 	a = reply.Answer()
 	bad := a == nil || a.Status >= http.StatusInternalServerError
-	e.targets.done(m, outcome{load: &reply.Load, failed: bad})
+	e.targets.done(m, p.route.Name, outcome{load: &reply.Load, failed: bad})
 	p.ran = true
 	p.sent++
 	if a == nil {
@@ -117,7 +117,7 @@
 func (p *passage) broken(ctx context.Context, m *view.Member, err error) bool {
 	unsent := errors.Is(err, calllink.ErrUnsent)
 	gone := ctx.Err() != nil && !unsent
-	p.entrance.targets.done(m, outcome{unreachable: !gone, failed: !gone})
+	p.entrance.targets.done(m, p.route.Name, outcome{unreachable: !gone, failed: !gone})
 	if unsent {
 		p.reason = problem.New(problem.KindUnreachable, problem.RanNo, "VM %s can't be reached", m.VM)
 		return true
@@ -133,8 +133,10 @@
 func (p *passage) refused(m *view.Member, reply *calllink.Reply) bool {
 	o := outcome{load: &reply.Load, unreachable: reply.Refused == calllink.RefusedUnreachable}
 	o.failed = reply.Refused == calllink.RefusedByEndpoint || o.unreachable
-	p.entrance.targets.done(m, o)
-	p.entrance.pressures.take(p.route.Name, m.VM, &reply.Load)
+	p.entrance.targets.done(m, p.route.Name, o)
+	if !o.unreachable {
+		p.entrance.pressures.take(p.route.Name, m.VM, &reply.Load)
+	}
 	kind := problem.KindOverloaded
 	switch reply.Refused {
 	case calllink.RefusedLeaving:
--- a/internal/mesh/entrance.go
+++ b/internal/mesh/entrance.go
@@ -8,9 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/galenacart/galenacart/decision/pressure"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/event"
@@ -77,9 +74,6 @@
 		return p.refuse(problem.New(problem.KindNoRoute, problem.RanNo, "no route for %s%s", r.Host, r.Path()))
 	}
 	p.begin()
-	if e.shed(p) {
-		return p.refuse(problem.New(problem.KindOverloaded, problem.RanNo, "requests of route %s are shed", p.route.Name))
-	}
 	return p.carry(ctx)
 }
 
@@ -101,18 +95,6 @@
 	}
 }
 
-// shed reports whether a request is refused before anything of it ran: its chain
-// is overloaded and others are more important. Calls of endpoints belong to
-// requests that were begun and are not shed.
-func (e *entrance) shed(p *passage) bool {
-	if e.pressures.inner(p.route.Name) {
-		return false
-	}
-	ranks := len(p.view.Index.Catalogue().Classes)
-	place := float64(xxhash.Sum64String(p.id)>>11) / (1 << 53)
-	return place >= e.pressures.share(p.route.Name, pressure.Target(int(p.rank), ranks))
-}
-
 // refuse answers in place of an endpoint.
 func (p *passage) refuse(why *problem.Error) *message.Answer {
 	e := p.entrance
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -1,19 +1,26 @@
 package mesh
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/galenacart/galenacart/internal/view"
+)
 
 const (
-	// originsMin is the number of calls from which on their origins tell.
-	originsMin = 16
-	// originsMax is the number at which older calls begin to count less.
+	// originsMax is the number of calls of a route at which older ones begin to
+	// count less.
 	originsMax = 512
-	// oneService is the share of a route's calls, in percent, that come from one
-	// service when only endpoints make them. Clients stand beside all services.
-	oneService = 98
+	// originsExpected is the number of calls that a service would have sent if
+	// clients made them, from which on their lack tells something.
+	originsExpected = 8
+	// originsLack is the part of the expected calls, one in originsLack, under
+	// which a service counts as sending none.
+	originsLack = 8
 )
 
 // origins counts, at the node of an endpoint, from which services the calls of
-// each route come.
+// each route come. Clients stand beside the endpoints of all services alike; a
+// route that some service never asks for is called by endpoints only.
 type origins struct {
 	mu     sync.Mutex
 	routes map[string]*originCount
@@ -30,7 +37,7 @@
 
 // take counts a call of a route and reports whether only endpoints make them,
 // as far as can be told.
-func (o *origins) take(route, service string) (inner bool) {
+func (o *origins) take(route, service string, v *view.View) (inner bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	c, ok := o.routes[route]
@@ -43,15 +50,13 @@
 	if c.total >= originsMax {
 		c.halve()
 	}
-	return c.inner()
+	return c.inner(v)
 }
 
-func (c *originCount) inner() bool {
-	if c.total < originsMin {
-		return false
-	}
-	for _, n := range c.services {
-		if n*100 >= c.total*oneService {
+func (c *originCount) inner(v *view.View) bool {
+	for service, members := range v.ByService {
+		expected := c.total * len(members) / max(len(v.ByVM), 1)
+		if expected >= originsExpected && c.services[service] < expected/originsLack {
 			return true
 		}
 	}
--- a/internal/mesh/pressures.go
+++ b/internal/mesh/pressures.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/galenacart/galenacart/decision/pressure"
 	"github.com/galenacart/galenacart/internal/calllink"
 )
 
@@ -13,16 +12,16 @@
 	// thousandths is the unit in which pressures travel between nodes.
 	thousandths = 1000
 	// toldFor is the time for which a pressure stands as it was told.
-	toldFor = 300 * time.Millisecond
+	toldFor = 200 * time.Millisecond
 	// decayTime is the time in which an older pressure falls to a third: where all
 	// is refused, no reply brings a newer one.
-	decayTime = 500 * time.Millisecond
+	decayTime = 250 * time.Millisecond
 	// forgetAfter is the age at which a pressure counts no more.
 	forgetAfter = 5 * time.Second
 )
 
 // chainPressures knows the pressure in the chain of each route, as the nodes of the route's
-// endpoints tell, and how many requests are let in under it.
+// endpoints tell.
 type chainPressures struct {
 	now func() time.Duration
 
@@ -31,9 +30,8 @@
 }
 
 type routePressure struct {
-	inner    bool
-	told     map[string]toldPressure // by VM
-	throttle *pressure.Throttle
+	inner bool
+	told  map[string]toldPressure // by VM
 }
 
 type toldPressure struct {
@@ -51,9 +49,13 @@
 	defer t.mu.Unlock()
 	r, ok := t.routes[route]
 	if !ok {
-		r = &routePressure{told: make(map[string]toldPressure), throttle: pressure.NewThrottle(t.now())}
+		r = &routePressure{told: make(map[string]toldPressure)}
 		t.routes[route] = r
 	}
+	if load.Leaving {
+		delete(r.told, vm)
+		return
+	}
 	r.inner = load.Inner
 	r.told[vm] = toldPressure{pressure: float64(load.Pressure) / thousandths, at: t.now()}
 }
@@ -77,33 +79,28 @@
 	return r.pressure(t.now())
 }
 
-// share returns the share of the requests of a route that is let in.
-func (t *chainPressures) share(route string, target float64) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.routes[route]
-	if r == nil {
-		return 1
-	}
-	now := t.now()
-	r.throttle.Advance(now, r.pressure(now), target)
-	return r.throttle.Share()
-}
-
-// pressure returns the mean of what the nodes told lately.
+// pressure returns the mean of what the nodes told lately. A node that tells
+// nothing any more, while others do, counts less and less.
 func (r *routePressure) pressure(now time.Duration) float64 {
-	sum, count := 0.0, 0
+	sum, weights, newest := 0.0, 0.0, forgetAfter
 	for vm, told := range r.told {
 		age := now - told.at
 		if age > forgetAfter {
 			delete(r.told, vm)
 			continue
 		}
-		sum += told.pressure * math.Exp(-float64(max(age-toldFor, 0))/float64(decayTime))
-		count++
+		weight := decay(age)
+		sum += told.pressure * weight
+		weights += weight
+		newest = min(newest, age)
 	}
-	if count == 0 {
+	if weights == 0 {
 		return 0
 	}
-	return sum / float64(count)
+	return sum / weights * decay(newest)
+}
+
+// decay returns what is left of a pressure of some age.
+func decay(age time.Duration) float64 {
+	return math.Exp(-float64(max(age-toldFor, 0)) / float64(decayTime))
 }
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -42,6 +42,7 @@
 	nextID   uint64
 	waiting  map[uint64]chan slotqueue.Verdict
 	releases []slotqueue.Release
+	windows  map[string]*routeWindow // by route
 	applied  *view.View
 	draining bool // the platform says that the endpoint leaves
 }
@@ -57,6 +58,7 @@
 		graph:     callgraph.New(),
 		needs:     make(map[string]time.Duration),
 		waiting:   make(map[uint64]chan slotqueue.Verdict),
+		windows:   make(map[string]*routeWindow),
 	}
 	e.callers = s
 	return s
@@ -87,21 +89,34 @@
 // handle runs a call of this or another node. A call that must not run twice
 // goes on after its sender has given it up: it may be a booking that holds.
 func (s *endpointServer) handle(ctx context.Context, call *calllink.Call) *calllink.Reply {
-	inner := s.origins.take(call.Route, call.CallerService)
-	reply := s.run(ctx, call)
+	inner := s.origins.take(call.Route, call.CallerService, s.config.View.Load())
+	reply := s.admit(ctx, call, inner)
 	s.describe(call, inner, reply)
 	return reply
 }
 
-func (s *endpointServer) run(ctx context.Context, call *calllink.Call) *calllink.Reply {
-	now := s.config.Now()
-	deadline := now + time.Duration(call.RemainingMs)*time.Millisecond
+// admit refuses a call that the node can't take, or whose chain is overloaded.
+// Calls of endpoints belong to requests that were begun and have no window.
+func (s *endpointServer) admit(ctx context.Context, call *calllink.Call, inner bool) *calllink.Reply {
 	if call.Service != s.config.Settings.Service {
 		return refusal(calllink.RefusedUnreachable, "the VM serves "+s.config.Settings.Service)
 	}
 	if s.leaving() {
 		return refusal(calllink.RefusedLeaving, "the node is stopping")
 	}
+	if inner {
+		return s.run(ctx, call)
+	}
+	w := s.window(call.Route, call.Rank)
+	if w == nil {
+		return refusal(calllink.RefusedOverloaded, "the chain of route "+call.Route+" is overloaded")
+	}
+	defer s.closeWindow(w)
+	return s.run(ctx, call)
+}
+
+func (s *endpointServer) run(ctx context.Context, call *calllink.Call) *calllink.Reply {
+	deadline := s.config.Now() + time.Duration(call.RemainingMs)*time.Millisecond
 	if !s.enter(ctx, call, deadline) {
 		return refusal(calllink.RefusedFull, "the endpoint has no slot in time")
 	}
@@ -152,15 +167,12 @@
 func (s *endpointServer) describe(call *calllink.Call, inner bool, reply *calllink.Reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	most := s.pressure.Pressure(s.config.Now())
-	for _, callee := range s.graph.Callees(call.Route) {
-		most = max(most, s.pressures.pressure(callee))
-	}
 	reply.Load = calllink.Load{
 		Busy:     s.gate.Busy(),
 		Limit:    s.gate.Limit(),
-		Pressure: int(most * thousandths),
+		Pressure: int(s.chainPressure(call.Route) * thousandths),
 		Inner:    inner,
+		UsualMs:  int(s.needs[call.Route].Milliseconds()),
 		Leaving:  s.draining || s.leaving(),
 	}
 }
@@ -171,6 +183,7 @@
 	defer s.mu.Unlock()
 	s.follow()
 	s.graph.Tick(s.config.Now())
+	s.adaptWindows()
 }
 
 func (s *endpointServer) busy() int {
--- a/internal/mesh/targets.go
+++ b/internal/mesh/targets.go
@@ -32,6 +32,7 @@
 // target is what is known of one endpoint.
 type target struct {
 	load         placement.State
+	usual        map[string]time.Duration // time of a call, by route
 	leavingUntil time.Duration
 }
 
@@ -48,7 +49,7 @@
 
 // pick chooses the endpoint for a call and counts the call. tried holds the runs
 // of endpoints that had it before.
-func (t *targets) pick(members []*view.Member, tried []string) *view.Member {
+func (t *targets) pick(members []*view.Member, route string, tried []string) *view.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.candidates = t.candidates[:0]
@@ -56,7 +57,7 @@
 		c := placement.Candidate{Near: m.AvailabilityZone == t.zone, Slots: m.Slots}
 		c.Barred = m.Leaving || slices.Contains(tried, m.Endpoint)
 		if s := t.states[m.Endpoint]; s != nil {
-			c.State = &s.load
+			c.State, c.Usual = &s.load, s.usual[route]
 			c.Barred = c.Barred || t.now() < s.leavingUntil
 		}
 		if l := t.links[m.PeerAddress]; l != nil && l.Doubtful() && !c.Barred {
@@ -75,7 +76,7 @@
 func (t *targets) state(endpoint string) *target {
 	s, ok := t.states[endpoint]
 	if !ok {
-		s = &target{}
+		s = &target{usual: make(map[string]time.Duration)}
 		t.states[endpoint] = s
 	}
 	return s
@@ -89,7 +90,7 @@
 }
 
 // done takes a call back and learns from its end.
-func (t *targets) done(m *view.Member, o outcome) {
+func (t *targets) done(m *view.Member, route string, o outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(m.Endpoint)
@@ -105,6 +106,7 @@
 	}
 	if !o.unreachable {
 		s.load.Told(o.load.Busy, o.load.Limit)
+		s.usual[route] = time.Duration(o.load.UsualMs) * time.Millisecond
 	}
 }
 
--- /dev/null
+++ b/internal/mesh/windows.go
@@ -0,0 +1,55 @@
+package mesh
+
+import (
+	"github.com/galenacart/galenacart/decision/pressure"
+)
+
+// routeWindow is the window of one route at the local endpoint.
+type routeWindow struct {
+	window *pressure.Window
+	rank   int
+}
+
+// window lets a call of a route in, or returns nil when it is to be refused.
+func (s *endpointServer) window(route string, rank uint8) *routeWindow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.windows[route]
+	if !ok {
+		w = &routeWindow{window: pressure.NewWindow(s.config.Now(), s.gate.Limit())}
+		s.windows[route] = w
+	}
+	w.rank = int(rank)
+	if !w.window.Enter() {
+		return nil
+	}
+	return w
+}
+
+func (s *endpointServer) closeWindow(w *routeWindow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.window.Leave()
+}
+
+// adaptWindows tells every window the pressure of its chain.
+func (s *endpointServer) adaptWindows() {
+	v := s.config.View.Load()
+	if v.Index == nil {
+		return
+	}
+	now := s.config.Now()
+	ranks := len(v.Index.Catalogue().Classes)
+	for route, w := range s.windows {
+		w.window.Adapt(now, s.chainPressure(route), w.rank, ranks, s.gate.Limit())
+	}
+}
+
+// chainPressure returns the highest pressure along the chain of a route.
+func (s *endpointServer) chainPressure(route string) float64 {
+	most := s.pressure.Pressure(s.config.Now())
+	for _, callee := range s.graph.Callees(route) {
+		most = max(most, s.pressures.pressure(callee))
+	}
+	return most
+}
