Stop in phases; repeat requests with calls of their own rarely

Change: decision/stopping orders the stop: lend the slots, drain, refuse clients, end. Repeats of routes with calls of their own have a tenth of the budget, and their failures are not repeated. Ruled out: leaving more of the budget unused everywhere, since leaf calls repeat nothing but themselves.

--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -110,6 +110,8 @@
 	Pressure int `cbor:"3,keyasint,omitempty"`
 	// Inner says that only endpoints make calls of the route.
 	Inner bool `cbor:"4,keyasint,omitempty"`
+	// Deep says that the endpoint makes calls of its own for the call's route.
+	Deep bool `cbor:"7,keyasint,omitempty"`
 	// Leaving says that the endpoint takes no new work.
 	Leaving bool `cbor:"5,keyasint,omitempty"`
 	// UsualMs is the time that a call of the route usually takes at the endpoint,
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -20,9 +20,13 @@
 	replySlack = 60 * time.Millisecond
 	// refusalsMax bounds the endpoints that may turn one request away.
 	refusalsMax = 8
-	// repeatShare is the part of the fleet's budget for repeats that is used: a
-	// repeat of a request repeats its calls further down too.
-	repeatShare = 0.4
+	// repeatShare is the part of the fleet's budget for repeats that is used. The
+	// rest stands for what other nodes repeat further up the same chain.
+	repeatShare = 0.5
+	// deepRatioShare and deepAllowanceShare are the same for requests whose run
+	// makes calls of its own, since a repeat repeats all of them.
+	deepRatioShare     = 0.1
+	deepAllowanceShare = 0.02
 )
 
 // carry sends a request to endpoints until one answers or no further attempt is
@@ -86,7 +90,7 @@
 		p.reason = problem.New(problem.KindConnectionLost, problem.RanUnknown, "%s", reply.Detail)
 		return nil, p.mayRepeat(m)
 	}
-	if a.Status == http.StatusInternalServerError && p.calm() && p.mayRepeat(m) {
+	if a.Status == http.StatusInternalServerError && p.ownFailure() && p.mayRepeat(m) {
 		p.last = a
 		return nil, true
 	}
@@ -148,14 +152,16 @@
 	}
 	p.reason = problem.New(kind, problem.RanNo, "VM %s: %s", m.VM, reply.Detail)
 	if reply.Refused == calllink.RefusedByEndpoint {
-		return p.affords(m)
+		return p.affords(m, false)
 	}
 	return true
 }
 
-// calm reports whether the chain of the request is not overloaded.
-func (p *passage) calm() bool {
-	return p.entrance.pressures.pressure(p.route.Name) < 1
+// ownFailure reports whether a failure is the endpoint's own, as far as can be
+// told: one that makes calls fails with them, and overload is no reason to repeat.
+func (p *passage) ownFailure() bool {
+	pressures := p.entrance.pressures
+	return !pressures.deep(p.route.Name) && pressures.pressure(p.route.Name) < 1
 }
 
 // mayRepeat reports whether a request that may have run goes to another endpoint.
@@ -163,15 +169,20 @@
 	if !p.route.Idempotent || p.route.AttemptsMax > 0 && p.sent >= p.route.AttemptsMax {
 		return false
 	}
-	return p.affords(m)
+	return p.affords(m, true)
 }
 
-// affords takes a repeat out of this node's part of the fleet's budget.
-func (p *passage) affords(m *view.Member) bool {
+// affords takes a repeat out of this node's part of the fleet's budget. ran says
+// that the attempt before may have run, and made calls.
+func (p *passage) affords(m *view.Member, ran bool) bool {
 	e := p.entrance
 	fleet := e.config.Repeats()
 	nodes := float64(max(len(p.view.ByVM), 1))
-	if !e.targets.mayRepeat(p.service, fleet.Window, fleet.Ratio*repeatShare, fleet.Allowance*repeatShare/nodes) {
+	ratio, allowance := fleet.Ratio*repeatShare, fleet.Allowance*repeatShare/nodes
+	if ran && e.pressures.deep(p.route.Name) {
+		ratio, allowance = fleet.Ratio*deepRatioShare, fleet.Allowance*deepAllowanceShare/nodes
+	}
+	if !e.targets.mayRepeat(p.service, fleet.Window, ratio, allowance) {
 		return false
 	}
 	e.config.Metrics.Retry()
--- a/internal/mesh/entrance.go
+++ b/internal/mesh/entrance.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenacart/galenacart/decision/stopping"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/event"
@@ -33,6 +34,7 @@
 	pressures *chainPressures
 	callers   callObserver
 	local     calllink.Handler
+	stopped   func() stopping.Phase
 	applied   atomic.Pointer[view.View]
 }
 
@@ -41,8 +43,8 @@
 	called(route string)
 }
 
-func newEntrance(c Config) *entrance {
-	return &entrance{config: c, targets: newTargets(c), pressures: newChainPressures(c.Now)}
+func newEntrance(c Config, stopped func() stopping.Phase) *entrance {
+	return &entrance{config: c, stopped: stopped, targets: newTargets(c), pressures: newChainPressures(c.Now)}
 }
 
 // passage is one request on its way through the entrance.
@@ -73,6 +75,9 @@
 	if p.route == nil {
 		return p.refuse(problem.New(problem.KindNoRoute, problem.RanNo, "no route for %s%s", r.Host, r.Path()))
 	}
+	if e.stopped() >= stopping.Refusing && !e.pressures.inner(p.route.Name) {
+		return p.refuse(problem.New(problem.KindLeaving, problem.RanNo, "the node is stopping"))
+	}
 	p.begin()
 	return p.carry(ctx)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenacart/galenacart/decision/stopping"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/endpointlink"
 	"github.com/galenacart/galenacart/internal/event"
@@ -54,15 +55,15 @@
 	entrance *entrance
 	server   *endpointServer
 	acceptor *calllink.Acceptor
-	leaving  atomic.Bool
+	phase    atomic.Uint32 // of the planned stop
 }
 
 // New returns the traffic side of a node.
 func New(c Config) *Mesh {
 	m := &Mesh{config: c}
 	pool := endpointlink.New(c.Settings.EndpointAddress, c.Headers)
-	m.entrance = newEntrance(c)
-	m.server = newEndpointServer(c, pool, m.entrance, m.leaving.Load)
+	m.entrance = newEntrance(c, m.stopped)
+	m.server = newEndpointServer(c, pool, m.entrance, m.stopped)
 	m.entrance.local = m.server.handle
 	m.acceptor = calllink.NewAcceptor(m.server.handle, c.Now)
 	m.registerGauges()
@@ -103,10 +104,13 @@
 	return mux
 }
 
-// Leave begins the planned stop: the local endpoint takes no new work from now
-// on.
-func (m *Mesh) Leave() {
-	m.leaving.Store(true)
+// Stop takes a planned stop to a phase.
+func (m *Mesh) Stop(phase stopping.Phase) {
+	m.phase.Store(uint32(phase))
+}
+
+func (m *Mesh) stopped() stopping.Phase {
+	return stopping.Phase(m.phase.Load())
 }
 
 // Busy returns the number of calls at the local endpoint.
--- a/internal/mesh/pressures.go
+++ b/internal/mesh/pressures.go
@@ -31,6 +31,7 @@
 
 type routePressure struct {
 	inner bool
+	deep  bool
 	told  map[string]toldPressure // by VM
 }
 
@@ -56,7 +57,7 @@
 		delete(r.told, vm)
 		return
 	}
-	r.inner = load.Inner
+	r.inner, r.deep = load.Inner, load.Deep
 	r.told[vm] = toldPressure{pressure: float64(load.Pressure) / thousandths, at: t.now()}
 }
 
@@ -68,6 +69,14 @@
 	return r != nil && r.inner
 }
 
+// deep reports whether endpoints make calls of their own for a route.
+func (t *chainPressures) deep(route string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.routes[route]
+	return r != nil && r.deep
+}
+
 // pressure returns the pressure in the chain of a route.
 func (t *chainPressures) pressure(route string) float64 {
 	t.mu.Lock()
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -10,6 +10,7 @@
 	"github.com/galenacart/galenacart/decision/callgraph"
 	"github.com/galenacart/galenacart/decision/pressure"
 	"github.com/galenacart/galenacart/decision/slotqueue"
+	"github.com/galenacart/galenacart/decision/stopping"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/endpointlink"
 	"github.com/galenacart/galenacart/internal/event"
@@ -32,7 +33,7 @@
 	pool      *endpointlink.Pool
 	pressures *chainPressures
 	origins   *origins
-	leaving   func() bool
+	stopped   func() stopping.Phase
 
 	mu       sync.Mutex
 	gate     *slotqueue.Gate
@@ -47,13 +48,13 @@
 	draining bool // the platform says that the endpoint leaves
 }
 
-func newEndpointServer(c Config, pool *endpointlink.Pool, e *entrance, leaving func() bool) *endpointServer {
+func newEndpointServer(c Config, pool *endpointlink.Pool, e *entrance, stopped func() stopping.Phase) *endpointServer {
 	s := &endpointServer{
 		config:    c,
 		pool:      pool,
 		pressures: e.pressures,
 		origins:   newOrigins(),
-		leaving:   leaving,
+		stopped:   stopped,
 		gate:      slotqueue.New(slotsBefore),
 		graph:     callgraph.New(),
 		needs:     make(map[string]time.Duration),
@@ -95,6 +96,11 @@
 	return reply
 }
 
+// leaving reports whether the local endpoint takes no new work from this node.
+func (s *endpointServer) leaving() bool {
+	return s.stopped() >= stopping.Draining
+}
+
 // admit refuses a call that the node can't take, or whose chain is overloaded.
 // Calls of endpoints belong to requests that were begun and have no window.
 func (s *endpointServer) admit(ctx context.Context, call *calllink.Call, inner bool) *calllink.Reply {
@@ -172,6 +178,7 @@
 		Limit:    s.gate.Limit(),
 		Pressure: int(s.chainPressure(call.Route) * thousandths),
 		Inner:    inner,
+		Deep:     len(s.graph.Callees(call.Route)) > 0,
 		UsualMs:  int(s.needs[call.Route].Milliseconds()),
 		Leaving:  s.draining || s.leaving(),
 	}
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,7 +71,7 @@
 	clients *ingress.Server
 	door    net.Listener
 	pages   []*page
-	stop    stopState
+	leaving atomic.Bool
 }
 
 // page is a listener of the node's own with its server.
@@ -200,7 +201,7 @@
 
 // serveReadiness says whether clients may send requests to this node.
 func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if n.stop.begun() || n.holder.Load().Index == nil {
+	if n.leaving.Load() || n.holder.Load().Index == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
