--- /dev/null
+++ b/decision/placement/placement_test.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func told(busy, limit int) *State {
+	s := &State{}
+	s.Told(busy, limit)
+	return s
+}
+
+func TestPick(t *testing.T) {
+	aside := told(0, 10)
+	aside.Missed(0)
+	failing := told(0, 10)
+	for range 20 {
+		failing.Start()
+		failing.End(true)
+	}
+	tests := []struct {
+		desc       string
+		candidates []Candidate
+		want       int
+	}{
+		{"none", nil, -1},
+		{"only barred ones", []Candidate{{Barred: true}}, -1},
+		{"the emptier one", []Candidate{{Near: true, State: told(5, 10)}, {Near: true, State: told(2, 10)}}, 1},
+		{"by share of the slots, not by number", []Candidate{{Near: true, State: told(5, 50)}, {Near: true, State: told(2, 10)}}, 0},
+		{"the own zone while it has room", []Candidate{{State: told(0, 10)}, {Near: true, State: told(2, 10)}}, 1},
+		{"another zone once the own one is much fuller", []Candidate{{State: told(0, 10)}, {Near: true, State: told(6, 10)}}, 0},
+		{"another zone once the own one is full", []Candidate{{State: told(8, 10)}, {Near: true, State: told(12, 10)}}, 0},
+		{"not one that was out of reach", []Candidate{{Near: true, State: aside}, {State: told(9, 10)}}, 1},
+		{"one that was out of reach when there is no other", []Candidate{{State: aside}}, 0},
+		{"not one that fails", []Candidate{{Near: true, State: failing}, {State: told(8, 10)}}, 1},
+		{
+			"unequal machines are no fault",
+			[]Candidate{{Near: true, Usual: 40 * time.Millisecond, State: told(2, 10)}, {Near: true, Usual: 20 * time.Millisecond, State: told(4, 10)}},
+			0,
+		},
+		{
+			"much slower than the fastest",
+			[]Candidate{{Near: true, Usual: 200 * time.Millisecond, State: told(1, 10)}, {Usual: 20 * time.Millisecond, State: told(6, 10)}},
+			1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			for random := range uint64(8) {
+				require.Equal(t, test.want, Pick(0, test.candidates, random))
+			}
+		})
+	}
+}
+
+func TestOwnCallsCountBeforeTheNextReply(t *testing.T) {
+	first, second := told(0, 10), told(1, 10)
+	for range 3 {
+		first.Start()
+	}
+	candidates := []Candidate{{Near: true, State: first}, {Near: true, State: second}}
+	require.Equal(t, 1, Pick(0, candidates, 0))
+}
+
+func TestPauseGrowsAndEndsWithAReply(t *testing.T) {
+	s := &State{}
+	s.Missed(0)
+	require.True(t, s.Aside(asideBase-1))
+	require.False(t, s.Aside(asideBase))
+	for range 10 {
+		s.Missed(0)
+	}
+	require.True(t, s.Aside(asideMax-1))
+	require.False(t, s.Aside(asideMax))
+	s.Told(0, 10)
+	require.False(t, s.Aside(0))
+}
+
+// TestUnequalSpeedsShareTheWork plays calls at endpoints of speeds 0.7, 0.7 and
+// 1.6 that need 88 % of the slots if each gets work in proportion. In equal
+// shares the slow two would be asked for more than they have.
+func TestUnequalSpeedsShareTheWork(t *testing.T) {
+	const slots, step = 14, time.Millisecond
+	speeds := []float64{0.7, 0.7, 1.6}
+	work := 30 * time.Millisecond
+	rate := 0.88 * slots * 3.0 / work.Seconds() // calls in a second
+	random := rand.New(rand.NewPCG(1, 1))
+	states := []*State{{}, {}, {}}
+	ends := make([][]time.Duration, 3)
+	most, worst := 0, 0
+	for now := time.Duration(0); now < 20*time.Second; now += step {
+		for i := range ends {
+			kept := ends[i][:0]
+			for _, end := range ends[i] {
+				if end <= now {
+					states[i].End(false)
+					states[i].Told(len(ends[i]), slots)
+					continue
+				}
+				kept = append(kept, end)
+			}
+			ends[i] = kept
+		}
+		for arrivals := rate * step.Seconds(); arrivals > random.Float64(); arrivals-- {
+			candidates := make([]Candidate, 3)
+			for i := range candidates {
+				candidates[i] = Candidate{Near: true, State: states[i]}
+			}
+			at := Pick(now, candidates, random.Uint64())
+			states[at].Start()
+			wait := time.Duration(max(len(ends[at])-slots, 0)) * work / slots
+			took := time.Duration(float64(work)*(0.5+random.Float64())/speeds[at]) + wait
+			ends[at] = append(ends[at], now+took)
+			worst = max(worst, len(ends[at]))
+			most++
+		}
+	}
+	require.Less(t, worst, 2*slots, "calls at the fullest endpoint, of %d in all", most)
+}
--- /dev/null
+++ b/decision/registry/registry_test.go
@@ -0,0 +1,88 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func entry(id string, sequence int64) Entry {
+	return Entry{ID: id, Service: "stock", Address: "10.0.0.1:80", Slots: 10, BornMs: 100, Sequence: sequence}
+}
+
+func leaving(e Entry) Entry {
+	e.Leaving = true
+	return e
+}
+
+func reborn(e Entry, born int64) Entry {
+	e.BornMs = born
+	return e
+}
+
+func TestNewestWordStands(t *testing.T) {
+	tests := []struct {
+		desc    string
+		entries []Entry
+		leaving bool
+		live    int
+	}{
+		{"ready", []Entry{entry("a", 1)}, false, 1},
+		{"ready, then leaving", []Entry{entry("a", 1), leaving(entry("a", 2))}, true, 1},
+		{"an older word comes late", []Entry{leaving(entry("a", 5)), entry("a", 4)}, true, 1},
+		{"no way back under the same run", []Entry{leaving(entry("a", 5)), entry("a", 6)}, true, 1},
+		{"a new run under the same name", []Entry{leaving(entry("a", 5)), reborn(entry("a", 1), 200)}, false, 1},
+		{"an old run after a new one", []Entry{reborn(entry("a", 1), 200), leaving(entry("a", 9))}, false, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			b := New()
+			for _, e := range test.entries {
+				b.Put(e)
+			}
+			live := b.Live()
+			require.Len(t, live, test.live)
+			require.Equal(t, test.leaving, live[0].Leaving)
+		})
+	}
+}
+
+func TestBeatsChangeNothing(t *testing.T) {
+	b := New()
+	require.True(t, b.Put(entry("a", 1)))
+	require.False(t, b.Put(entry("a", 2)))
+	require.True(t, b.Put(leaving(entry("a", 3))))
+}
+
+func TestEntriesThatLapsedWhileTheStoreWasAway(t *testing.T) {
+	b := New()
+	b.Put(entry("back", 1))
+	b.Put(entry("gone", 1))
+	b.Away()
+	b.Back(10 * time.Second)
+	require.False(t, b.Replace(10*time.Second, nil), "both may come back")
+	require.Len(t, b.Live(), 2)
+	b.Put(entry("back", 2))
+	require.False(t, b.Expire(10*time.Second+returnGrace-1))
+	require.True(t, b.Expire(10*time.Second+returnGrace))
+	live := b.Live()
+	require.Len(t, live, 1)
+	require.Equal(t, "back", live[0].ID)
+}
+
+func TestWithoutAnOutageWhatIsRemovedIsGone(t *testing.T) {
+	b := New()
+	b.Put(entry("a", 1))
+	require.True(t, b.Remove(time.Hour, "a"))
+	require.Empty(t, b.Live())
+	require.False(t, b.Remove(time.Hour, "a"))
+	require.False(t, b.Remove(time.Hour, "never"))
+}
+
+func TestStoreThatDoesNotFailGivesNoGrace(t *testing.T) {
+	b := New()
+	b.Back(0)
+	b.Put(entry("a", 1))
+	require.True(t, b.Remove(time.Millisecond, "a"))
+}
--- /dev/null
+++ b/decision/retry/window_test.go
@@ -0,0 +1,57 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const span = 10 * time.Second
+
+func TestWindowGrantsItsShare(t *testing.T) {
+	w := &Window{}
+	for range 100 {
+		w.Call(0, span)
+	}
+	granted := 0
+	for range 100 {
+		if w.Spend(time.Second, span, 0.1, 2) {
+			granted++
+		}
+	}
+	require.Equal(t, 12, granted)
+	require.False(t, w.Spend(span-1, span, 0.1, 2))
+	require.True(t, w.Spend(2*span, span, 0.1, 2), "the allowance is there again")
+}
+
+// TestNoWindowOfTimeHoldsMore plays calls at uneven rates and holds the bound in
+// any window: the share of its calls and those of the window before, and twice
+// the allowance where two of them meet.
+func TestNoWindowOfTimeHoldsMore(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	w := &Window{}
+	var calls, extra []time.Duration
+	for now := time.Duration(0); now < 2*time.Minute; now += time.Duration(random.IntN(20)) * time.Millisecond {
+		if now%(30*time.Second) < 20*time.Second {
+			w.Call(now, span)
+			calls = append(calls, now)
+		}
+		if w.Spend(now, span, 0.1, 3) {
+			extra = append(extra, now)
+		}
+	}
+	count := func(list []time.Duration, from, to time.Duration) (n int) {
+		for _, at := range list {
+			if at >= from && at < to {
+				n++
+			}
+		}
+		return n
+	}
+	for from := time.Duration(0); from < 2*time.Minute; from += time.Second {
+		most := max(count(calls, from-span, from), count(calls, from-span/2, from+span/2), count(calls, from, from+span))
+		require.LessOrEqual(t, float64(count(extra, from, from+span)), 0.2*float64(most)+2*3, "from %v", from)
+	}
+}
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,243 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/galenacart/galenacart/internal/message"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func usualLimits() Limits {
+	return Limits{HeaderBytes: 1024, BodyBytes: 64, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+}
+
+// echo answers with method, target, host and body.
+func echo(_ context.Context, r *message.Request) *message.Answer {
+	return &message.Answer{Status: 200, Header: http.Header{"X-Host": {r.Host}}, Body: []byte(r.Method + " " + r.Target + " " + string(r.Body))}
+}
+
+// client is a connection to a server under test.
+type client struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func serve(t *testing.T, limits Limits, handler Handler) (*Server, func() *client) {
+	t.Helper()
+	s := New(Config{Limits: func() Limits { return limits }, Handler: handler})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	t.Cleanup(func() {
+		require.NoError(t, l.Close())
+		s.Close()
+		require.NoError(t, <-served)
+	})
+	return s, func() *client {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return &client{t: t, conn: conn, in: bufio.NewReader(conn)}
+	}
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c.conn, text)
+	require.NoError(c.t, err)
+}
+
+func (c *client) receive() (*http.Response, string) {
+	c.t.Helper()
+	r, err := http.ReadResponse(c.in, nil)
+	require.NoError(c.t, err)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(c.t, err)
+	return r, string(body)
+}
+
+func (c *client) closed() {
+	c.t.Helper()
+	_, err := c.in.ReadByte()
+	require.ErrorIs(c.t, err, io.EOF)
+}
+
+func TestRequestsAreReadWhole(t *testing.T) {
+	_, dial := serve(t, usualLimits(), echo)
+	tests := []struct{ desc, sent, want string }{
+		{"no body", "GET /a/b?c=%20d HTTP/1.1\r\nHost: one.example\r\n\r\n", "GET /a/b?c=%20d "},
+		{"body with a length", "POST /x HTTP/1.1\r\nHost: one.example\r\nContent-Length: 3\r\n\r\nabc", "POST /x abc"},
+		{"body in chunks", "POST /x HTTP/1.1\r\nHost: one.example\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", "POST /x abc"},
+	}
+	c := dial()
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c.send(test.sent)
+			r, body := c.receive()
+			require.Equal(t, 200, r.StatusCode)
+			require.Equal(t, test.want, body)
+			require.Equal(t, "one.example", r.Header.Get("X-Host"))
+		})
+	}
+}
+
+func TestPipelinedRequestsRunSideBySideAndAreAnsweredInOrder(t *testing.T) {
+	release := make(chan struct{})
+	_, dial := serve(t, usualLimits(), func(ctx context.Context, r *message.Request) *message.Answer {
+		if r.Target == "/1" {
+			<-release
+		}
+		if r.Target == "/3" {
+			close(release) // runs while the first one still does
+		}
+		return echo(ctx, r)
+	})
+	c := dial()
+	for _, target := range []string{"/1", "/2", "/3"} {
+		c.send("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	for _, want := range []string{"GET /1 ", "GET /2 ", "GET /3 "} {
+		_, body := c.receive()
+		require.Equal(t, want, body)
+	}
+}
+
+func TestClosedConnectionCancelsItsRequests(t *testing.T) {
+	running := make(chan struct{})
+	cancelled := make(chan struct{})
+	_, dial := serve(t, usualLimits(), func(ctx context.Context, r *message.Request) *message.Answer {
+		close(running)
+		<-ctx.Done()
+		close(cancelled)
+		return message.Failed(503, "gone")
+	})
+	c := dial()
+	c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-running
+	require.NoError(t, c.conn.Close())
+	<-cancelled
+}
+
+func TestRefusedRequests(t *testing.T) {
+	_, dial := serve(t, usualLimits(), echo)
+	tests := []struct {
+		desc, sent string
+		want       int
+	}{
+		{"head over the limit", "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("x", 4096) + "\r\n\r\n", 431},
+		{"body over the limit", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", 413},
+		{"body in chunks over the limit", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n50\r\n" + strings.Repeat("x", 0x50) + "\r\n0\r\n\r\n", 413},
+		{"no HTTP", "hello\r\n\r\n", 400},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := dial()
+			c.send(test.sent)
+			r, _ := c.receive()
+			require.Equal(t, test.want, r.StatusCode)
+			require.True(t, r.Close)
+		})
+	}
+}
+
+func TestBrokenBodyRunsNothing(t *testing.T) {
+	_, dial := serve(t, usualLimits(), func(context.Context, *message.Request) *message.Answer {
+		t.Error("a request that was not read whole was run")
+		return message.Failed(500, "")
+	})
+	c := dial()
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc")
+	require.NoError(t, c.conn.(*net.TCPConn).CloseWrite())
+	c.closed()
+}
+
+func TestSlowHeadIsRefused(t *testing.T) {
+	limits := usualLimits()
+	limits.HeaderTimeout = 20 * time.Millisecond
+	_, dial := serve(t, limits, echo)
+	c := dial()
+	c.send("GET / HTTP/1.1\r\nHost:")
+	r, _ := c.receive()
+	require.Equal(t, http.StatusRequestTimeout, r.StatusCode)
+}
+
+func TestIdleConnectionIsClosed(t *testing.T) {
+	limits := usualLimits()
+	limits.IdleTimeout = 20 * time.Millisecond
+	_, dial := serve(t, limits, echo)
+	c := dial()
+	c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.receive()
+	c.closed()
+}
+
+func TestWaitingForAnAnswerIsNotIdle(t *testing.T) {
+	limits := usualLimits()
+	limits.IdleTimeout = 10 * time.Millisecond
+	looks := make(chan struct{})
+	s, dial := serve(t, limits, func(ctx context.Context, r *message.Request) *message.Answer {
+		<-looks
+		return echo(ctx, r)
+	})
+	c := dial()
+	c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	timer := time.AfterFunc(5*limits.IdleTimeout, func() { close(looks) })
+	defer timer.Stop()
+	r, _ := c.receive()
+	require.Equal(t, 200, r.StatusCode)
+	require.Eventually(t, func() bool { return s.Busy() == 0 }, time.Second, time.Millisecond)
+}
+
+func TestLeavingServerEndsConnectionsWithTheirAnswer(t *testing.T) {
+	s, dial := serve(t, usualLimits(), echo)
+	c := dial()
+	c.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	r, _ := c.receive()
+	require.False(t, r.Close)
+	s.Leave()
+	c.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	r, body := c.receive()
+	require.Equal(t, "GET /2 ", body)
+	require.True(t, r.Close)
+	c.closed()
+}
+
+func TestExpectedContinueIsSent(t *testing.T) {
+	_, dial := serve(t, usualLimits(), echo)
+	c := dial()
+	c.send("POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	line, err := c.in.ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 100 Continue\r\n", line)
+	_, err = c.in.ReadString('\n')
+	require.NoError(t, err)
+	c.send("ok")
+	_, body := c.receive()
+	require.Equal(t, "POST /x ok", body)
+}
+
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	_, dial := serve(t, usualLimits(), echo)
+	c := dial()
+	c.send("HEAD /x HTTP/1.1\r\nHost: h\r\n\r\nGET /y HTTP/1.1\r\nHost: h\r\n\r\n")
+	r, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodHead})
+	require.NoError(t, err)
+	require.EqualValues(t, len("HEAD /x "), r.ContentLength)
+	_, body := c.receive()
+	require.Equal(t, "GET /y ", body)
+}
