Play a small fleet of nodes with their endpoints in tests

Cause: the promises towards callers were held package by package only.

Change: nodes and endpoints on loopback play lost answers, refusals, timeouts, clients that leave, and a planned stop; each says what the client gets.

--- /dev/null
+++ b/internal/meshnode/fleet_test.go
@@ -0,0 +1,192 @@
+package meshnode
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/galenacart/galenacart/decision/registry"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/discovery"
+	"github.com/galenacart/galenacart/internal/message"
+	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/testaddress"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func testHeaders() message.Headers {
+	return message.Headers{
+		RequestID: "Request-Id", RemainingMs: "Remaining-Ms", Seal: "Seal",
+		ExpectEndpoint: "Expect-Endpoint", NotStarted: "Not-Started", CallerService: "Caller-Service",
+	}
+}
+
+// fleet is a few nodes with their endpoints on loopback addresses.
+type fleet struct {
+	t        *testing.T
+	ports    [5]uint16 // client, peer, readiness, endpoint, status
+	vms      []*vm
+	version  uint64
+	fed      sync.Mutex
+	sources  []*source
+	routes   []catalogue.Route
+	client   *http.Client
+	stopTime string
+}
+
+// vm is one VM: a node and its endpoint.
+type vm struct {
+	node     *Node
+	ip       string
+	id       string
+	service  string
+	out      *bytes.Buffer
+	endpoint *http.Server
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// source feeds one board by hand.
+type source struct {
+	board chan *discovery.Board
+}
+
+func (s *source) Run(ctx context.Context, b *discovery.Board) {
+	s.board <- b
+	<-ctx.Done()
+}
+
+func newFleet(t *testing.T, routes ...catalogue.Route) *fleet {
+	t.Helper()
+	f := &fleet{t: t, routes: routes, client: &http.Client{Transport: &http.Transport{}}, stopTime: "1s"}
+	for i := range f.ports {
+		address := netip.MustParseAddrPort(testaddress.New())
+		f.ports[i] = address.Port()
+	}
+	t.Cleanup(func() {
+		f.client.CloseIdleConnections()
+		for _, v := range f.vms {
+			f.halt(v)
+		}
+	})
+	return f
+}
+
+// halt stops a VM's node and its endpoint.
+func (f *fleet) halt(v *vm) {
+	if v.stop == nil {
+		return
+	}
+	v.stop()
+	require.NoError(f.t, <-v.done)
+	require.NoError(f.t, v.endpoint.Close())
+	v.stop = nil
+}
+
+// address returns an address of the i-th VM.
+func (f *fleet) address(i, port int) string {
+	base := netip.MustParseAddrPort(testaddress.New()).Addr().As4()
+	ip := net.IPv4(127, byte(128+i), base[2], base[3])
+	return fmt.Sprintf("%s:%d", ip, f.ports[port])
+}
+
+// add starts a VM whose endpoint of a service is served by a handler.
+func (f *fleet) add(service string, handler http.HandlerFunc) *vm {
+	f.t.Helper()
+	i := len(f.vms)
+	file := filepath.Join(f.t.TempDir(), "node.json")
+	text := fmt.Sprintf(`{"vm":"vm-%d","availabilityZone":"a","region":"r","service":%q,"clientAddress":%q,"peerAddress":%q,
+		"readinessAddress":%q,"endpointAddress":%q,"statusAddress":%q,"platformAddress":"127.0.0.1:1","stopTimeout":%q,
+		"retryRatio":0.5,"retryAllowance":50,"retryWindow":"10s"}`, i, service, f.address(i, 0), f.address(i, 1),
+		f.address(i, 2), f.address(i, 3), f.address(i, 4), f.stopTime)
+	require.NoError(f.t, os.WriteFile(file, []byte(text), 0o600))
+	live, err := settings.NewLive(file)
+	require.NoError(f.t, err)
+	s := &source{board: make(chan *discovery.Board, 1)}
+	v := &vm{id: fmt.Sprintf("e-%d", i), service: service, ip: f.address(i, 0), out: &bytes.Buffer{}, done: make(chan error, 1)}
+	v.node, err = Start(Config{Settings: live, Headers: testHeaders(), Source: s, ReadinessPath: "/ready", Out: io.Discard})
+	require.NoError(f.t, err)
+	l, err := net.Listen("tcp", f.address(i, 3))
+	require.NoError(f.t, err)
+	v.endpoint = &http.Server{Handler: sealed(v.id, handler)}
+	go func() { _ = v.endpoint.Serve(l) }() // ends with Close
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	go func() { v.done <- v.node.Run(ctx) }()
+	f.vms = append(f.vms, v)
+	f.sources = append(f.sources, s)
+	return v
+}
+
+// sealed makes a handler answer as an endpoint does.
+func sealed(id string, handler http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		if r.Header.Get("Expect-Endpoint") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set("Seal", "s")
+		handler(w, r)
+	})
+}
+
+// publish gives all boards the configuration and the endpoints.
+func (f *fleet) publish() {
+	f.t.Helper()
+	f.version++
+	c := &catalogue.Catalogue{Routes: f.routes, Classes: []catalogue.Class{{Name: "high"}, {Name: "low"}}}
+	for _, s := range f.sources {
+		b := <-s.board
+		s.board <- b
+		b.Configure(&discovery.Configuration{Version: f.version, Catalogue: c})
+		for i, v := range f.vms {
+			b.Put(registry.Entry{
+				ID: v.id, Service: v.service, Address: f.address(i, 3), AvailabilityZone: "a",
+				Slots: 10, BornMs: 1, Sequence: int64(f.version),
+			})
+		}
+	}
+}
+
+// ask sends a request to the node of a VM.
+func (f *fleet) ask(v *vm, method, path string, body string) (*http.Response, string) {
+	f.t.Helper()
+	r, err := http.NewRequest(method, "http://"+v.ip+path, bytes.NewBufferString(body))
+	require.NoError(f.t, err)
+	r.Host = "door.example"
+	r.Header.Set("Request-Id", "id-1")
+	r.Header.Set("Remaining-Ms", "5000")
+	response, err := f.client.Do(r)
+	require.NoError(f.t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(f.t, err)
+	return response, string(text)
+}
+
+func route(service string, idempotent bool) catalogue.Route {
+	return catalogue.Route{
+		Name: "r-" + service, Class: "high", Host: "door.example", Path: "/" + service + "/", Service: service,
+		Idempotent: idempotent, AttemptsMax: 3, Limits: catalogue.RouteLimits{TimeoutMs: 1000},
+	}
+}
+
+// meanwhile is a time after which something that should not happen has had its
+// chance.
+const meanwhile = 100 * time.Millisecond
--- /dev/null
+++ b/internal/meshnode/node_test.go
@@ -0,0 +1,188 @@
+package meshnode
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRequestReachesItsEndpointUnchanged(t *testing.T) {
+	f := newFleet(t, route("stock", true))
+	entry := f.add("door", http.NotFound)
+	f.add("stock", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		remaining, err := strconv.Atoi(r.Header.Get("Remaining-Ms"))
+		w.Header().Set("X-Remaining-Is-Less", strconv.FormatBool(err == nil && remaining <= 1000 && remaining > 500))
+		w.WriteHeader(http.StatusCreated)
+		_, _ = fmt.Fprintf(w, "%s %s %s %s %s", r.Method, r.RequestURI, r.Host, r.Header.Get("Caller-Service"), body)
+	})
+	f.publish()
+	r, body := f.ask(entry, "PUT", "/stock/a%20b?c=d", "content")
+	require.Equal(t, http.StatusCreated, r.StatusCode)
+	require.Equal(t, "PUT /stock/a%20b?c=d door.example door content", body)
+	require.Equal(t, "id-1", r.Header.Get("Request-Id"))
+	require.Equal(t, "s", r.Header.Get("Seal"))
+	require.Equal(t, "true", r.Header.Get("X-Remaining-Is-Less"), "the route's timeout bounds it")
+}
+
+func TestAnswersInPlaceOfAnEndpoint(t *testing.T) {
+	f := newFleet(t, route("stock", true))
+	entry := f.add("door", http.NotFound)
+	r, _ := f.ask(entry, "GET", "/stock/1", "")
+	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode, "no configuration is known yet")
+	require.NotEmpty(t, r.Header.Get("Retry-After"))
+	f.publish()
+	r, _ = f.ask(entry, "GET", "/other/1", "")
+	require.Equal(t, http.StatusNotFound, r.StatusCode)
+	r, _ = f.ask(entry, "GET", "/stock/1", "")
+	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode, "the service has no endpoint")
+	wait, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Positive(t, wait)
+	require.LessOrEqual(t, wait, 5.0/3)
+}
+
+func TestFailureOfTheEndpointIsItsOwn(t *testing.T) {
+	f := newFleet(t, route("stock", false))
+	var runs atomic.Int32
+	entry := f.add("stock", func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "broken")
+	})
+	f.publish()
+	r, body := f.ask(entry, "POST", "/stock/1", "x")
+	require.Equal(t, http.StatusInternalServerError, r.StatusCode)
+	require.Equal(t, "broken", body)
+	require.Equal(t, "s", r.Header.Get("Seal"))
+	require.EqualValues(t, 1, runs.Load())
+}
+
+func TestRefusedRequestGoesToAnotherEndpoint(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		f := newFleet(t, route("stock", idempotent))
+		entry := f.add("door", http.NotFound)
+		var runs atomic.Int32
+		for i := range 2 {
+			f.add("stock", func(w http.ResponseWriter, _ *http.Request) {
+				if i == 0 {
+					w.Header().Set("Not-Started", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				runs.Add(1)
+			})
+		}
+		f.publish()
+		for n := range 4 {
+			r, _ := f.ask(entry, "POST", "/stock/1", "x")
+			require.Equal(t, http.StatusOK, r.StatusCode)
+			require.EqualValues(t, n+1, runs.Load())
+		}
+	}
+}
+
+func TestLostAnswer(t *testing.T) {
+	tests := []struct {
+		desc       string
+		idempotent bool
+		status     int
+		runs       int32
+	}{
+		{"is asked for again if that does no harm", true, http.StatusOK, 2},
+		{"of what must not run twice promises nothing", false, http.StatusBadGateway, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFleet(t, route("stock", test.idempotent))
+			entry := f.add("door", http.NotFound)
+			var runs atomic.Int32
+			for range 2 {
+				f.add("stock", func(http.ResponseWriter, *http.Request) {
+					if runs.Add(1) == 1 {
+						panic(http.ErrAbortHandler)
+					}
+				})
+			}
+			f.publish()
+			r, _ := f.ask(entry, "POST", "/stock/1", "x")
+			require.Equal(t, test.status, r.StatusCode)
+			require.Equal(t, test.runs, runs.Load())
+		})
+	}
+}
+
+func TestRouteTimeoutEndsTheRequest(t *testing.T) {
+	one := route("stock", true)
+	one.Limits.TimeoutMs = 150
+	f := newFleet(t, one)
+	entry := f.add("door", http.NotFound)
+	gone := make(chan struct{}, 1)
+	f.add("stock", func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		gone <- struct{}{}
+	})
+	f.publish()
+	began := time.Now()
+	r, _ := f.ask(entry, "GET", "/stock/1", "")
+	require.Equal(t, http.StatusGatewayTimeout, r.StatusCode)
+	require.Less(t, time.Since(began), time.Second)
+	<-gone // the endpoint is told too
+}
+
+func TestClientThatLeavesEndsItsRequest(t *testing.T) {
+	f := newFleet(t, route("stock", true))
+	entry := f.add("door", http.NotFound)
+	running, gone := make(chan struct{}), make(chan struct{})
+	f.add("stock", func(_ http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+		close(gone)
+	})
+	f.publish()
+	f.client.Timeout = meanwhile
+	r, err := http.NewRequest(http.MethodGet, "http://"+entry.ip+"/stock/1", nil)
+	require.NoError(t, err)
+	r.Host = "door.example"
+	r.Header.Set("Request-Id", "id-1")
+	_, err = f.client.Do(r) //nolint:bodyclose // there is no answer
+	require.Error(t, err)
+	<-running
+	<-gone
+}
+
+func TestPlannedStopFinishesWhatIsInFlight(t *testing.T) {
+	f := newFleet(t, route("stock", false))
+	entry := f.add("door", http.NotFound)
+	running, finish := make(chan struct{}), make(chan struct{})
+	serving := f.add("stock", func(w http.ResponseWriter, _ *http.Request) {
+		close(running)
+		<-finish
+		_, _ = io.WriteString(w, "done")
+	})
+	f.publish()
+	ready := func(v *vm) int {
+		r, err := http.Get("http://" + v.node.config.Settings.Load().ReadinessAddress + "/ready")
+		require.NoError(t, err)
+		require.NoError(t, r.Body.Close())
+		return r.StatusCode
+	}
+	require.Equal(t, http.StatusOK, ready(serving))
+	result := make(chan string, 1)
+	go func() {
+		r, body := f.ask(entry, "POST", "/stock/1", "x")
+		result <- strconv.Itoa(r.StatusCode) + " " + body
+	}()
+	<-running
+	serving.stop()
+	require.Eventually(t, func() bool { return ready(serving) == http.StatusServiceUnavailable }, time.Second, time.Millisecond)
+	close(finish)
+	require.Equal(t, "200 done", <-result)
+	http.DefaultClient.CloseIdleConnections()
+}
