Recover faster from cuts and from the loss of everything

Change: a link that failed is opened again in the background, and its calls go elsewhere at once; silence is noticed after 400 ms and believed after 900 ms. The newest run holds an address. Until the call graph is learned, all callees count for every route.

Conclusion: the first seconds after a restart are still the worst.

--- a/decision/callgraph/callgraph.go
+++ b/decision/callgraph/callgraph.go
@@ -80,8 +80,13 @@
 	}
 }
 
-// Callees returns the routes that the endpoint calls while it runs a route.
+// Callees returns the routes that the endpoint calls while it runs a route. As
+// long as nothing is known, that is every route that it calls: after a restart
+// the first second may bring an overload.
 func (g *Graph) Callees(route string) []string {
+	if g.count < stretchesMin {
+		return g.callees
+	}
 	return g.edges[route]
 }
 
--- a/decision/callgraph/callgraph_test.go
+++ b/decision/callgraph/callgraph_test.go
@@ -101,3 +101,10 @@
 	g := play(1, 5*time.Second, []load{{"status", 50, 50 * time.Millisecond, nil}})
 	require.Empty(t, g.Callees("status"))
 }
+
+func TestAllCalleesCountUntilMoreIsKnown(t *testing.T) {
+	g := New()
+	g.Started("stock")
+	g.Called("terms")
+	require.Equal(t, []string{"terms"}, g.Callees("stock"))
+}
--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -140,11 +140,19 @@
 	return changed
 }
 
-// Live returns the entries that the store holds or that may come back.
+// Live returns the entries that the store holds or that may come back. Where an
+// endpoint started anew under another name, the entry of its earlier run is left
+// out: it stays in the store for some beats.
 func (b *Book) Live() []Entry {
-	live := make([]Entry, 0, len(b.records))
+	newest := make(map[string]int64)
 	for _, r := range b.records {
 		if r.present {
+			newest[r.entry.Address] = max(newest[r.entry.Address], r.entry.BornMs)
+		}
+	}
+	live := make([]Entry, 0, len(b.records))
+	for _, r := range b.records {
+		if r.present && r.entry.BornMs == newest[r.entry.Address] {
 			live = append(live, r.entry)
 		}
 	}
--- a/decision/registry/registry_test.go
+++ b/decision/registry/registry_test.go
@@ -86,3 +86,15 @@
 	b.Put(entry("a", 1))
 	require.True(t, b.Remove(time.Millisecond, "a"))
 }
+
+func TestNewestRunHoldsAnAddress(t *testing.T) {
+	b := New()
+	b.Put(entry("old", 9))
+	fresh := reborn(entry("new", 1), 200)
+	b.Put(fresh)
+	require.Equal(t, []Entry{fresh}, b.Live(), "a new run under another name ends the old one")
+	b.Put(entry("old", 10))
+	require.Equal(t, []Entry{fresh}, b.Live())
+	b.Remove(0, "new")
+	require.Len(t, b.Live(), 1)
+}
--- a/internal/calllink/link.go
+++ b/internal/calllink/link.go
@@ -17,14 +17,14 @@
 const (
 	// dialTimeout bounds the opening of a link.
 	dialTimeout = 700 * time.Millisecond
-	// redialPause is the time after a failed opening in which no other is tried.
+	// redialPause is the time after a failure in which no opening is tried.
 	redialPause = 300 * time.Millisecond
 	// pingAfter is the silence after which a link with open calls is probed.
-	pingAfter = 250 * time.Millisecond
+	pingAfter = 150 * time.Millisecond
 	// doubtAfter is the silence after which a link gets no new calls.
-	doubtAfter = 600 * time.Millisecond
+	doubtAfter = 400 * time.Millisecond
 	// lostAfter is the silence after which the open calls of a link are lost.
-	lostAfter = 1200 * time.Millisecond
+	lostAfter = 900 * time.Millisecond
 )
 
 var (
@@ -35,7 +35,8 @@
 	ErrLost = errors.New("the link broke before the reply")
 )
 
-// Link is the way to one other node. It is opened when it is needed.
+// Link is the way to one other node. It is opened by its first call. After a
+// failure Watch opens it again, so that no call waits for a node that is gone.
 type Link struct {
 	address string
 	now     func() time.Duration
@@ -44,7 +45,8 @@
 	current  *session
 	opening  chan struct{}
 	failedAt time.Duration
-	failed   bool
+	failed   bool // the last opening or session
+	closed   bool
 }
 
 // New returns the way to the node at an IP address and port. now is the time
@@ -63,22 +65,25 @@
 	return s.do(ctx, call)
 }
 
-// Doubtful reports whether the node has been silent for so long, or could not
-// be reached so recently, that a call is better sent elsewhere.
+// Doubtful reports whether the node has been silent for so long that a call is
+// better sent elsewhere, or could not be reached the last time.
 func (l *Link) Doubtful() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.current == nil {
-		return l.failed && l.now()-l.failedAt < redialPause
+		return l.failed
 	}
 	return l.current.open() > 0 && l.current.stream.silentFor(l.now()) > doubtAfter
 }
 
-// Watch probes a silent link and gives up one that stays silent. It is called
-// every few tens of milliseconds.
+// Watch probes a silent link, gives up one that stays silent, and opens one that
+// failed. It is called every few tens of milliseconds.
 func (l *Link) Watch() {
 	l.mu.Lock()
 	s := l.current
+	if s == nil && l.failed && l.opening == nil && l.now()-l.failedAt >= redialPause {
+		l.open()
+	}
 	l.mu.Unlock()
 	if s == nil || s.open() == 0 {
 		return
@@ -92,6 +97,12 @@
 	}
 }
 
+// open begins to open a session. It is called under the lock.
+func (l *Link) open() {
+	l.opening = make(chan struct{})
+	go l.dial()
+}
+
 // Idle reports whether no call is open.
 func (l *Link) Idle() bool {
 	l.mu.Lock()
@@ -103,33 +114,34 @@
 func (l *Link) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.closed = true
 	if l.current != nil {
 		l.current.stream.close()
 	}
 }
 
-// session returns the open session, or opens one.
+// session returns the open session. The first call waits until there is one.
 func (l *Link) session(ctx context.Context) (*session, error) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for l.current == nil {
-		if l.failed && l.now()-l.failedAt < redialPause {
-			l.mu.Unlock()
+		if l.failed || l.closed {
 			return nil, ErrUnsent
 		}
 		if l.opening == nil {
-			l.opening = make(chan struct{})
-			go l.dial()
+			l.open()
 		}
 		opened := l.opening
 		l.mu.Unlock()
 		select {
 		case <-opened:
 		case <-ctx.Done():
-			return nil, ErrUnsent
 		}
 		l.mu.Lock()
+		if ctx.Err() != nil {
+			return nil, ErrUnsent
+		}
 	}
-	defer l.mu.Unlock()
 	return l.current, nil
 }
 
@@ -148,6 +160,10 @@
 		l.failedAt = l.now()
 		return
 	}
+	if l.closed {
+		_ = socket.CloseNow() // nobody waits for it any more
+		return
+	}
 	l.current = newSession(socket, l.now)
 	go l.run(l.current)
 }
@@ -157,6 +173,7 @@
 	_ = s.stream.read(l.now, s.take) // the calls that are lost with it tell
 	l.mu.Lock()
 	l.current = nil
+	l.failed, l.failedAt = true, l.now()
 	l.mu.Unlock()
 	s.abandon()
 }
--- a/internal/endpointlink/exchange.go
+++ b/internal/endpointlink/exchange.go
@@ -35,6 +35,9 @@
 // request.
 var ErrRefused = errors.New("the endpoint refused")
 
+// ErrMisdirected means that another endpoint has the address.
+var ErrMisdirected = errors.New("another endpoint has the address")
+
 // ErrNotOurs means that the answer belongs to another request.
 var ErrNotOurs = errors.New("the answer belongs to another request")
 
@@ -68,6 +71,9 @@
 	if err != nil {
 		return nil, Unknown, false, errors.Wrap(err, "read the endpoint's answer")
 	}
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return nil, NotRun, c.keep(response), ErrMisdirected
+	}
 	if p.provesNotRun(response) {
 		return nil, NotRun, c.keep(response), errors.Wrapf(ErrRefused, "status %d", response.StatusCode)
 	}
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -130,7 +130,7 @@
 func (p *passage) broken(ctx context.Context, m *view.Member, err error) bool {
 	unsent := errors.Is(err, calllink.ErrUnsent)
 	gone := ctx.Err() != nil && !unsent
-	p.entrance.targets.done(m, p.route.Name, outcome{unreachable: !gone, failed: !gone})
+	p.entrance.targets.done(m, p.route.Name, outcome{failed: !gone && !unsent})
 	if unsent {
 		p.reason = problem.New(problem.KindUnreachable, problem.RanNo, "VM %s can't be reached", m.VM)
 		return true
