--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -229,7 +229,7 @@
 	for _, name := range []string{"Catalogue", "Class", "Service", "ServiceLimits", "Route", "RouteLimits", "Retry", "Idempotency"} {
 		fmt.Fprintf(&b, "**%s**\n\n%s\n", name, docpage.StructTable(t, "types.go", name))
 	}
-	docpage.Section(t, "../../docs/OPERATING.md", "catalogue", b.String())
+	docpage.Section(t, "../../docs/OPERATIONS.md", "catalogue", b.String())
 }
 
 func TestDiff(t *testing.T) {
--- a/internal/metrics/definition.go
+++ b/internal/metrics/definition.go
@@ -15,7 +15,7 @@
 	Summary Type = "summary"
 )
 
-// Definition describes one metric for scrapers and for docs/OPERATING.md.
+// Definition describes one metric for scrapers and for docs/OPERATIONS.md.
 type Definition struct {
 	// Name is the stable name. It ends in the unit, or in _total for a counter.
 	Name string
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -73,7 +73,7 @@
 	for _, d := range Definitions() {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", d.Name, d.Type, d.Unit, d.Help)
 	}
-	docpage.Section(t, "../../docs/OPERATING.md", "metrics", b.String())
+	docpage.Section(t, "../../docs/OPERATIONS.md", "metrics", b.String())
 }
 
 func TestDefinitions(t *testing.T) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,7 +77,8 @@
 
 func TestPageListsEveryField(t *testing.T) {
 	table := docpage.StructTable(t, "settings.go", "Node")
-	docpage.Section(t, "../../docs/OPERATING.md", "settings", table)
+	docpage.Section(t, "../../docs/OPERATIONS.md", "settings", table)
+	docpage.Section(t, "../../docs/OPERATIONS.md", "mesh settings", docpage.StructTable(t, "mesh.go", "Mesh"))
 }
 
 func TestReadFile(t *testing.T) {
