--- a/internal/meshnode/fleet_test.go
+++ b/internal/meshnode/fleet_test.go
@@ -162,8 +162,14 @@
 	}
 }
 
+// received is an answer that was read whole.
+type received struct {
+	StatusCode int
+	Header     http.Header
+}
+
 // ask sends a request to the node of a VM.
-func (f *fleet) ask(v *vm, method, path string, body string) (*http.Response, string) {
+func (f *fleet) ask(v *vm, method, path string, body string) (received, string) {
 	f.t.Helper()
 	r, err := http.NewRequest(method, "http://"+v.ip+path, bytes.NewBufferString(body))
 	require.NoError(f.t, err)
@@ -175,7 +181,7 @@
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	require.NoError(f.t, err)
-	return response, string(text)
+	return received{StatusCode: response.StatusCode, Header: response.Header}, string(text)
 }
 
 func route(service string, idempotent bool) catalogue.Route {
