Tell from captured output why a request failed

Cause: a request that fails because a call below it failed left no event of its own, and the why command asked nodes only, which keep little.

Change: event 1011 says that an endpoint answered with a failure and how long it took; event 1001 says whether the endpoint's own call was refused. Text before an event on its line is passed over.

Conclusion: the share of failed requests that it explains is still to be taken.

--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -24,6 +24,8 @@
 	EndpointStalled Number = 1009
 	// EndpointBack means that the local endpoint answers again.
 	EndpointBack Number = 1010
+	// EndpointFailed means that the local endpoint answered a call with a failure.
+	EndpointFailed Number = 1011
 )
 
 // trafficEvents holds the definitions numbered from 1000.
@@ -38,4 +40,5 @@
 	{Number: EndpointStalled, Name: "endpoint_stalled", Level: zerolog.WarnLevel, Exact: true, Meaning: "The local endpoint accepts connections and answers nothing. The node takes no calls for it until it answers a probe."},
 	{Number: EndpointBack, Name: "endpoint_back", Level: zerolog.InfoLevel, Exact: true, Meaning: "The local endpoint answers again."},
 	{Number: StrangerRefused, Name: "stranger_refused", Level: zerolog.WarnLevel, Meaning: "The peer address got a call without the proof of the fleet key. Check fleetKey in the settings of all nodes."},
+	{Number: EndpointFailed, Name: "endpoint_failed", Level: zerolog.InfoLevel, Meaning: "The local endpoint answered a call with a failure of its own after the time in the field took. If calls that it made failed meanwhile (1001 with own=true at the same VM), they are the likely cause."},
 }
--- a/internal/mesh/entrance.go
+++ b/internal/mesh/entrance.go
@@ -115,7 +115,8 @@
 	e := p.entrance
 	e.config.Metrics.Refusal(why.Kind)
 	e.config.Log.Emit(event.CallRefused, p.id, event.F("kind", why.Kind.String()),
-		event.F("ran", why.Ran.String()), event.F("detail", why.Detail))
+		event.F("ran", why.Ran.String()), event.F("detail", why.Detail),
+		event.F("service", p.service), event.F("own", p.route != nil && e.pressures.inner(p.route.Name)))
 	a := message.Failed(p.status(why), why.Detail)
 	if p.id != "" {
 		a.Header.Set(e.config.Headers.RequestID, p.id)
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -155,6 +156,10 @@
 	})
 	switch {
 	case fate == endpointlink.Answered:
+		if answer.Status >= http.StatusInternalServerError {
+			s.config.Log.Emit(event.EndpointFailed, answer.Header.Get(s.config.Headers.RequestID), event.F("route", call.Route),
+				event.F("status", answer.Status), event.F("took", s.config.Now()-deadline+remaining))
+		}
 		answer.Header.Del(s.config.Headers.RequestID) // the entrance knows it
 		reply = &calllink.Reply{}
 		reply.SetAnswer(answer)
--- a/internal/timeline/parse.go
+++ b/internal/timeline/parse.go
@@ -137,7 +137,10 @@
 	Correlation string       `json:"correlation"`
 }
 
+// parseLine reads one line. Whoever captured it may have put text before it, such
+// as the time and the VM.
 func parseLine(line []byte) (Event, bool) {
+	line = line[max(bytes.IndexByte(line, '{'), 0):]
 	var c common
 	var all map[string]json.RawMessage
 	if json.Unmarshal(line, &c) != nil || json.Unmarshal(line, &all) != nil || c.Number == 0 {
