Forget endpoints and routes that are gone

Change: entries that are gone are remembered for ten minutes; quiet routes make room in the graph; what is known of routes that left the configuration is dropped.

Conclusion: TestRoutesThatNobodyAsksForMakeRoom and TestEntriesLongGoneAreForgotten failed before.

--- a/decision/callgraph/callgraph.go
+++ b/decision/callgraph/callgraph.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -68,15 +69,71 @@
 }
 
 func (g *Graph) half(route string) {
-	if at := place(&g.served, route); at >= 0 {
-		g.runs[at] += 0.5
+	at := slices.Index(g.served, route)
+	if at < 0 && len(g.served) < routesMax {
+		at = len(g.served)
+		g.served = append(g.served, route)
+	} else if at < 0 {
+		at = g.quietest()
+		g.replaceServed(at, route)
+	}
+	g.runs[at] += 0.5
+}
+
+// quietest returns the served route with the fewest runs lately. Operators add
+// and remove routes; those that nobody asks for any more make room.
+func (g *Graph) quietest() int {
+	quietest := 0
+	for i := range g.served {
+		if g.squares[i][i]+g.runs[i] < g.squares[quietest][quietest]+g.runs[quietest] {
+			quietest = i
+		}
+	}
+	return quietest
+}
+
+// replaceServed forgets what is known of a served route and puts another in its
+// place.
+func (g *Graph) replaceServed(at int, route string) {
+	delete(g.edges, g.served[at])
+	g.served[at] = route
+	g.runs[at] = 0
+	g.crossed[at] = [routesMax]float64{}
+	g.squares[at] = [routesMax]float64{}
+	for i := range g.squares {
+		g.squares[i][at] = 0
 	}
 }
 
 // Called takes in that the endpoint made a call of a route.
 func (g *Graph) Called(route string) {
-	if at := place(&g.callees, route); at >= 0 {
-		g.calls[at]++
+	at := slices.Index(g.callees, route)
+	if at < 0 && len(g.callees) < routesMax {
+		at = len(g.callees)
+		g.callees = append(g.callees, route)
+	} else if at < 0 {
+		at = g.leastCalled()
+		g.replaceCallee(at, route)
+	}
+	g.calls[at]++
+}
+
+// leastCalled returns the callee with the fewest calls lately.
+func (g *Graph) leastCalled() int {
+	least := 0
+	for k := range g.callees {
+		if g.power[k]+g.calls[k] < g.power[least]+g.calls[least] {
+			least = k
+		}
+	}
+	return least
+}
+
+func (g *Graph) replaceCallee(at int, route string) {
+	g.callees[at] = route
+	g.calls[at], g.power[at] = 0, 0
+	for i := range g.crossed {
+		g.crossed[i][at] = 0
 	}
 }
 
@@ -90,20 +147,6 @@
 	return g.edges[route]
 }
 
-// place returns the index of a name in a list, which grows up to routesMax.
-func place(list *[]string, name string) int {
-	for i, have := range *list {
-		if have == name {
-			return i
-		}
-	}
-	if len(*list) == routesMax {
-		return -1
-	}
-	*list = append(*list, name)
-	return len(*list) - 1
-}
-
 // Tick closes a stretch when its time is over.
 func (g *Graph) Tick(now time.Duration) {
 	if now-g.began < stretch {
--- a/decision/callgraph/callgraph_test.go
+++ b/decision/callgraph/callgraph_test.go
@@ -108,3 +108,28 @@
 	g.Called("terms")
 	require.Equal(t, []string{"terms"}, g.Callees("stock"))
 }
+
+// TestRoutesThatNobodyAsksForMakeRoom plays more routes than the graph holds, as
+// operators add and remove them, before the usual load.
+func TestRoutesThatNobodyAsksForMakeRoom(t *testing.T) {
+	g := New()
+	for i := range 3 * routesMax {
+		route := string(rune('a'+i%26)) + string(rune('a'+i/26))
+		g.Started(route)
+		g.Ended(route)
+		g.Called("call-" + route)
+		g.Tick(time.Duration(i) * stretch)
+	}
+	for i := range 10 {
+		for range 20 + i%3*10 {
+			g.Started("history")
+			g.Called("slots")
+			g.Called("slots")
+			g.Ended("history")
+		}
+		g.Tick(time.Duration(3*routesMax+i) * stretch)
+	}
+	require.Contains(t, g.Callees("history"), "slots")
+	require.LessOrEqual(t, len(g.served), routesMax)
+	require.LessOrEqual(t, len(g.callees), routesMax)
+}
--- a/decision/pressure/window.go
+++ b/decision/pressure/window.go
@@ -74,6 +74,11 @@
 	w.open--
 }
 
+// Open returns the number of requests that are open.
+func (w *Window) Open() int {
+	return w.open
+}
+
 // Size returns the number of requests that may be open.
 func (w *Window) Size() float64 {
 	return w.size
--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -11,6 +11,10 @@
 // meanwhile come back.
 const returnGrace = 2 * time.Second
 
+// forgetAfter is the time for which an entry that is gone is remembered, so that
+// older words of it that come late are known for what they are.
+const forgetAfter = 10 * time.Minute
+
 // Entry is one published endpoint.
 type Entry struct {
 	// ID names the endpoint; it may start again under the same one.
@@ -41,9 +45,9 @@
 
 type record struct {
 	entry   Entry
-	present bool // the store holds it
-	until   time.Duration
-	pending bool // vanished while the store was away; gone at until
+	present bool          // the store holds it
+	until   time.Duration // of pending, or of the memory of an entry that is gone
+	pending bool          // vanished while the store was away; gone at until
 }
 
 // Book holds the endpoints. It is not safe for concurrent use.
@@ -95,6 +99,7 @@
 		return false
 	}
 	r.present = false
+	r.until = now + forgetAfter
 	return true
 }
 
@@ -128,13 +133,19 @@
 	}
 }
 
-// Expire removes the entries that did not come back. It reports whether any was.
+// Expire removes the entries that did not come back, and forgets those that are
+// long gone. It reports whether any was removed.
 func (b *Book) Expire(now time.Duration) bool {
 	changed := false
-	for _, r := range b.records {
-		if r.pending && now >= r.until {
+	for id, r := range b.records {
+		switch {
+		case now < r.until:
+		case r.pending:
 			r.pending, r.present = false, false
+			r.until = now + forgetAfter
 			changed = true
+		case !r.present:
+			delete(b.records, id)
 		}
 	}
 	return changed
--- a/decision/registry/registry_test.go
+++ b/decision/registry/registry_test.go
@@ -98,3 +98,14 @@
 	b.Remove(0, "new")
 	require.Len(t, b.Live(), 1)
 }
+
+func TestEntriesLongGoneAreForgotten(t *testing.T) {
+	b := New()
+	b.Put(leaving(entry("a", 5)))
+	b.Remove(0, "a")
+	require.False(t, b.Expire(forgetAfter-1))
+	b.Put(entry("a", 4))
+	require.Empty(t, b.Live(), "an older word that comes late")
+	b.Expire(forgetAfter)
+	require.Empty(t, b.records)
+}
--- a/internal/mesh/origins.go
+++ b/internal/mesh/origins.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/galenacart/galenacart/internal/view"
@@ -53,6 +54,13 @@
 	return c.inner(v)
 }
 
+// retain forgets the routes that are not known any more.
+func (o *origins) retain(known map[string]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	maps.DeleteFunc(o.routes, func(route string, _ *originCount) bool { return !known[route] })
+}
+
 func (c *originCount) inner(v *view.View) bool {
 	for service, members := range v.ByService {
 		expected := c.total * len(members) / max(len(v.ByVM), 1)
--- a/internal/mesh/pressures.go
+++ b/internal/mesh/pressures.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -67,6 +68,13 @@
 	}
 }
 
+// retain forgets the routes that are not known any more.
+func (t *chainPressures) retain(known map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.routes, func(route string, _ *routePressure) bool { return !known[route] })
+}
+
 // inner reports whether only endpoints make calls of a route.
 func (t *chainPressures) inner(route string) bool {
 	t.mu.Lock()
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -81,6 +81,7 @@
 		return
 	}
 	s.applied = v
+	s.forgetRoutes(v)
 	for _, m := range v.ByService[s.config.Settings.Service] {
 		if m.EndpointAddress == s.config.Settings.EndpointAddress {
 			s.gate.SetSlots(m.Slots)
--- a/internal/mesh/windows.go
+++ b/internal/mesh/windows.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/galenacart/galenacart/decision/pressure"
+	"github.com/galenacart/galenacart/internal/view"
 )
 
 // routeWindow is the window of one route at the local endpoint.
@@ -53,3 +54,27 @@
 	}
 	return most
 }
+
+// forgetRoutes drops what is known of routes that the configuration no longer
+// has. Windows with begun requests stay until these end.
+func (s *endpointServer) forgetRoutes(v *view.View) {
+	if v.Index == nil {
+		return
+	}
+	known := make(map[string]bool)
+	for i := range v.Index.Catalogue().Routes {
+		known[v.Index.Catalogue().Routes[i].Name] = true
+	}
+	for route, w := range s.windows {
+		if !known[route] && w.window.Open() == 0 {
+			delete(s.windows, route)
+		}
+	}
+	for route := range s.needs {
+		if !known[route] {
+			delete(s.needs, route)
+		}
+	}
+	s.pressures.retain(known)
+	s.origins.retain(known)
+}
