--- a/internal/event/async.go
+++ b/internal/event/async.go
@@ -16,3 +16,13 @@
 func NewAsyncWriter(w io.Writer, lost func(count int)) io.WriteCloser {
 	return diode.NewWriter(w, asyncLines, 0, lost)
 }
+
+// KeepOpen returns a writer to w that is no io.Closer, for a sink that the
+// process still writes to when the lines have ended.
+func KeepOpen(w io.Writer) io.Writer {
+	return keptOpen{w}
+}
+
+type keptOpen struct {
+	io.Writer
+}
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -92,7 +92,7 @@
 	}
 	ring := event.NewRing(eventLines)
 	// A reader of the output that hangs must not hold up requests.
-	lines := event.NewAsyncWriter(unclosed{c.Out}, func(int) {})
+	lines := event.NewAsyncWriter(event.KeepOpen(c.Out), func(int) {})
 	n.lines = lines
 	n.log = event.NewLog(io.MultiWriter(lines, ring), "node", s.VM, s.Level()).LimitRate(eventsPerSecond)
 	instruments := metrics.NewSet()
@@ -110,12 +110,6 @@
 	return n, nil
 }
 
-// unclosed is a writer that stays open when the lines end: the process still
-// reports to it.
-type unclosed struct {
-	io.Writer
-}
-
 func (n *Node) statusHandler(ring *event.Ring, instruments *metrics.Set) http.Handler {
 	s := n.config.Settings.Load()
 	return status.New(status.Config{
--- a/internal/meshnode/stop.go
+++ b/internal/meshnode/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/galenacart/galenacart/decision/stopping"
 	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // stopPoll is the time between two looks at what is in flight.
@@ -20,7 +21,7 @@
 	n.clients.Leave()
 	phase := stopping.Lending
 	for phase != stopping.Over {
-		sleep(ctx, stopPoll)
+		wait.For(ctx, stopPoll)
 		phase = max(phase, stopping.At(n.now()-begun, n.config.Settings.Load().StopTime(), n.outstanding()))
 		n.mesh.Stop(phase)
 	}
@@ -38,12 +39,3 @@
 func (n *Node) outstanding() int {
 	return n.clients.Busy() + n.mesh.Busy()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/galenacart/galenacart/internal/status"
 	"github.com/galenacart/galenacart/internal/traffic"
 	"github.com/galenacart/galenacart/internal/view"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 const (
@@ -76,7 +77,7 @@
 		reports:     view.NewReports(),
 	}
 	// A reader of the output that hangs must not hold up calls.
-	lines := event.NewAsyncWriter(unclosed{out}, func(int) {})
+	lines := event.NewAsyncWriter(event.KeepOpen(out), func(int) {})
 	n.lines = lines
 	n.log = event.NewLog(io.MultiWriter(lines, n.ring), "node", s.VM, s.Level()).LimitRate(eventsPerSecond)
 	n.traffic = n.newTraffic()
@@ -97,12 +98,6 @@
 	return n, nil
 }
 
-// unclosed is a writer that stays open when the lines end: the process still
-// reports to it.
-type unclosed struct {
-	io.Writer
-}
-
 func (n *Node) newTraffic() *traffic.Traffic {
 	return traffic.New(traffic.Config{
 		Settings:    n.settings,
@@ -248,7 +243,7 @@
 	n.log.Emit(event.NodeLeaving, "")
 	n.traffic.Leave()
 	n.control.Leave()
-	sleep(ctx, drainGrace)
+	wait.For(ctx, drainGrace)
 	var first error
 	// The endpoint's own calls end last: work in flight needs them.
 	for _, one := range n.servers {
@@ -263,12 +258,3 @@
 	n.log.Emit(event.NodeStopped, "", event.F("clean", first == nil))
 	return first
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
