--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(LINT) fmt ./...
 
 bench:
-	go test -run '^$$' -bench . -benchtime 1000x -benchmem ./decision/... ./internal/traffic
+	go test -run '^$$' -bench . -benchtime 1000x -benchmem ./decision/... ./internal/traffic ./internal/calllink
 
 demo: build
 	demo/run.sh
--- a/internal/calllink/calllink_test.go
+++ b/internal/calllink/calllink_test.go
@@ -200,3 +200,29 @@
 	_, err = l.Do(t.Context(), callOf("/x"))
 	require.NoError(t, err)
 }
+
+// BenchmarkCall takes calls with a usual answer over a link and back.
+func BenchmarkCall(b *testing.B) {
+	c := &clock{}
+	acceptor := NewAcceptor(func(context.Context, *Call) *Reply {
+		r := &Reply{Load: Load{Busy: 3, Limit: 14, Pressure: 800, UsualMs: 30}}
+		r.SetAnswer(&message.Answer{Status: 200, Header: http.Header{"Content-Type": {"text/plain"}}, Body: make([]byte, 600)})
+		return r
+	}, c.now)
+	mux := http.NewServeMux()
+	mux.Handle(Path, acceptor)
+	server := httptest.NewServer(mux)
+	l := New(strings.TrimPrefix(server.URL, "http://"), c.now)
+	defer func() {
+		l.Close()
+		acceptor.Close()
+		server.Close()
+	}()
+	call := callOf("/levels/1")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := l.Do(b.Context(), call); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
