Promise nothing for a request that an earlier endpoint may have run

Cause: found by reading: after a lost answer a repeat that was refused left its 'not run' as the reason, and the client got 503 for a request that the first endpoint may have run. Only idempotent requests are repeated after a loss.

Change: once an endpoint may have run the request, the answer is 502 or 504.

Conclusion: every 503 rests on proof again.

--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -67,8 +67,8 @@
 		return p.refuse(problem.New(problem.KindUnreachable, problem.RanNo, "no endpoint of service %s is there", p.service))
 	case ctx.Err() != nil || p.entrance.config.Now() >= p.deadline:
 		return p.refuse(problem.New(problem.KindTimeout, problem.RanUnknown, "no answer of service %s in time", p.service))
-	default:
-		return p.refuse(p.reason)
+	default: // also when the last of several endpoints refused
+		return p.refuse(problem.New(problem.KindConnectionLost, problem.RanUnknown, "%s", p.reason.Detail))
 	}
 }
 
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -118,6 +118,25 @@
 	}
 }
 
+func TestRefusalAfterALostAnswerPromisesNothing(t *testing.T) {
+	f := newFleet(t, route("stock", true))
+	entry := f.add("door", http.NotFound)
+	var asked atomic.Int32
+	for range 2 {
+		f.add("stock", func(w http.ResponseWriter, _ *http.Request) {
+			if asked.Add(1) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Not-Started", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	f.publish()
+	r, _ := f.ask(entry, "GET", "/stock/1", "")
+	require.Equal(t, http.StatusBadGateway, r.StatusCode, "the first endpoint may have run it")
+	require.Empty(t, r.Header.Get("Retry-After"))
+}
+
 func TestRouteTimeoutEndsTheRequest(t *testing.T) {
 	one := route("stock", true)
 	one.Limits.TimeoutMs = 150
