Hold what a node learns of origins and chains by tests

Cause: internal/mesh was held through the fleet's tests only.

Change: tables for the origins of routes and the pressure of chains.

--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,92 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/calllink"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// threeServices is a view of three services with two endpoints each.
+func threeServices() *view.View {
+	v := &view.View{ByService: make(map[string][]*view.Member), ByVM: make(map[string]*view.Member)}
+	for _, vm := range []string{"door-1", "door-2", "stock-1", "stock-2", "terms-1", "terms-2"} {
+		m := &view.Member{VM: vm, Service: vm[:len(vm)-2], Endpoint: vm}
+		v.ByVM[vm] = m
+		v.ByService[m.Service] = append(v.ByService[m.Service], m)
+	}
+	return v
+}
+
+func TestOriginsTellClientsRoutesFromEndpointsOwn(t *testing.T) {
+	tests := []struct {
+		desc  string
+		from  []string // services, in turn
+		calls int
+		inner bool
+	}{
+		{"clients stand beside all services", []string{"door", "stock", "terms"}, 60, false},
+		{"one service calls", []string{"door"}, 60, true},
+		{"two services call, a third never does", []string{"door", "stock"}, 60, true},
+		{"too few calls to tell", []string{"door"}, 20, false},
+		{"a service that asks little still asks", []string{"door", "stock", "door", "stock", "terms"}, 60, false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			o, v := newOrigins(), threeServices()
+			inner := false
+			for i := range test.calls {
+				inner = o.take("r", test.from[i%len(test.from)], v)
+			}
+			require.Equal(t, test.inner, inner)
+		})
+	}
+}
+
+func TestOriginsForgetTheirPast(t *testing.T) {
+	o, v := newOrigins(), threeServices()
+	for range 5 * originsMax {
+		o.take("r", "door", v)
+	}
+	inner := true
+	for i := range 2 * originsMax {
+		inner = o.take("r", []string{"door", "stock", "terms"}[i%3], v)
+	}
+	require.False(t, inner)
+	o.retain(map[string]bool{"other": true})
+	require.Empty(t, o.routes)
+}
+
+func TestChainPressureIsTheMeanOfWhatWasToldLately(t *testing.T) {
+	now := time.Duration(0)
+	p := newChainPressures(func() time.Duration { return now })
+	require.Zero(t, p.pressure("r"), "nothing is known")
+	p.take("r", "vm-1", &calllink.Load{Pressure: 2000})
+	p.take("r", "vm-2", &calllink.Load{Pressure: 1000})
+	require.InDelta(t, 1.5, p.pressure("r"), 1e-9)
+
+	now = toldFor
+	p.take("r", "vm-2", &calllink.Load{Pressure: 1000})
+	now += 4 * decayTime
+	p.take("r", "vm-2", &calllink.Load{Pressure: 1000})
+	require.InDelta(t, 1.0, p.pressure("r"), 0.05, "one that tells nothing any more counts less")
+
+	now += toldFor + 5*decayTime
+	require.Less(t, p.pressure("r"), 0.1, "where all is refused nothing newer comes")
+	now += forgetAfter
+	require.Zero(t, p.pressure("r"))
+}
+
+func TestRefusalsCountOnlyWhenAllEndpointsRefuse(t *testing.T) {
+	p := newChainPressures(func() time.Duration { return 0 })
+	p.take("r", "vm-1", &calllink.Load{Pressure: 300, Refuses: 550})
+	p.take("r", "vm-2", &calllink.Load{Pressure: 300})
+	require.InDelta(t, 0.3, p.pressure("r"), 1e-9, "there is another one to go to")
+	p.take("r", "vm-2", &calllink.Load{Pressure: 300, Refuses: 500})
+	require.InDelta(t, 2.0, p.pressure("r"), 1e-9)
+	p.take("r", "vm-2", &calllink.Load{Leaving: true})
+	require.Greater(t, p.pressure("r"), 2.0, "one that leaves tells nothing of the others")
+}
