--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -1,12 +1,19 @@
 package mesh
 
 import (
+	"io"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenacart/galenacart/decision/stopping"
 	"github.com/galenacart/galenacart/internal/calllink"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/view"
 )
 
@@ -90,3 +97,29 @@
 	p.take("r", "vm-2", &calllink.Load{Leaving: true})
 	require.Greater(t, p.pressure("r"), 2.0, "one that leaves tells nothing of the others")
 }
+
+// TestRequestsWithCallsAreRarelyRepeated holds that a repeat whose run makes
+// calls of its own, all of which it repeats, has a far smaller budget.
+func TestRequestsWithCallsAreRarelyRepeated(t *testing.T) {
+	granted := func(deep, ran bool) (n int) {
+		e := newEntrance(Config{
+			Settings: &settings.Mesh{VM: "door-1"},
+			Now:      func() time.Duration { return 0 },
+			Repeats:  func() Repeats { return Repeats{Ratio: 0.2, Allowance: 60, Window: 10 * time.Second} },
+			Log:      event.NewLog(io.Discard, "node", "door-1", zerolog.InfoLevel),
+			Metrics:  metrics.NewSet(),
+		}, func() stopping.Phase { return stopping.Lending })
+		e.pressures.take("r", "stock-1", &calllink.Load{Deep: deep})
+		p := &passage{entrance: e, view: threeServices(), route: &catalogue.Route{Name: "r", Idempotent: true}, service: "stock"}
+		for range 100 {
+			e.targets.first("stock", 10*time.Second)
+		}
+		for p.affords(&view.Member{VM: "stock-1"}, ran) {
+			n++
+		}
+		return n
+	}
+	require.Equal(t, 2, granted(true, true))
+	require.Equal(t, 21, granted(true, false), "what was not run has made no calls")
+	require.Equal(t, 21, granted(false, true))
+}
