Keep the node alive when a client leaves during its answer

It ends the whole node, not only that connection. Ruled out: a fault of the tests or of the machine's load; the case follows from two steps in this order and needs no timing. Change: finish looks whether the connection has ended once it holds the lock again. begin takes nothing into the line of an ended connection.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -107,15 +107,19 @@
 	c.finish(e, c.server.config.Handler(c.ctx, r))
 }
 
-// begin puts a request in line. It waits while too many are in line.
+// begin puts a request in line. It waits while too many are in line, and takes
+// none once the connection has ended.
 func (c *conn) begin(e *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(c.waiting) >= pipelineMax && !c.ended {
 		c.room.Wait()
 	}
+	if c.ended {
+		return false
+	}
 	c.waiting = append(c.waiting, e)
-	return !c.ended
+	return true
 }
 
 // finish gives a request its answer and writes every answer that is due.
@@ -130,6 +134,9 @@
 		closes, err := c.write(next)
 		c.mu.Lock()
 		c.writing = false
+		if c.ended {
+			return // the client left meanwhile, and nobody is in line any more
+		}
 		c.waiting = c.waiting[1:]
 		if closes || err != nil {
 			c.ended = true
