--- a/decision/callgraph/callgraph.go
+++ b/decision/callgraph/callgraph.go
@@ -38,14 +38,6 @@
 	pivotMin = 1e-9
 )
 
-// Callee is a route that an endpoint calls.
-type Callee struct {
-	// Route is the name of the route.
-	Route string
-	// Calls is the number of its calls for each run; 0 while it isn't known.
-	Calls float64
-}
-
 // Graph learns the calls of one endpoint. It is not safe for concurrent use.
 type Graph struct {
 	served  []string
@@ -57,12 +49,12 @@
 	power   [routesMax]float64 // of each callee
 	count   float64
 	began   time.Duration
-	edges   map[string][]Callee
+	edges   map[string][]string
 }
 
 // New returns an empty graph.
 func New() *Graph {
-	return &Graph{edges: make(map[string][]Callee)}
+	return &Graph{edges: make(map[string][]string)}
 }
 
 // Started takes in that the endpoint began to run a request of a route.
@@ -148,15 +140,11 @@
 // Callees returns the routes that the endpoint calls while it runs a route. As
 // long as nothing is known, that is every route that it calls: after a restart
 // the first second may bring an overload.
-func (g *Graph) Callees(route string) []Callee {
-	if g.count >= stretchesMin {
-		return g.edges[route]
-	}
-	all := make([]Callee, len(g.callees))
-	for k, callee := range g.callees {
-		all[k].Route = callee
+func (g *Graph) Callees(route string) []string {
+	if g.count < stretchesMin {
+		return g.callees
 	}
-	return all
+	return g.edges[route]
 }
 
 // Tick closes a stretch when its time is over.
@@ -208,7 +196,7 @@
 		}
 		for at, i := range active {
 			if factors[at] > max(callsMin, usual*callsShare) {
-				g.edges[g.served[i]] = append(g.edges[g.served[i]], Callee{Route: callee, Calls: factors[at]})
+				g.edges[g.served[i]] = append(g.edges[g.served[i]], callee)
 			}
 		}
 	}
--- a/decision/callgraph/callgraph_test.go
+++ b/decision/callgraph/callgraph_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -88,7 +87,7 @@
 				g := play(seed, 12*time.Second, test.loads)
 				for route, want := range test.want {
 					asked++
-					if len(want) == len(g.Callees(route)) && (len(want) == 0 || want[0] == g.Callees(route)[0].Route) {
+					if len(want) == len(g.Callees(route)) && (len(want) == 0 || want[0] == g.Callees(route)[0]) {
 						right++
 					}
 				}
@@ -107,7 +106,7 @@
 	g := New()
 	g.Started("stock")
 	g.Called("terms")
-	require.Equal(t, []Callee{{Route: "terms"}}, g.Callees("stock"))
+	require.Equal(t, []string{"terms"}, g.Callees("stock"))
 }
 
 // TestRoutesThatNobodyAsksForMakeRoom plays more routes than the graph holds, as
@@ -130,7 +129,7 @@
 		}
 		g.Tick(time.Duration(3*routesMax+i) * stretch)
 	}
-	require.True(t, slices.ContainsFunc(g.Callees("history"), func(c Callee) bool { return c.Route == "slots" }))
+	require.Contains(t, g.Callees("history"), "slots")
 	require.LessOrEqual(t, len(g.served), routesMax)
 	require.LessOrEqual(t, len(g.callees), routesMax)
 }
--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -30,11 +30,8 @@
 
 // Candidate is an endpoint that may take a call.
 type Candidate struct {
-	// Near says that it stands in the own availability zone, or in one that takes
-	// its place for this call (Shift).
+	// Near says that it stands in the own availability zone.
 	Near bool
-	// Crossings is the number of calls between zones that a run there makes below.
-	Crossings float64
 	// Barred says that the call must not go there.
 	Barred bool
 	// Slots is the published number of its slots, or 0.
--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -105,9 +105,6 @@
 	// Pressure is the highest pressure along the chain of the call's route, in
 	// thousandths.
 	Pressure int
-	// Crossings is the number of calls between availability zones that a run of the
-	// call's route makes below, in thousandths.
-	Crossings int
 	// Inner says that only endpoints make calls of the route.
 	Inner bool
 	// Deep says that the endpoint makes calls of its own for the call's route.
--- a/internal/calllink/wire.go
+++ b/internal/calllink/wire.go
@@ -41,14 +41,13 @@
 }
 
 type wireLoad struct {
-	_         struct{} `cbor:",toarray"`
-	Busy      int
-	Limit     int
-	Pressure  int
-	Refuses   int
-	UsualMs   int
-	Crossings int
-	Flags     uint8
+	_        struct{} `cbor:",toarray"`
+	Busy     int
+	Limit    int
+	Pressure int
+	Refuses  int
+	UsualMs  int
+	Flags    uint8
 }
 
 // The flags of a load.
@@ -70,10 +69,7 @@
 	if r := f.Reply; r != nil {
 		out.Reply = &wireReply{
 			Status: r.Status, Fields: w.words(r.Fields), Body: r.Body, Refused: r.Refused, Detail: w.word(r.Detail),
-			Load: wireLoad{
-				Busy: r.Load.Busy, Limit: r.Load.Limit, Pressure: r.Load.Pressure, Refuses: r.Load.Refuses,
-				UsualMs: r.Load.UsualMs, Crossings: r.Load.Crossings,
-			},
+			Load: wireLoad{Busy: r.Load.Busy, Limit: r.Load.Limit, Pressure: r.Load.Pressure, Refuses: r.Load.Refuses, UsualMs: r.Load.UsualMs},
 		}
 		out.Reply.Load.Flags = flag(r.Load.Inner, flagInner) | flag(r.Load.Deep, flagDeep) | flag(r.Load.Leaving, flagLeaving)
 	}
@@ -99,8 +95,7 @@
 	if a := in.Reply; a != nil {
 		out.Reply = &Reply{Status: a.Status, Fields: r.texts(a.Fields), Body: a.Body, Refused: a.Refused, Detail: r.text(a.Detail)}
 		out.Reply.Load = Load{
-			Busy: a.Load.Busy, Limit: a.Load.Limit, Pressure: a.Load.Pressure, Refuses: a.Load.Refuses,
-			UsualMs: a.Load.UsualMs, Crossings: a.Load.Crossings,
+			Busy: a.Load.Busy, Limit: a.Load.Limit, Pressure: a.Load.Pressure, Refuses: a.Load.Refuses, UsualMs: a.Load.UsualMs,
 			Inner: a.Load.Flags&flagInner != 0, Deep: a.Load.Flags&flagDeep != 0, Leaving: a.Load.Flags&flagLeaving != 0,
 		}
 	}
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -33,7 +33,6 @@
 	config    Config
 	pool      *endpointlink.Pool
 	pressures *chainPressures
-	crossed   *crossings
 	origins   *origins
 	stopped   func() stopping.Phase
 
@@ -56,7 +55,6 @@
 		config:    c,
 		pool:      pool,
 		pressures: e.pressures,
-		crossed:   e.targets.crossed,
 		origins:   newOrigins(),
 		stopped:   stopped,
 		gate:      slotqueue.New(slotsBefore),
@@ -192,8 +190,6 @@
 		Deep:     len(s.graph.Callees(call.Route)) > 0,
 		UsualMs:  int(s.needs[call.Route].Milliseconds()),
 		Leaving:  s.draining || s.leaving(),
-
-		Crossings: int(s.crossings(call.Route) * thousandths),
 	}
 }
 
--- a/internal/mesh/targets.go
+++ b/internal/mesh/targets.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,8 +23,6 @@
 	links      map[string]*calllink.Link
 	candidates []placement.Candidate
 	budgets    map[string]*retry.Window
-	shifts     map[string]*placement.Shift // by route
-	crossed    *crossings
 }
 
 // leaverPause is the time after which an endpoint that said it leaves is asked
@@ -36,7 +33,6 @@
 type target struct {
 	load         placement.State
 	usual        map[string]time.Duration // time of a call, by route
-	crossings    map[string]float64       // calls between zones below a run, by route
 	leavingUntil time.Duration
 }
 
@@ -48,8 +44,6 @@
 		states:  make(map[string]*target),
 		links:   make(map[string]*calllink.Link),
 		budgets: make(map[string]*retry.Window),
-		shifts:  make(map[string]*placement.Shift),
-		crossed: newCrossings(),
 	}
 }
 
@@ -63,7 +57,7 @@
 		c := placement.Candidate{Near: m.AvailabilityZone == t.zone, Slots: m.Slots}
 		c.Barred = m.Leaving || slices.Contains(tried, m.Endpoint)
 		if s := t.states[m.Endpoint]; s != nil {
-			c.State, c.Usual, c.Crossings = &s.load, s.usual[route], s.crossings[route]
+			c.State, c.Usual = &s.load, s.usual[route]
 			c.Barred = c.Barred || t.now() < s.leavingUntil
 		}
 		if l := t.links[m.PeerAddress]; l != nil && l.Doubtful() && !c.Barred {
@@ -71,7 +65,6 @@
 		}
 		t.candidates = append(t.candidates, c)
 	}
-	t.shift(route).Turn(t.now(), t.candidates, rand.Float64())
 	at := placement.Pick(t.now(), t.candidates, rand.Uint64())
 	if at < 0 {
 		return nil
@@ -80,30 +73,15 @@
 	return members[at]
 }
 
-// retain forgets the routes that are not known any more.
-func (s *target) retain(known map[string]bool) {
-	maps.DeleteFunc(s.usual, func(route string, _ time.Duration) bool { return !known[route] })
-	maps.DeleteFunc(s.crossings, func(route string, _ float64) bool { return !known[route] })
-}
-
 func (t *targets) state(endpoint string) *target {
 	s, ok := t.states[endpoint]
 	if !ok {
-		s = &target{usual: make(map[string]time.Duration), crossings: make(map[string]float64)}
+		s = &target{usual: make(map[string]time.Duration)}
 		t.states[endpoint] = s
 	}
 	return s
 }
 
-func (t *targets) shift(route string) *placement.Shift {
-	s, ok := t.shifts[route]
-	if !ok {
-		s = &placement.Shift{}
-		t.shifts[route] = s
-	}
-	return s
-}
-
 // outcome is what a call told of its endpoint.
 type outcome struct {
 	load        *calllink.Load // nil without a reply
@@ -129,9 +107,6 @@
 	if !o.unreachable {
 		s.load.Told(o.load.Busy, o.load.Limit)
 		s.usual[route] = time.Duration(o.load.UsualMs) * time.Millisecond
-		below := float64(o.load.Crossings) / thousandths
-		s.crossings[route] = below
-		t.crossed.take(route, m.AvailabilityZone != t.zone, below)
 	}
 }
 
@@ -155,16 +130,12 @@
 		endpoints[m.Endpoint] = true
 		addresses[m.PeerAddress] = true
 	}
-	known := v.RouteNames()
-	t.crossed.retain(known)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.shifts, func(route string, _ *placement.Shift) bool { return !known[route] })
 	for endpoint, s := range t.states {
 		if !endpoints[endpoint] && s.load.Idle() {
 			delete(t.states, endpoint)
 		}
-		s.retain(known)
 	}
 	for address, l := range t.links {
 		if !addresses[address] && l.Idle() {
--- a/internal/mesh/windows.go
+++ b/internal/mesh/windows.go
@@ -50,28 +50,21 @@
 func (s *endpointServer) chainPressure(route string) float64 {
 	most := s.pressure.Pressure(s.config.Now())
 	for _, callee := range s.graph.Callees(route) {
-		most = max(most, s.pressures.pressure(callee.Route))
+		most = max(most, s.pressures.pressure(callee))
 	}
 	return most
 }
 
-// crossings returns the number of calls between zones that a run of a route
-// makes below.
-func (s *endpointServer) crossings(route string) float64 {
-	sum := 0.0
-	for _, callee := range s.graph.Callees(route) {
-		sum += callee.Calls * s.crossed.perCall(callee.Route)
-	}
-	return sum
-}
-
 // forgetRoutes drops what is known of routes that the configuration no longer
 // has. Windows with begun requests stay until these end.
 func (s *endpointServer) forgetRoutes(v *view.View) {
 	if v.Index == nil {
 		return
 	}
-	known := v.RouteNames()
+	known := make(map[string]bool)
+	for i := range v.Index.Catalogue().Routes {
+		known[v.Index.Catalogue().Routes[i].Name] = true
+	}
 	for route, w := range s.windows {
 		if !known[route] && w.window.Open() == 0 {
 			delete(s.windows, route)
