Explain failures down the chain; account for every event; count by route

Cause: why named the failed calls of one endpoint but not what failed them further down, and calls that another endpoint failed left no line at the caller. Change: events 1012 (own call refused, was 1001 with own=true), 1013 (own call failed by its endpoint), 3006 and 3007 (lines held back and lost, each second); why follows the most likely cause down; counters and times by route and outcome, and by endpoint, at most 64 each.

--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -148,6 +148,62 @@
 	})
 }
 
+// TestLinesAreBoundedAndAccountedFor plays ten times the events that a busy node
+// has, of every kind, and a second look at what was held back each second.
+func TestLinesAreBoundedAndAccountedFor(t *testing.T) {
+	const (
+		perSecond = 50
+		emitted   = 10 * perSecond // of each kind in each second
+		seconds   = 5
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		l := NewLog(&out, "node", "vm-1", zerolog.InfoLevel).LimitRate(perSecond)
+		kinds := []Number{CallRefused, OwnCallRefused, OwnCallFailed, EndpointFailed}
+		told := make(map[int]int)
+		for range seconds {
+			for range emitted {
+				for _, n := range kinds {
+					l.Emit(n, "c-1")
+				}
+			}
+			time.Sleep(time.Second)
+			l.Account()
+			got := lines(t, &out)
+			require.LessOrEqual(t, len(got), (perSecond+1)*len(kinds))
+			for _, line := range got {
+				number := int(line[KeyEvent].(float64))
+				if number == int(LinesHeldBack) {
+					told[int(line["of"].(float64))] += int(line["count"].(float64))
+					continue
+				}
+				told[number]++
+				if held, ok := line[KeySuppressed]; ok {
+					told[number] += int(held.(float64))
+				}
+			}
+			out.Reset()
+		}
+		for _, n := range kinds {
+			require.Equal(t, seconds*emitted, told[int(n)], "event %d", n)
+		}
+	})
+}
+
+func TestLinesThatTheOutputLostAreTold(t *testing.T) {
+	var out bytes.Buffer
+	l := NewLog(&out, "node", "vm-1", zerolog.InfoLevel)
+	l.Account()
+	require.Zero(t, out.Len())
+	l.Lost(3)
+	l.Lost(4)
+	l.Account()
+	l.Account()
+	got := lines(t, &out)
+	require.Len(t, got, 1)
+	require.Equal(t, 7.0, got[0]["count"])
+}
+
 func TestClockNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := &Clock{}
--- a/internal/event/limiter.go
+++ b/internal/event/limiter.go
@@ -37,3 +37,13 @@
 	l.suppressed = 0
 	return true, suppressed
 }
+
+// take returns how many lines were held back since the last one, for a line that
+// tells of them instead.
+func (l *limiter) take() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	suppressed := l.suppressed
+	l.suppressed = 0
+	return suppressed
+}
--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -40,6 +41,7 @@
 	out     zerolog.Logger
 	clock   *Clock
 	numbers map[Number]*number
+	lost    atomic.Int64 // lines that the output did not take
 }
 
 // number is the state of one kind of event.
@@ -75,6 +77,24 @@
 	return l
 }
 
+// Lost takes in that the output did not take a count of lines.
+func (l *Log) Lost(count int) {
+	l.lost.Add(int64(count))
+}
+
+// Account writes a line for each kind of event of which lines were held back or
+// lost and not told of yet. It is called once a second and at the end.
+func (l *Log) Account() {
+	for _, d := range All() {
+		if held := l.numbers[d.Number].limiter.take(); held > 0 {
+			l.Emit(LinesHeldBack, "", F("of", int(d.Number)), F("count", held))
+		}
+	}
+	if lost := l.lost.Swap(0); lost > 0 {
+		l.Emit(LinesLost, "", F("count", lost))
+	}
+}
+
 // Clock returns the logical clock that stamps the events.
 func (l *Log) Clock() *Clock {
 	return l.clock
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -26,6 +26,12 @@
 	EndpointBack Number = 1010
 	// EndpointFailed means that the local endpoint answered a call with a failure.
 	EndpointFailed Number = 1011
+	// OwnCallRefused means that a call of the local endpoint got an answer in place
+	// of the called endpoint's own.
+	OwnCallRefused Number = 1012
+	// OwnCallFailed means that a call of the local endpoint was answered by a
+	// failure of the called endpoint.
+	OwnCallFailed Number = 1013
 )
 
 // trafficEvents holds the definitions numbered from 1000.
@@ -40,5 +46,7 @@
 	{Number: EndpointStalled, Name: "endpoint_stalled", Level: zerolog.WarnLevel, Exact: true, Meaning: "The local endpoint accepts connections and answers nothing. The node takes no calls for it until it answers a probe."},
 	{Number: EndpointBack, Name: "endpoint_back", Level: zerolog.InfoLevel, Exact: true, Meaning: "The local endpoint answers again."},
 	{Number: StrangerRefused, Name: "stranger_refused", Level: zerolog.WarnLevel, Meaning: "The peer address got a call without the proof of the fleet key. Check fleetKey in the settings of all nodes."},
-	{Number: EndpointFailed, Name: "endpoint_failed", Level: zerolog.InfoLevel, Meaning: "The local endpoint answered a call with a failure of its own after the time in the field took. If calls that it made failed meanwhile (1001 with own=true at the same VM), they are the likely cause."},
+	{Number: EndpointFailed, Name: "endpoint_failed", Level: zerolog.InfoLevel, Meaning: "The local endpoint answered a call with a failure of its own after the time in the field took. If calls that it made failed meanwhile (1012 and 1013 at the same VM), they are the likely cause."},
+	{Number: OwnCallRefused, Name: "own_call_refused", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint got an answer in place of the called endpoint's own. The fields kind, ran and detail say why. The request that the endpoint made it for has probably failed."},
+	{Number: OwnCallFailed, Name: "own_call_failed", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint was answered by a failure of the called endpoint, which has event 1011 under the same correlation. The request that the endpoint made it for has probably failed."},
 }
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -10,6 +10,7 @@
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/message"
+	"github.com/galenacart/galenacart/internal/metrics"
 	"github.com/galenacart/galenacart/internal/problem"
 	"github.com/galenacart/galenacart/internal/view"
 )
@@ -82,7 +83,9 @@
 func (p *passage) attempt(ctx context.Context, m *view.Member) (a *message.Answer, again bool) {
 	e := p.entrance
 	p.tried = append(p.tried, m.Endpoint)
+	started := e.config.Now()
 	reply, err := p.send(ctx, m)
+	e.config.Metrics.Attempt(m.Endpoint, outcomeOf(reply, err), e.config.Now()-started)
 	switch {
 	case err != nil:
 		return nil, p.broken(ctx, m, err)
@@ -91,6 +94,7 @@
 	}
 	e.pressures.take(p.route.Name, m.VM, &reply.Load)
 	a = p.answerOf(reply)
+	p.answered = p.answered || a != nil
 	bad := a == nil || a.Status >= http.StatusInternalServerError
 	e.targets.done(m, p.route.Name, outcome{load: &reply.Load, failed: bad})
 	p.ran = true
@@ -106,6 +110,24 @@
 	return a, false
 }
 
+// outcomeOf returns the outcome of a call for metrics.
+func outcomeOf(reply *calllink.Reply, err error) metrics.Outcome {
+	switch {
+	case errors.Is(err, calllink.ErrUnsent):
+		return metrics.Refused
+	case err != nil:
+		return metrics.Unknown
+	case reply.Refused != calllink.RefusedNot:
+		return metrics.Refused
+	case reply.Status == 0:
+		return metrics.Unknown
+	case reply.Status >= http.StatusInternalServerError:
+		return metrics.Failed
+	default:
+		return metrics.Served
+	}
+}
+
 // answerOf returns the endpoint's answer, under the request's ID.
 func (p *passage) answerOf(reply *calllink.Reply) *message.Answer {
 	a := reply.Answer()
--- a/internal/mesh/entrance.go
+++ b/internal/mesh/entrance.go
@@ -13,6 +13,7 @@
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/message"
+	"github.com/galenacart/galenacart/internal/metrics"
 	"github.com/galenacart/galenacart/internal/problem"
 	"github.com/galenacart/galenacart/internal/view"
 )
@@ -62,13 +63,22 @@
 	ran      bool          // an endpoint may have run the request
 	sent     int           // endpoints that may have run it
 	turned   bool          // an endpoint refused it, of those in tried
+	answered bool          // an endpoint's answer goes to the client
+	began    time.Duration
 	last     *message.Answer
 	reason   *problem.Error
 }
 
 func (e *entrance) serve(ctx context.Context, r *message.Request) *message.Answer {
 	v := e.config.View.Load()
-	p := &passage{entrance: e, view: v, request: r, id: r.Header.Get(e.config.Headers.RequestID)}
+	p := &passage{entrance: e, view: v, request: r, id: r.Header.Get(e.config.Headers.RequestID), began: e.config.Now()}
+	a := p.run(ctx)
+	p.record(a)
+	return a
+}
+
+func (p *passage) run(ctx context.Context) *message.Answer {
+	e, v, r := p.entrance, p.view, p.request
 	if v.Index == nil {
 		return p.refuse(problem.New(problem.KindNotReady, problem.RanNo, "no configuration is in force yet"))
 	}
@@ -83,6 +93,40 @@
 	return p.carry(ctx)
 }
 
+// record counts the outcome of a request, and tells of a call of the local
+// endpoint that another endpoint failed.
+func (p *passage) record(a *message.Answer) {
+	e := p.entrance
+	took := e.config.Now() - p.began
+	if p.route == nil {
+		e.config.Metrics.Call(metrics.RoleCaller, took)
+		return
+	}
+	role := metrics.RoleCaller
+	if e.pressures.inner(p.route.Name) {
+		role = metrics.RoleOutbound
+	}
+	outcome := p.outcome(a)
+	e.config.Metrics.Call(role, took)
+	e.config.Metrics.Request(p.route.Name, outcome, took)
+	if role == metrics.RoleOutbound && outcome == metrics.Failed {
+		e.config.Log.Emit(event.OwnCallFailed, p.id, event.F("status", a.Status), event.F("service", p.service))
+	}
+}
+
+func (p *passage) outcome(a *message.Answer) metrics.Outcome {
+	switch {
+	case p.answered && a.Status < http.StatusInternalServerError:
+		return metrics.Served
+	case p.answered:
+		return metrics.Failed
+	case a.Status == http.StatusServiceUnavailable:
+		return metrics.Refused
+	default:
+		return metrics.Unknown
+	}
+}
+
 // begin sets the request's times and its service.
 func (p *passage) begin() {
 	e := p.entrance
@@ -114,9 +158,12 @@
 func (p *passage) refuse(why *problem.Error) *message.Answer {
 	e := p.entrance
 	e.config.Metrics.Refusal(why.Kind)
-	e.config.Log.Emit(event.CallRefused, p.id, event.F("kind", why.Kind.String()),
-		event.F("ran", why.Ran.String()), event.F("detail", why.Detail),
-		event.F("service", p.service), event.F("own", p.route != nil && e.pressures.inner(p.route.Name)))
+	number := event.CallRefused
+	if p.route != nil && e.pressures.inner(p.route.Name) {
+		number = event.OwnCallRefused
+	}
+	e.config.Log.Emit(number, p.id, event.F("kind", why.Kind.String()),
+		event.F("ran", why.Ran.String()), event.F("detail", why.Detail), event.F("service", p.service))
 	a := message.Failed(p.status(why), why.Detail)
 	if p.id != "" {
 		a.Header.Set(e.config.Headers.RequestID, p.id)
@@ -157,7 +204,7 @@
 	e.targets.watch()
 	v := e.config.View.Load()
 	if e.applied.Swap(v) != v {
-		e.targets.retain(v)
+		e.config.Metrics.Retain(v.RouteNames(), e.targets.retain(v))
 	}
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -91,10 +91,7 @@
 // Serve answers a request of a client or of the local endpoint. ctx ends when
 // its sender has gone.
 func (m *Mesh) Serve(ctx context.Context, r *message.Request) *message.Answer {
-	started := m.config.Now()
-	a := m.entrance.serve(ctx, r)
-	m.config.Metrics.Call(metrics.RoleCaller, m.config.Now()-started)
-	return a
+	return m.entrance.serve(ctx, r)
 }
 
 // PeerHandler takes the links of other nodes.
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -15,6 +15,7 @@
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/endpointlink"
 	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/metrics"
 	"github.com/galenacart/galenacart/internal/view"
 )
 
@@ -93,8 +94,10 @@
 // handle runs a call of this or another node. A call that must not run twice
 // goes on after its sender has given it up: it may be a booking that holds.
 func (s *endpointServer) handle(ctx context.Context, call *calllink.Call) *calllink.Reply {
+	started := s.config.Now()
 	inner := s.origins.take(call.Route, call.CallerService, s.config.View.Load())
 	reply := s.admit(ctx, call, inner)
+	s.config.Metrics.Call(metrics.RolePeer, s.config.Now()-started)
 	s.describe(call, inner, reply)
 	return reply
 }
--- a/internal/mesh/targets.go
+++ b/internal/mesh/targets.go
@@ -145,19 +145,20 @@
 	return l
 }
 
-// retain forgets endpoints, links and routes that left the view.
-func (t *targets) retain(v *view.View) {
+// retain forgets endpoints, links and routes that left the view, and returns the
+// endpoints that are there.
+func (t *targets) retain(v *view.View) map[string]bool {
 	endpoints := make(map[string]bool, len(v.ByVM))
 	addresses := make(map[string]bool, len(v.ByVM))
 	for _, m := range v.ByVM {
 		endpoints[m.Endpoint] = true
 		addresses[m.PeerAddress] = true
 	}
-	known := v.RouteNames()
+	routes := v.RouteNames()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for endpoint, s := range t.states {
-		maps.DeleteFunc(s.usual, func(route string, _ *usualTime) bool { return !known[route] })
+		maps.DeleteFunc(s.usual, func(route string, _ *usualTime) bool { return !routes[route] })
 		if !endpoints[endpoint] && s.load.Idle() {
 			delete(t.states, endpoint)
 		}
@@ -168,6 +169,7 @@
 			delete(t.links, address)
 		}
 	}
+	return endpoints
 }
 
 // watch probes silent links.
--- a/internal/meshnode/fleet_test.go
+++ b/internal/meshnode/fleet_test.go
@@ -45,6 +45,7 @@
 	routes   []catalogue.Route
 	client   *http.Client
 	stopTime string
+	output   io.Writer // of the nodes' events
 }
 
 // vm is one VM: a node and its endpoint.
@@ -71,7 +72,7 @@
 
 func newFleet(t *testing.T, routes ...catalogue.Route) *fleet {
 	t.Helper()
-	f := &fleet{t: t, routes: routes, client: &http.Client{Transport: &http.Transport{}}, stopTime: "1s"}
+	f := &fleet{t: t, routes: routes, client: &http.Client{Transport: &http.Transport{}}, stopTime: "1s", output: io.Discard}
 	for i := range f.ports {
 		address := netip.MustParseAddrPort(testaddress.New())
 		f.ports[i] = address.Port()
@@ -117,7 +118,7 @@
 	require.NoError(f.t, err)
 	s := &source{board: make(chan *discovery.Board, 1)}
 	v := &vm{id: fmt.Sprintf("e-%d", i), service: service, ip: f.address(i, 0), out: &bytes.Buffer{}, done: make(chan error, 1)}
-	v.node, err = Start(Config{Settings: live, Headers: testHeaders(), Source: s, ReadinessPath: "/ready", Out: io.Discard})
+	v.node, err = Start(Config{Settings: live, Headers: testHeaders(), Source: s, ReadinessPath: "/ready", Out: f.output})
 	require.NoError(f.t, err)
 	l, err := net.Listen("tcp", f.address(i, 3))
 	require.NoError(f.t, err)
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -92,7 +92,7 @@
 	}
 	ring := event.NewRing(eventLines)
 	// A reader of the output that hangs must not hold up requests.
-	lines := event.NewAsyncWriter(event.KeepOpen(c.Out), func(int) {})
+	lines := event.NewAsyncWriter(event.KeepOpen(c.Out), func(count int) { n.log.Lost(count) })
 	n.lines = lines
 	n.log = event.NewLog(io.MultiWriter(lines, ring), "node", s.VM, s.Level()).LimitRate(eventsPerSecond)
 	instruments := metrics.NewSet()
@@ -208,7 +208,7 @@
 	defer cancel()
 	var group errgroup.Group
 	for _, work := range []func(context.Context){
-		n.mesh.Run, n.board.Run, n.reload,
+		n.mesh.Run, n.board.Run, n.reload, n.account,
 		func(ctx context.Context) { n.config.Source.Run(ctx, n.board) },
 	} {
 		group.Go(func() error {
@@ -230,9 +230,27 @@
 	clean := n.leave(background)
 	cancel()
 	err := group.Wait()
+	n.log.Account()
 	n.log.Emit(event.NodeStopped, "", event.F("clean", clean))
 	if closeErr := n.lines.Close(); err == nil {
 		err = errors.Wrap(closeErr, "write events")
 	}
 	return err
 }
+
+// accountInterval is the time between two looks at lines that were held back.
+const accountInterval = time.Second
+
+// account tells of events that were not written until ctx ends.
+func (n *Node) account(ctx context.Context) {
+	ticker := time.NewTicker(accountInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.log.Account()
+		}
+	}
+}
--- /dev/null
+++ b/internal/meshnode/output_test.go
@@ -0,0 +1,35 @@
+package meshnode
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stuckOutput takes nothing until it is released, as a reader that hangs.
+type stuckOutput struct {
+	release chan struct{}
+}
+
+func (s *stuckOutput) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// TestOutputThatHangsHoldsUpNoRequest sends more requests that are refused, each
+// with an event, than lines may wait.
+func TestOutputThatHangsHoldsUpNoRequest(t *testing.T) {
+	f := newFleet(t)
+	stuck := &stuckOutput{release: make(chan struct{})}
+	f.output = stuck
+	v := f.add("one", func(http.ResponseWriter, *http.Request) {})
+	t.Cleanup(func() { close(stuck.release) }) // before the fleet stops
+	for i := range 300 {
+		r, err := f.client.Get(fmt.Sprintf("http://%s/%d", v.ip, i))
+		require.NoError(t, err)
+		require.NoError(t, r.Body.Close())
+		require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+	}
+}
--- a/internal/metrics/definition.go
+++ b/internal/metrics/definition.go
@@ -37,6 +37,14 @@
 	NameRetries = "galenacart_retries_total"
 	// NameCallSeconds is the time from a call's arrival to the end of its answer.
 	NameCallSeconds = "galenacart_call_seconds"
+	// NameRequests counts requests by route and outcome.
+	NameRequests = "galenacart_requests_total"
+	// NameRequestSeconds is the time from a request's arrival to its answer, by route.
+	NameRequestSeconds = "galenacart_request_seconds"
+	// NameAttempts counts calls that were sent to an endpoint, by outcome.
+	NameAttempts = "galenacart_attempts_total"
+	// NameAttemptSeconds is the time from sending a call to its reply, by endpoint.
+	NameAttemptSeconds = "galenacart_attempt_seconds"
 	// NameInFlight counts calls that the local endpoint runs now.
 	NameInFlight = "galenacart_in_flight_calls"
 	// NameQueued counts calls that wait for a slot of the local endpoint.
@@ -61,6 +69,10 @@
 		{NameRefusals, Counter, "answers", "Answers that were not the endpoint's own, by kind of docs/ERRORS.md."},
 		{NameRetries, Counter, "attempts", "Attempts beyond the first one of a call."},
 		{NameCallSeconds, Summary, "seconds", "Time from a call's arrival to the end of its answer."},
+		{NameRequests, Counter, "requests", "On the platform: requests of clients and calls of the local endpoint, by route and outcome: served, failed (by the endpoint), refused (not run), unknown (no promise). Beyond 64 routes: other."},
+		{NameRequestSeconds, Summary, "seconds", "On the platform: time from a request's arrival to its answer, by route."},
+		{NameAttempts, Counter, "calls", "On the platform: calls sent to an endpoint through its node, by endpoint and outcome. Beyond 64 endpoints: other."},
+		{NameAttemptSeconds, Summary, "seconds", "On the platform: time from sending a call to its reply, by endpoint."},
 		{NameInFlight, Gauge, "calls", "Calls that the local endpoint runs now."},
 		{NameQueued, Gauge, "calls", "Calls that wait for a slot of the local endpoint."},
 		{NameRecords, Gauge, "records", "Records of non-idempotent calls."},
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -86,3 +86,38 @@
 		require.NotEmpty(t, d.Help)
 	}
 }
+
+func TestRoutesAndEndpointsAreCountedApart(t *testing.T) {
+	s := NewSet()
+	s.Request("r-1", Served, 200*time.Millisecond)
+	s.Request("r-1", Refused, time.Millisecond)
+	s.Attempt("e \"1\"", Unknown, time.Second)
+	out := text(t, s)
+	for _, line := range []string{
+		`galenacart_requests_total{route="r-1",outcome="served"} 1`,
+		`galenacart_requests_total{route="r-1",outcome="refused"} 1`,
+		`galenacart_requests_total{route="r-1",outcome="failed"} 0`,
+		`galenacart_request_seconds_count{route="r-1"} 2`,
+		`galenacart_attempts_total{endpoint="e \"1\"",outcome="unknown"} 1`,
+		`galenacart_attempt_seconds{endpoint="e \"1\"",quantile="0.5"} 1`,
+	} {
+		require.Contains(t, out, line+"\n")
+	}
+	s.Retain(map[string]bool{"r-1": true}, nil)
+	out = text(t, s)
+	require.Contains(t, out, `route="r-1"`)
+	require.NotContains(t, out, "endpoint=")
+}
+
+func TestMembersAreBounded(t *testing.T) {
+	s := NewSet()
+	for i := range 3 * membersMax {
+		s.Request(fmt.Sprint("r-", i), Served, 0)
+	}
+	out := text(t, s)
+	require.Equal(t, membersMax+1, strings.Count(out, "galenacart_request_seconds_count"))
+	require.Contains(t, out, fmt.Sprintf("galenacart_request_seconds_count{route=%q} %d\n", memberOther, 2*membersMax))
+	s.Retain(nil, nil)
+	s.Request("r-new", Served, 0)
+	require.Contains(t, text(t, s), `route="r-new"`)
+}
--- a/internal/metrics/set.go
+++ b/internal/metrics/set.go
@@ -40,6 +40,9 @@
 	times    [roleCount]gometrics.Histogram
 	refusals map[problem.Kind]gometrics.Counter
 	retries  gometrics.Counter
+
+	routes    *family
+	endpoints *family
 }
 
 // NewSet returns the instruments of a node, registered in a registry of their
@@ -58,6 +61,8 @@
 		s.refusals[kind] = gometrics.GetOrRegisterCounter(Label(NameRefusals, "kind", kind.String()), s.registry)
 	}
 	s.retries = gometrics.GetOrRegisterCounter(NameRetries, s.registry)
+	s.routes = newFamily(s.registry, NameRequests, NameRequestSeconds, "route")
+	s.endpoints = newFamily(s.registry, NameAttempts, NameAttemptSeconds, "endpoint")
 	s.GaugeFunc(NameGoroutines, func() int64 { return int64(runtime.NumGoroutine()) })
 	s.GaugeFunc(NameHeapBytes, heapBytes)
 	return s
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,7 @@
 		reports:     view.NewReports(),
 	}
 	// A reader of the output that hangs must not hold up calls.
-	lines := event.NewAsyncWriter(event.KeepOpen(out), func(int) {})
+	lines := event.NewAsyncWriter(event.KeepOpen(out), func(count int) { n.log.Lost(count) })
 	n.lines = lines
 	n.log = event.NewLog(io.MultiWriter(lines, n.ring), "node", s.VM, s.Level()).LimitRate(eventsPerSecond)
 	n.traffic = n.newTraffic()
--- a/internal/timeline/why.go
+++ b/internal/timeline/why.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,34 +11,56 @@
 	"github.com/galenacart/galenacart/internal/event"
 )
 
-// causesMax bounds the failed calls that are named for one failed run.
-const causesMax = 5
+const (
+	// causesMax bounds the failed calls that are named for one failed run.
+	causesMax = 5
+	// depthMax bounds how far down a chain a failure is followed.
+	depthMax = 16
+)
 
 // Why is what the events of all processes tell about one request.
 type Why struct {
 	// Events are those of the request itself, in order.
 	Events []Event
-	// Causes are failed calls of an endpoint while it ran the request and failed.
+	// Causes are failed calls of an endpoint while it ran the request and failed,
+	// the most likely one last: an endpoint fails as soon as a call that it needs
+	// does.
 	Causes []Event
+	// Below is what is known of the most likely cause; nil without one.
+	Below *Why
+	// Own says that an endpoint failed the request and none of its calls failed.
+	Own bool
 }
 
 // WhyOf returns what events tell about the request with an ID.
-func WhyOf(events []Event, id string) Why {
-	var w Why
+func WhyOf(events []Event, id string) *Why {
+	return whyOf(events, id, depthMax)
+}
+
+func whyOf(events []Event, id string, depth int) *Why {
+	w := &Why{}
 	for _, e := range events {
 		if e.Correlation != id {
 			continue
 		}
 		w.Events = append(w.Events, e)
 		if e.Number == event.EndpointFailed {
-			w.Causes = append(w.Causes, failedMeanwhile(events, &e)...)
+			causes := failedMeanwhile(events, &e)
+			w.Causes = append(w.Causes, causes...)
+			w.Own = len(causes) == 0
 		}
 	}
+	if len(w.Causes) == 0 || depth == 0 {
+		return w
+	}
+	if below := whyOf(events, w.Causes[len(w.Causes)-1].Correlation, depth-1); len(below.Causes) > 0 || below.Own {
+		w.Below = below
+	}
 	return w
 }
 
 // failedMeanwhile returns the calls of a VM's endpoint that failed while it ran
-// the request of a failed run.
+// the request of a failed run, the newest last.
 func failedMeanwhile(events []Event, run *Event) []Event {
 	took, err := time.ParseDuration(run.field("took"))
 	if err != nil {
@@ -45,7 +68,8 @@
 	}
 	var causes []Event
 	for _, e := range events {
-		if e.Number != event.CallRefused || e.VM != run.VM || e.field("own") != "true" || e.Correlation == run.Correlation {
+		failed := e.Number == event.OwnCallRefused || e.Number == event.OwnCallFailed
+		if !failed || e.VM != run.VM || e.Correlation == run.Correlation {
 			continue
 		}
 		if !e.Time.Before(run.Time.Add(-took)) && !e.Time.After(run.Time) {
@@ -65,31 +89,41 @@
 }
 
 // Empty reports whether nothing is known.
-func (w Why) Empty() bool {
+func (w *Why) Empty() bool {
 	return len(w.Events) == 0
 }
 
-// Write prints what is known, the likely causes of failed runs last.
-func (w Why) Write(out io.Writer) error {
+// Write prints what is known, the likely causes of failed runs below them.
+func (w *Why) Write(out io.Writer) error {
+	var b strings.Builder // writing to memory never fails
+	w.write(&b, "")
+	_, err := io.WriteString(out, b.String())
+	return errors.Wrap(err, "write")
+}
+
+func (w *Why) write(b *strings.Builder, indent string) {
 	for _, e := range w.Events {
-		if err := writeWhy(out, "", &e); err != nil {
-			return err
-		}
+		writeWhy(b, indent, &e)
 	}
-	if len(w.Causes) > 0 {
-		if _, err := fmt.Fprintln(out, "failed calls of the same endpoint meanwhile:"); err != nil {
-			return errors.Wrap(err, "write")
-		}
+	if w.Own {
+		fmt.Fprintln(b, indent+"no call of that endpoint is known to have failed meanwhile: it failed by itself, or its node was away (events 3001 to 3003 of the VM)")
 	}
-	for _, e := range w.Causes {
-		if err := writeWhy(out, "  ", &e); err != nil {
-			return err
-		}
+	if len(w.Causes) == 0 {
+		return
 	}
-	return nil
+	fmt.Fprintln(b, indent+"failed calls of the same endpoint meanwhile, the most likely cause last:")
+	indent += "  "
+	last := len(w.Causes) - 1
+	for _, e := range w.Causes[:last] {
+		writeWhy(b, indent, &e)
+	}
+	if w.Below != nil {
+		w.Below.write(b, indent)
+		return
+	}
+	writeWhy(b, indent, &w.Causes[last])
 }
 
-func writeWhy(out io.Writer, indent string, e *Event) error {
-	_, err := fmt.Fprintf(out, "%s%s %s %d %s %s\n", indent, e.Time.UTC().Format(event.TimeFormat), e.VM, e.Number, e.Name, e.Details())
-	return errors.Wrap(err, "write")
+func writeWhy(b *strings.Builder, indent string, e *Event) {
+	fmt.Fprintf(b, "%s%s %s %d %s %s\n", indent, e.Time.UTC().Format(event.TimeFormat), e.VM, e.Number, e.Name, e.Details())
 }
