Serve again after a node stood still

Traced with events, then with a line a second per node (trial): the node beside the fastest endpoint of the bottom ran no inner call any more after it had stood still for 4 s. The calls in flight ended 4 s late, which made their route's usual time some 2 s, more than any such call has; so the gate refused every one, and refused calls bring no newer time. Ruled out: lost capacity (11 of 14 slots free), registry (the endpoint was back at 10.6 s), the order of endpoints. Change: a call teaches at most the time that it was allowed, and a usual time without news fades after a second (slotqueue.Usual, pure).

--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -23,8 +23,6 @@
 	// slotsBefore is taken for the slots of the local endpoint until the platform
 	// publishes them.
 	slotsBefore = 16
-	// needsWeight is the weight of one call in the usual time of its route.
-	needsWeight = 1.0 / 16
 )
 
 var errDeadline = errors.New("no answer of the endpoint in time")
@@ -42,7 +40,7 @@
 	pressure pressure.Gauge
 	refusals pressure.Refusals
 	graph    *callgraph.Graph
-	needs    map[string]time.Duration // usual time of a call, by route
+	usual    map[string]*slotqueue.Usual // time of a call, by route
 	nextID   uint64
 	waiting  map[uint64]chan slotqueue.Verdict
 	releases []slotqueue.Release
@@ -60,7 +58,7 @@
 		stopped:   stopped,
 		gate:      slotqueue.New(slotsBefore),
 		graph:     callgraph.New(),
-		needs:     make(map[string]time.Duration),
+		usual:     make(map[string]*slotqueue.Usual),
 		waiting:   make(map[uint64]chan slotqueue.Verdict),
 		windows:   make(map[string]*routeWindow),
 	}
@@ -135,7 +133,7 @@
 	s.started(call.Route)
 	started := s.config.Now()
 	reply, whole := s.exchange(ctx, call, deadline)
-	s.leave(call.Route, s.config.Now()-started, whole, reply.Refused == calllink.RefusedByEndpoint)
+	s.leave(ended{route: call.Route, began: started, deadline: deadline, whole: whole, refused: reply.Refused == calllink.RefusedByEndpoint})
 	return reply
 }
 
@@ -191,7 +189,7 @@
 		Refuses:  int(s.refusals.Share() * thousandths),
 		Inner:    inner,
 		Deep:     len(s.graph.Callees(call.Route)) > 0,
-		UsualMs:  int(s.needs[call.Route].Milliseconds()),
+		UsualMs:  int(s.usualTime(call.Route).Milliseconds()),
 		Leaving:  s.draining || s.leaving(),
 	}
 }
--- a/internal/mesh/slots.go
+++ b/internal/mesh/slots.go
@@ -33,7 +33,7 @@
 	now := s.config.Now()
 	s.nextID++
 	id := s.nextID
-	verdict := s.gate.Offer(now, slotqueue.Call{ID: id, Rank: call.Rank, Deadline: deadline, Needs: s.needs[call.Route]})
+	verdict := s.gate.Offer(now, slotqueue.Call{ID: id, Rank: call.Rank, Deadline: deadline, Needs: s.usualTime(call.Route)})
 	s.observe(now)
 	if verdict != slotqueue.Wait {
 		return id, verdict, nil
@@ -66,18 +66,41 @@
 	s.graph.Started(route)
 }
 
-// leave gives the slot of a call back. whole says that the call ran to its end,
-// refused that the endpoint did not run it.
-func (s *endpointServer) leave(route string, took time.Duration, whole, refused bool) {
+// ended is a call that leaves its slot.
+type ended struct {
+	route    string
+	began    time.Duration
+	deadline time.Duration
+	whole    bool // it ran to its end
+	refused  bool // the endpoint did not run it
+}
+
+// leave gives the slot of a call back.
+func (s *endpointServer) leave(e ended) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refusals.Observe(refused)
-	if whole {
-		s.graph.Ended(route)
-		known := s.needs[route]
-		s.needs[route] = known + time.Duration(float64(took-known)*needsWeight)
+	now := s.config.Now()
+	took, allowed := now-e.began, max(e.deadline-e.began, 0)
+	s.refusals.Observe(e.refused)
+	if e.whole {
+		s.graph.Ended(e.route)
+		u, ok := s.usual[e.route]
+		if !ok {
+			u = &slotqueue.Usual{}
+			s.usual[e.route] = u
+		}
+		u.Ended(now, took, allowed)
+	}
+	s.release(min(took, allowed))
+}
+
+// usualTime returns the time that a call of a route usually takes, or 0.
+func (s *endpointServer) usualTime(route string) time.Duration {
+	u := s.usual[route]
+	if u == nil {
+		return 0
 	}
-	s.release(took)
+	return u.Time(s.config.Now())
 }
 
 // release frees a slot that was held for a time.
--- a/internal/mesh/windows.go
+++ b/internal/mesh/windows.go
@@ -67,9 +67,9 @@
 			delete(s.windows, route)
 		}
 	}
-	for route := range s.needs {
+	for route := range s.usual {
 		if !known[route] {
-			delete(s.needs, route)
+			delete(s.usual, route)
 		}
 	}
 	s.pressures.retain(known)
