Let the failures of an avoided endpoint fade

An endpoint that failed everything for a while counts as 2.8 times fuller than it is and gets no call again while the others have room. Change: half of the failed share is gone after 10 s without calls.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -4,7 +4,10 @@
 // bytes between zones are dear and zones may be cut off.
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// farPenalty is the share of its slots by which an endpoint of another zone
@@ -31,6 +34,9 @@
 	limitBefore = 16
 	// failWeight is the weight of one call in the share of failed ones.
 	failWeight = 1.0 / 16
+	// failHalf is the time in which half of the failed share is gone without calls:
+	// an endpoint that is avoided has no calls that show its recovery.
+	failHalf = 10 * time.Second
 	// asideBase and asideMax bound the time for which an endpoint that could not
 	// be reached is left out.
 	asideBase = 250 * time.Millisecond
@@ -58,6 +64,7 @@
 	open     int // own calls without a reply
 	openThen int // the same when the last reply came
 	failed   float64
+	failedAt time.Duration // of the last call's end
 	misses   int
 	until    time.Duration // left out until then
 }
@@ -68,13 +75,21 @@
 }
 
 // End takes back a call. failed says that the endpoint broke it.
-func (s *State) End(failed bool) {
+func (s *State) End(now time.Duration, failed bool) {
 	s.open--
 	value := 0.0
 	if failed {
 		value = 1
 	}
-	s.failed += (value - s.failed) * failWeight
+	known := s.failedShare(now)
+	s.failed = known + (value-known)*failWeight
+	s.failedAt = now
+}
+
+// failedShare returns the share of failed calls as far as it is still known.
+func (s *State) failedShare(now time.Duration) float64 {
+	age := max(now-s.failedAt, 0)
+	return s.failed * math.Exp2(-age.Seconds()/failHalf.Seconds())
 }
 
 // Told takes in what a reply said of the endpoint.
@@ -141,7 +156,7 @@
 		if c.Barred || !aside && c.State != nil && c.State.Aside(now) {
 			continue
 		}
-		if score := c.score(left, fastest); best < 0 || score < bestScore {
+		if score := c.score(now, left, fastest); best < 0 || score < bestScore {
 			best, bestScore = at, score
 		}
 	}
@@ -159,7 +174,7 @@
 	return fastest
 }
 
-func (c *Candidate) score(left, fastest time.Duration) float64 {
+func (c *Candidate) score(now, left, fastest time.Duration) float64 {
 	score := c.load()
 	if slow := c.slowness(fastest); slow > 1 {
 		score *= slow * slow
@@ -167,7 +182,7 @@
 		score = min(score+farPenalty, fullFrom)
 	}
 	if c.State != nil {
-		score += failPenalty * c.State.failed
+		score += failPenalty * c.State.failedShare(now)
 	}
 	return score + latePenalty*c.lateness(left)
 }
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -21,7 +21,7 @@
 	failing := told(0, 10)
 	for range 20 {
 		failing.Start()
-		failing.End(true)
+		failing.End(0, true)
 	}
 	tests := []struct {
 		desc       string
@@ -128,7 +128,7 @@
 			kept := ends[i][:0]
 			for _, end := range ends[i] {
 				if end <= now {
-					states[i].End(false)
+					states[i].End(now, false)
 					states[i].Told(len(ends[i]), slots)
 					continue
 				}
@@ -153,6 +153,45 @@
 	require.Less(t, worst, 2*slots, "calls at the fullest endpoint, of %d in all", most)
 }
 
+// TestEndpointThatFailedIsUsedAgain plays two endpoints, one of which fails all
+// calls for a while. It is avoided then, with few calls that find out, and has its
+// share again within a minute.
+func TestEndpointThatFailedIsUsedAgain(t *testing.T) {
+	const (
+		gap      = 10 * time.Millisecond
+		brokenAt = 5 * time.Second
+		soundAt  = 35 * time.Second
+		length   = 2 * time.Minute
+		usedFrom = soundAt + time.Minute
+		// lostMax is the share of the calls that may fail while it is broken.
+		lostMax = 0.02
+	)
+	sound, broken := told(5, 10), told(5, 10)
+	lost, calls, used, after := 0, 0, 0, 0
+	random := rand.New(rand.NewPCG(5, 1))
+	for now := time.Duration(0); now < length; now += gap {
+		sound.Told(4+random.IntN(3), 10)
+		broken.Told(4+random.IntN(3), 10)
+		states := []*State{sound, broken}
+		at := Pick(now, time.Second, []Candidate{{Near: true, State: sound}, {Near: true, State: broken}}, random.Uint64())
+		states[at].Start()
+		fails := at == 1 && now >= brokenAt && now < soundAt
+		states[at].End(now, fails)
+		switch {
+		case now >= brokenAt && now < soundAt:
+			calls++
+			if fails {
+				lost++
+			}
+		case now >= usedFrom:
+			after++
+			used += at
+		}
+	}
+	require.LessOrEqual(t, float64(lost), lostMax*float64(calls), "%d of %d", lost, calls)
+	require.InDelta(t, 0.5, float64(used)/float64(after), 0.1, "%d of %d", used, after)
+}
+
 // TestSlowZonesMissLess plays requests of a zone whose deepest service is slow:
 // they take four fifths of their time on average there and two fifths in the next
 // zone, and vary as the chains of the platform do.
@@ -261,7 +300,7 @@
 			continue
 		}
 		z.open = append(z.open[:i], z.open[i+1:]...)
-		z.seenFrom[one.from].End(false)
+		z.seenFrom[one.from].End(now, false)
 		z.seenFrom[one.from].Told(len(z.open), len(z.free))
 	}
 }
--- a/internal/mesh/targets.go
+++ b/internal/mesh/targets.go
@@ -117,7 +117,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(m.Endpoint)
-	s.load.End(o.failed)
+	s.load.End(t.now(), o.failed)
 	if o.unreachable {
 		s.load.Missed(t.now())
 	}
