--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -8,7 +8,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,6 +75,7 @@
 	door    net.Listener
 	pages   []*page
 	leaving atomic.Bool
+	hangup  chan os.Signal
 }
 
 // page is a listener of the node's own with its server.
@@ -84,7 +88,7 @@
 // Start opens the listeners of a node.
 func Start(c Config) (*Node, error) {
 	started := time.Now()
-	n := &Node{config: c, holder: &view.Holder{}, now: func() time.Duration { return time.Since(started) }}
+	n := &Node{config: c, holder: &view.Holder{}, hangup: make(chan os.Signal, 1), now: func() time.Duration { return time.Since(started) }}
 	s := c.Settings.Load()
 	peer, err := netip.ParseAddrPort(s.PeerAddress)
 	if err != nil {
@@ -106,6 +110,7 @@
 		n.abort()
 		return nil, err
 	}
+	signal.Notify(n.hangup, syscall.SIGHUP) // without it the signal ends the process
 	n.log.Emit(event.NodeStarted, "", event.F("client_address", s.ClientAddress))
 	return n, nil
 }
@@ -232,12 +237,28 @@
 	err := group.Wait()
 	n.log.Account()
 	n.log.Emit(event.NodeStopped, "", event.F("clean", clean))
-	if closeErr := n.lines.Close(); err == nil {
-		err = errors.Wrap(closeErr, "write events")
+	if closeErr := n.closeLines(); err == nil {
+		err = closeErr
 	}
 	return err
 }
 
+// linesTimeout bounds the writing of the last events. It is short against the
+// rest of a stop's time once nothing is in flight.
+const linesTimeout = 200 * time.Millisecond
+
+// closeLines writes the events that wait, unless the reader of the output hangs.
+func (n *Node) closeLines() error {
+	closed := make(chan error, 1)
+	go func() { closed <- n.lines.Close() }()
+	select {
+	case err := <-closed:
+		return errors.Wrap(err, "write events")
+	case <-time.After(linesTimeout):
+		return errors.New("the output takes no more events: the last ones are lost")
+	}
+}
+
 // accountInterval is the time between two looks at lines that were held back.
 const accountInterval = time.Second
 
--- a/internal/meshnode/output_test.go
+++ b/internal/meshnode/output_test.go
@@ -25,11 +25,16 @@
 	stuck := &stuckOutput{release: make(chan struct{})}
 	f.output = stuck
 	v := f.add("one", func(http.ResponseWriter, *http.Request) {})
-	t.Cleanup(func() { close(stuck.release) }) // before the fleet stops
 	for i := range 300 {
 		r, err := f.client.Get(fmt.Sprintf("http://%s/%d", v.ip, i))
 		require.NoError(t, err)
 		require.NoError(t, r.Body.Close())
 		require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
 	}
+
+	v.stop()
+	require.ErrorContains(t, <-v.done, "the output takes no more events", "its stop ends all the same")
+	close(stuck.release)
+	require.NoError(t, v.endpoint.Close())
+	v.stop = nil
 }
--- a/internal/meshnode/reload.go
+++ b/internal/meshnode/reload.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"os"
 	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/galenacart/galenacart/internal/event"
@@ -17,9 +15,7 @@
 // reload takes new settings into force until ctx ends: at SIGHUP, and when the
 // file has changed. A file that can't be taken is told once.
 func (n *Node) reload(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	defer signal.Stop(n.hangup)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	told := ""
@@ -27,7 +23,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-n.hangup:
 		case <-ticker.C:
 		}
 		changed, err := n.config.Settings.Reload()
