Tell a node that starts while the store is away what others know

Change: a node that knows nothing asks one of the nodes that link to it, twice a second, and adopts configuration and endpoints until it reads the store itself. Never older than what it has; nothing is written anywhere. Ruled out: a list of peers in the settings (the platform gives none), a file (no disks). Tests: TestNodeThatCannotReadThePlatformServes answers 503 for ever without it. After the loss of everything there is nobody to ask.

--- a/internal/calllink/accept.go
+++ b/internal/calllink/accept.go
@@ -14,16 +14,30 @@
 
 // Acceptor takes links of other nodes.
 type Acceptor struct {
-	handler Handler
-	now     func() time.Duration
+	handler   Handler
+	takeState func(state []byte)
+	now       func() time.Duration
 
 	mu      sync.Mutex
 	streams map[*stream]struct{}
 }
 
-// NewAcceptor returns an acceptor that hands calls to a handler.
-func NewAcceptor(handler Handler, now func() time.Duration) *Acceptor {
-	return &Acceptor{handler: handler, now: now, streams: make(map[*stream]struct{})}
+// NewAcceptor returns an acceptor that hands calls to a handler, and to takeState
+// what another node told of the deployment after AskState.
+func NewAcceptor(handler Handler, takeState func(state []byte), now func() time.Duration) *Acceptor {
+	return &Acceptor{handler: handler, takeState: takeState, now: now, streams: make(map[*stream]struct{})}
+}
+
+// AskState asks one of the nodes with a link to this one for what it knows of the
+// deployment. It returns false when there is none.
+func (a *Acceptor) AskState() bool {
+	a.mu.Lock()
+	var any *stream
+	for any = range a.streams {
+		break // the order of a map is random
+	}
+	a.mu.Unlock()
+	return any != nil && any.send(&frame{Kind: kindAskState}) == nil
 }
 
 // ServeHTTP takes one link and serves it until it ends.
@@ -83,6 +97,8 @@
 		if cancel != nil {
 			cancel()
 		}
+	case kindState:
+		s.acceptor.takeState(f.State)
 	case kindPing:
 		_ = s.stream.send(&frame{Kind: kindPong}) // the link's end tells the same
 	}
--- a/internal/calllink/calllink_test.go
+++ b/internal/calllink/calllink_test.go
@@ -23,11 +23,11 @@
 // serve starts a node with a handler and returns the way to it.
 func serve(t *testing.T, c *clock, handler Handler) *Link {
 	t.Helper()
-	acceptor := NewAcceptor(handler, c.now)
+	acceptor := NewAcceptor(handler, ignoreState, c.now)
 	mux := http.NewServeMux()
 	mux.Handle(Path, acceptor)
 	server := httptest.NewServer(mux)
-	l := New(strings.TrimPrefix(server.URL, "http://"), c.now)
+	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, noState)
 	t.Cleanup(func() {
 		l.Close()
 		acceptor.Close()
@@ -158,7 +158,7 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	server.Close()
 	c := &clock{}
-	l := New(address, c.now)
+	l := New(address, c.now, noState)
 	_, err := l.Do(t.Context(), callOf("/x"))
 	require.ErrorIs(t, err, ErrUnsent)
 	require.True(t, l.Doubtful())
@@ -166,7 +166,7 @@
 
 func TestNoCallWaitsForANodeThatIsGone(t *testing.T) {
 	c := &clock{}
-	acceptor := NewAcceptor(answering(200), c.now)
+	acceptor := NewAcceptor(answering(200), ignoreState, c.now)
 	mux := http.NewServeMux()
 	mux.Handle(Path, acceptor)
 	address := testaddress.New()
@@ -178,7 +178,7 @@
 		return s
 	}
 	server := start()
-	l := New(address, c.now)
+	l := New(address, c.now, noState)
 	defer l.Close()
 	_, err := l.Do(t.Context(), callOf("/x"))
 	require.NoError(t, err)
@@ -208,11 +208,11 @@
 		r := &Reply{Load: Load{Busy: 3, Limit: 14, Pressure: 800, UsualMs: 30}}
 		r.SetAnswer(&message.Answer{Status: 200, Header: http.Header{"Content-Type": {"text/plain"}}, Body: make([]byte, 600)})
 		return r
-	}, c.now)
+	}, ignoreState, c.now)
 	mux := http.NewServeMux()
 	mux.Handle(Path, acceptor)
 	server := httptest.NewServer(mux)
-	l := New(strings.TrimPrefix(server.URL, "http://"), c.now)
+	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, noState)
 	defer func() {
 		l.Close()
 		acceptor.Close()
@@ -226,3 +226,46 @@
 		}
 	}
 }
+
+func ignoreState([]byte) {}
+
+func noState() []byte { return nil }
+
+func TestNodeThatKnowsNothingIsTold(t *testing.T) {
+	c := &clock{}
+	told := make(chan []byte, 1)
+	acceptor := NewAcceptor(answering(200), func(state []byte) { told <- state }, c.now)
+	require.False(t, acceptor.AskState(), "nobody to ask")
+	mux := http.NewServeMux()
+	mux.Handle(Path, acceptor)
+	server := httptest.NewServer(mux)
+	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, func() []byte { return []byte("all") })
+	t.Cleanup(func() {
+		l.Close()
+		acceptor.Close()
+		server.Close()
+	})
+	_, err := l.Do(t.Context(), callOf("/a"))
+	require.NoError(t, err)
+	require.True(t, acceptor.AskState())
+	require.Equal(t, []byte("all"), <-told)
+}
+
+func TestNodeThatKnowsNothingTellsNothing(t *testing.T) {
+	c := &clock{}
+	acceptor := NewAcceptor(answering(200), func([]byte) { t.Error("told of nothing") }, c.now)
+	mux := http.NewServeMux()
+	mux.Handle(Path, acceptor)
+	server := httptest.NewServer(mux)
+	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, noState)
+	t.Cleanup(func() {
+		l.Close()
+		acceptor.Close()
+		server.Close()
+	})
+	_, err := l.Do(t.Context(), callOf("/a"))
+	require.NoError(t, err)
+	require.True(t, acceptor.AskState())
+	_, err = l.Do(t.Context(), callOf("/b"))
+	require.NoError(t, err, "the link goes on")
+}
--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -18,6 +18,8 @@
 	kindCancel
 	kindPing
 	kindPong
+	kindAskState
+	kindState
 )
 
 // frame is one unit on a link. Several travel in one WebSocket message.
@@ -26,6 +28,7 @@
 	ID    uint64
 	Call  *Call
 	Reply *Reply
+	State []byte // of a kindState
 }
 
 // Call is a request for the endpoint beside the node that receives it.
--- a/internal/calllink/link.go
+++ b/internal/calllink/link.go
@@ -40,6 +40,7 @@
 type Link struct {
 	address string
 	now     func() time.Duration
+	state   func() []byte
 
 	mu       sync.Mutex
 	current  *session
@@ -50,9 +51,10 @@
 }
 
 // New returns the way to the node at an IP address and port. now is the time
-// since the process started.
-func New(address string, now func() time.Duration) *Link {
-	return &Link{address: address, now: now}
+// since the process started. state returns what this node knows of the deployment,
+// for a node that has just started and can't read it; nil stands for nothing.
+func New(address string, now func() time.Duration, state func() []byte) *Link {
+	return &Link{address: address, now: now, state: state}
 }
 
 // Do sends a call and waits for its reply. The error is ErrUnsent, ErrLost or
@@ -164,7 +166,7 @@
 		_ = socket.CloseNow() // nobody waits for it any more
 		return
 	}
-	l.current = newSession(socket, l.now)
+	l.current = newSession(socket, l.now, l.state)
 	go l.run(l.current)
 }
 
--- a/internal/calllink/session.go
+++ b/internal/calllink/session.go
@@ -12,6 +12,7 @@
 type session struct {
 	stream *stream
 	now    func() time.Duration
+	state  func() []byte // what this node knows of the deployment
 
 	mu     sync.Mutex
 	nextID uint64
@@ -25,8 +26,8 @@
 	sent  bool
 }
 
-func newSession(socket *websocket.Conn, now func() time.Duration) *session {
-	s := &session{stream: newStream(socket), now: now, calls: make(map[uint64]*open)}
+func newSession(socket *websocket.Conn, now func() time.Duration, state func() []byte) *session {
+	s := &session{stream: newStream(socket), now: now, state: state, calls: make(map[uint64]*open)}
 	s.stream.sent = s.markSent
 	return s
 }
@@ -89,8 +90,15 @@
 	delete(s.calls, id)
 }
 
-// take hands a reply to the call that waits for it.
+// take hands a reply to the call that waits for it, and tells what this node
+// knows when it is asked.
 func (s *session) take(f *frame) {
+	if f.Kind == kindAskState {
+		if state := s.state(); state != nil {
+			_ = s.stream.send(&frame{Kind: kindState, State: state}) // the other node asks again
+		}
+		return
+	}
 	if f.Kind != kindReply || f.Reply == nil {
 		return
 	}
--- a/internal/calllink/wire.go
+++ b/internal/calllink/wire.go
@@ -12,6 +12,7 @@
 	ID    uint64
 	Call  *wireCall
 	Reply *wireReply
+	State []byte
 }
 
 type wireCall struct {
@@ -58,7 +59,7 @@
 )
 
 func (w *wordWriter) frame(f *frame) *wireFrame {
-	out := &wireFrame{Kind: f.Kind, ID: f.ID}
+	out := &wireFrame{Kind: f.Kind, ID: f.ID, State: f.State}
 	if c := f.Call; c != nil {
 		out.Call = &wireCall{
 			Service: w.word(c.Service), Endpoint: w.word(c.Endpoint), Route: w.word(c.Route),
@@ -84,7 +85,7 @@
 }
 
 func (r *wordReader) frame(in *wireFrame) *frame {
-	out := &frame{Kind: in.Kind, ID: in.ID}
+	out := &frame{Kind: in.Kind, ID: in.ID, State: in.State}
 	if c := in.Call; c != nil {
 		out.Call = &Call{
 			Service: r.text(c.Service), Endpoint: r.text(c.Endpoint), Route: r.text(c.Route),
--- a/internal/catalogue/types.go
+++ b/internal/catalogue/types.go
@@ -84,12 +84,12 @@
 	// of its own gives it.
 
 	// Host is the host that requests ask for. Empty: routes go by Method.
-	Host string `json:"-"`
+	Host string `json:"-" cbor:"host,omitempty"`
 	// Split shares the requests out over several services instead of Service.
-	Split []Part `json:"-"`
+	Split []Part `json:"-" cbor:"split,omitempty"`
 	// AttemptsMax bounds the endpoints to which one request is sent. 0 stands
 	// for no bound of its own.
-	AttemptsMax int `json:"-"`
+	AttemptsMax int `json:"-" cbor:"attemptsMax,omitempty"`
 }
 
 // Part is the share of a route's requests that goes to one service.
--- /dev/null
+++ b/internal/discovery/shared_test.go
@@ -0,0 +1,96 @@
+package discovery
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/decision/registry"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+func newBoard() (*Board, *view.Holder) {
+	holder := &view.Holder{}
+	log := event.NewLog(io.Discard, "node", "vm", zerolog.ErrorLevel)
+	return NewBoard(holder, log, func() time.Duration { return 0 }, 7001), holder
+}
+
+func configurationOf(version uint64, service string) *Configuration {
+	return &Configuration{
+		Version: version,
+		Catalogue: &catalogue.Catalogue{
+			Classes: []catalogue.Class{{Name: "0"}},
+			Routes: []catalogue.Route{{
+				Name: "one", Class: "0", Host: "a.example", Path: "/x/", Idempotent: true, AttemptsMax: 2,
+				Limits: catalogue.RouteLimits{TimeoutMs: 800},
+				Split:  []catalogue.Part{{Service: service, Weight: 3}, {Service: "other", Weight: 1}},
+			}},
+		},
+		Bounds: view.ClientBounds{HeaderBytes: 1 << 14, BodyBytes: 100, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
+}
+
+func entryOf(id, address string, leaving bool) registry.Entry {
+	return registry.Entry{ID: id, Service: "s1", Address: address, AvailabilityZone: "z", Slots: 80, Leaving: leaving, BornMs: 5, Sequence: 9}
+}
+
+func TestSharedStateIsWhole(t *testing.T) {
+	from, fromView := newBoard()
+	require.Nil(t, from.Share(), "nothing to share yet")
+	from.Configure(configurationOf(7, "s1"))
+	from.Put(entryOf("e1", "10.0.0.1:80", false))
+	from.Put(entryOf("e2", "10.0.0.2:80", true))
+
+	to, toView := newBoard()
+	require.True(t, to.Needed())
+	to.Adopt(from.Share())
+	require.False(t, to.Needed())
+	require.Equal(t, from.current, to.current)
+	require.Equal(t, fromView.Load().ByVM, toView.Load().ByVM)
+	require.True(t, toView.Load().ByVM["e2"].Leaving)
+	require.NotNil(t, toView.Load().Index.AtHost("a.example", "/x/y"))
+}
+
+func TestSharedStateNeverGoesBefore(t *testing.T) {
+	old, _ := newBoard()
+	old.Configure(configurationOf(7, "s1"))
+	old.Put(entryOf("gone", "10.0.0.1:80", false))
+
+	t.Run("what was read before", func(t *testing.T) {
+		b, holder := newBoard()
+		b.Configure(configurationOf(6, "s2"))
+		b.Adopt(old.Share())
+		require.EqualValues(t, 6, holder.Load().Revision, "its own reading is not older than the store's")
+		require.Empty(t, holder.Load().ByVM)
+	})
+	t.Run("what is read later", func(t *testing.T) {
+		b, holder := newBoard()
+		b.Adopt(old.Share())
+		b.Configure(configurationOf(6, "s2"))
+		require.EqualValues(t, 7, holder.Load().Revision, "never back")
+		b.Configure(configurationOf(8, "s2"))
+		b.Replace([]registry.Entry{entryOf("new", "10.0.0.3:80", false)})
+		require.EqualValues(t, 8, holder.Load().Revision)
+		require.Len(t, holder.Load().ByVM, 1)
+		require.Contains(t, holder.Load().ByVM, "new")
+	})
+}
+
+func FuzzAdopt(f *testing.F) {
+	b, _ := newBoard()
+	b.Configure(configurationOf(7, "s1"))
+	b.Put(entryOf("e1", "10.0.0.1:80", false))
+	f.Add(b.Share())
+	f.Add([]byte{})
+	f.Add([]byte("{"))
+	f.Fuzz(func(t *testing.T, state []byte) {
+		b, holder := newBoard()
+		b.Adopt(state)
+		require.Equal(t, b.Needed(), holder.Load().Index == nil)
+	})
+}
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -34,6 +34,8 @@
 	NothingKnown Number = 2014
 	// LeaveAnnounced means that the node told its peers that it leaves.
 	LeaveAnnounced Number = 2015
+	// StateAdopted means that another node told what the platform doesn't.
+	StateAdopted Number = 2016
 )
 
 // controlEvents holds the definitions numbered from 2000.
@@ -53,4 +55,5 @@
 	{Number: FirstCatalogue, Name: "first_catalogue", Level: zerolog.InfoLevel, Meaning: "A node that started, or woke up late, took a catalogue as current. The opening says whom it had heard by then."},
 	{Number: NothingKnown, Name: "nothing_known", Level: zerolog.WarnLevel, Meaning: "A node that started has found no catalogue: neither the platform nor a peer gave one. It refuses calls until one does."},
 	{Number: LeaveAnnounced, Name: "leave_announced", Level: zerolog.InfoLevel, Meaning: "The node told its peers that it takes no new work."},
+	{Number: StateAdopted, Name: "state_adopted", Level: zerolog.InfoLevel, Exact: true, Meaning: "The node started while the platform could not be read, and another node told it the configuration of the revision and a number of endpoints. It serves with them until the platform is back (2004)."},
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -31,6 +31,8 @@
 	Headers message.Headers
 	// View holds the configuration and the endpoints in force.
 	View *view.Holder
+	// State is shared with nodes that can't read it themselves.
+	State SharedState
 	// Log takes events.
 	Log *event.Log
 	// Metrics holds the instruments.
@@ -39,6 +41,16 @@
 	Now func() time.Duration
 }
 
+// SharedState is what nodes know of their deployment.
+type SharedState interface {
+	// Needed reports whether this node knows nothing yet.
+	Needed() bool
+	// Share returns what this node knows, or nil.
+	Share() []byte
+	// Adopt takes in what another node shared.
+	Adopt(state []byte)
+}
+
 // Repeats bounds the repeated requests of the whole fleet towards one service.
 type Repeats struct {
 	// Ratio is the share of the requests for the service.
@@ -56,6 +68,7 @@
 	server   *endpointServer
 	acceptor *calllink.Acceptor
 	phase    atomic.Uint32 // of the planned stop
+	asked    time.Duration // when another node was asked for its state
 }
 
 // New returns the traffic side of a node.
@@ -65,7 +78,7 @@
 	m.entrance = newEntrance(c, m.stopped)
 	m.server = newEndpointServer(c, pool, m.entrance, m.stopped)
 	m.entrance.local = m.server.handle
-	m.acceptor = calllink.NewAcceptor(m.server.handle, c.Now)
+	m.acceptor = calllink.NewAcceptor(m.server.handle, c.State.Adopt, c.Now)
 	m.registerGauges()
 	return m
 }
@@ -73,6 +86,10 @@
 // watchInterval is the time between two looks at links and queues.
 const watchInterval = 50 * time.Millisecond
 
+// askPause is the time between two questions of a node that knows nothing. A store
+// that is there answers a start sooner.
+const askPause = 500 * time.Millisecond
+
 // Run looks after links and learns from counts until ctx ends.
 func (m *Mesh) Run(ctx context.Context) {
 	ticker := time.NewTicker(watchInterval)
@@ -84,10 +101,23 @@
 		case <-ticker.C:
 			m.entrance.tick()
 			m.server.tick()
+			m.askState()
 		}
 	}
 }
 
+// askState asks another node for what it knows while this one knows nothing. Other
+// nodes open their links again within moments of its start.
+func (m *Mesh) askState() {
+	now := m.config.Now()
+	if now-m.asked < askPause || !m.config.State.Needed() {
+		return
+	}
+	if m.acceptor.AskState() {
+		m.asked = now
+	}
+}
+
 // Serve answers a request of a client or of the local endpoint. ctx ends when
 // its sender has gone.
 func (m *Mesh) Serve(ctx context.Context, r *message.Request) *message.Answer {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -17,6 +17,13 @@
 	"github.com/galenacart/galenacart/internal/view"
 )
 
+// knownState is a node that needs nothing from others and has nothing for them.
+type knownState struct{}
+
+func (knownState) Needed() bool  { return false }
+func (knownState) Share() []byte { return nil }
+func (knownState) Adopt([]byte)  {}
+
 // threeServices is a view of three services with two endpoints each.
 func threeServices() *view.View {
 	v := &view.View{ByService: make(map[string][]*view.Member), ByVM: make(map[string]*view.Member)}
@@ -103,6 +110,7 @@
 func TestRequestsWithCallsAreRarelyRepeated(t *testing.T) {
 	granted := func(deep, ran bool) (n int) {
 		e := newEntrance(Config{
+			State:    knownState{},
 			Settings: &settings.Mesh{VM: "door-1"},
 			Now:      func() time.Duration { return 0 },
 			Repeats:  func() Repeats { return Repeats{Ratio: 0.2, Allowance: 60, Window: 10 * time.Second} },
@@ -128,7 +136,7 @@
 // a route is neither forgotten nor flooded once that is old news.
 func TestOneCallTriesASlowEndpointAgain(t *testing.T) {
 	now := time.Second
-	c := Config{Now: func() time.Duration { return now }, Settings: &settings.Mesh{VM: "door-1", AvailabilityZone: "a"}}
+	c := Config{State: knownState{}, Now: func() time.Duration { return now }, Settings: &settings.Mesh{VM: "door-1", AvailabilityZone: "a"}}
 	targets := newTargets(c)
 	near := &view.Member{VM: "terms-1", Endpoint: "near", AvailabilityZone: "a"}
 	far := &view.Member{VM: "terms-2", Endpoint: "far", AvailabilityZone: "b"}
@@ -153,7 +161,7 @@
 func TestTimesOfRoutesThatAreGoneAreForgotten(t *testing.T) {
 	v := threeServices()
 	v.Index = catalogue.NewIndex(&catalogue.Catalogue{Routes: []catalogue.Route{{Name: "kept"}}})
-	c := Config{Now: func() time.Duration { return 0 }, Settings: &settings.Mesh{VM: "door-1"}}
+	c := Config{State: knownState{}, Now: func() time.Duration { return 0 }, Settings: &settings.Mesh{VM: "door-1"}}
 	targets := newTargets(c)
 	m := v.ByVM["terms-1"]
 	for _, route := range []string{"kept", "gone"} {
--- a/internal/mesh/targets.go
+++ b/internal/mesh/targets.go
@@ -16,7 +16,8 @@
 // targets knows the endpoints that this node sends calls to.
 type targets struct {
 	now  func() time.Duration
-	own  string // VM
+	own  string        // VM
+	tell func() []byte // what this node knows of the deployment
 	zone string
 
 	mu         sync.Mutex
@@ -59,6 +60,7 @@
 	return &targets{
 		now:     c.Now,
 		own:     c.Settings.VM,
+		tell:    c.State.Share,
 		zone:    c.Settings.AvailabilityZone,
 		states:  make(map[string]*target),
 		links:   make(map[string]*calllink.Link),
@@ -139,7 +141,7 @@
 	defer t.mu.Unlock()
 	l, ok := t.links[address]
 	if !ok {
-		l = calllink.New(address, t.now)
+		l = calllink.New(address, t.now, t.tell)
 		t.links[address] = l
 	}
 	return l
--- a/internal/meshnode/fleet_test.go
+++ b/internal/meshnode/fleet_test.go
@@ -147,10 +147,17 @@
 
 // publish gives all boards the configuration and the endpoints.
 func (f *fleet) publish() {
+	f.t.Helper()
+	f.publishTo(f.sources...)
+}
+
+// publishTo gives some boards the configuration and the endpoints. The others stand
+// for nodes that can't read the platform.
+func (f *fleet) publishTo(sources ...*source) {
 	f.t.Helper()
 	f.version++
 	c := &catalogue.Catalogue{Routes: f.routes, Classes: []catalogue.Class{{Name: "high"}, {Name: "low"}}}
-	for _, s := range f.sources {
+	for _, s := range sources {
 		b := <-s.board
 		s.board <- b
 		b.Configure(&discovery.Configuration{Version: f.version, Catalogue: c})
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -102,7 +102,7 @@
 	instruments := metrics.NewSet()
 	n.board = discovery.NewBoard(n.holder, n.log, n.now, peer.Port())
 	n.mesh = mesh.New(mesh.Config{
-		Settings: s, Repeats: n.repeats, Headers: c.Headers, View: n.holder,
+		Settings: s, Repeats: n.repeats, Headers: c.Headers, View: n.holder, State: n.board,
 		Log: n.log, Metrics: instruments, Now: n.now,
 	})
 	n.clients = ingress.New(ingress.Config{Limits: n.limits, Handler: n.mesh.Serve})
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -205,3 +205,28 @@
 	require.Equal(t, "200 done", <-result)
 	http.DefaultClient.CloseIdleConnections()
 }
+
+// TestNodeThatCannotReadThePlatformServes starts a node while the platform is away,
+// beside one that knows the deployment and sends it a call.
+func TestNodeThatCannotReadThePlatformServes(t *testing.T) {
+	f := newFleet(t, route("one", true), route("two", true))
+	answers := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("whole")) }
+	knows := f.add("one", answers)
+	late := f.add("two", answers)
+	f.publishTo(f.sources[0])
+	r, _ := f.ask(late, http.MethodGet, "/one/a", "")
+	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode, "it knows nothing and nobody")
+
+	r, _ = f.ask(knows, http.MethodGet, "/two/a", "")
+	require.Equal(t, http.StatusOK, r.StatusCode)
+	require.Eventually(t, func() bool {
+		r, body := f.ask(late, http.MethodGet, "/one/a", "")
+		return r.StatusCode == http.StatusOK && body == "whole"
+	}, 10*time.Second, 10*time.Millisecond)
+
+	f.routes = append(f.routes, route("three", true))
+	f.add("three", answers)
+	f.publish() // the platform is back
+	r, _ = f.ask(late, http.MethodGet, "/three/a", "")
+	require.Equal(t, http.StatusOK, r.StatusCode)
+}
