Refuse early what calls a service that nobody can reach

Route views were begun all the same and failed at their first call. Ruled out: keeping lapsed entries (an endpoint whose entry is gone must get nothing). Change: a route whose endpoints can't be reached counts as one whose endpoints refuse everything, until one of them replies.

--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -64,6 +64,9 @@
 
 // giveUp answers a request that no endpoint answered.
 func (p *passage) giveUp(ctx context.Context) *message.Answer {
+	if !p.ran && (p.reason == nil || p.reason.Kind == problem.KindUnreachable) {
+		p.entrance.pressures.absent(p.route.Name)
+	}
 	switch {
 	case p.last != nil:
 		return p.last
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/galenacart/galenacart/decision/pressure"
 	"github.com/galenacart/galenacart/decision/stopping"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/catalogue"
@@ -107,6 +108,20 @@
 
 // TestRequestsWithCallsAreRarelyRepeated holds that a repeat whose run makes
 // calls of its own, all of which it repeats, has a far smaller budget.
+func TestRouteWithoutEndpointsCountsAsPressure(t *testing.T) {
+	now := time.Second
+	c := newChainPressures(func() time.Duration { return now })
+	c.take("r", "stock-1", &calllink.Load{Pressure: 300})
+	require.InDelta(t, 0.3, c.pressure("r"), 1e-9)
+	c.absent("r")
+	require.InDelta(t, pressure.OfRefusals(1), c.pressure("r"), 1e-9, "what was told before holds no more")
+	now += toldFor + decayTime
+	require.Less(t, c.pressure("r"), pressure.OfRefusals(1)/2, "it is tried again soon")
+	c.absent("r")
+	c.take("r", "stock-1", &calllink.Load{Pressure: 400})
+	require.InDelta(t, 0.4, c.pressure("r"), 1e-9, "it is back")
+}
+
 func TestRequestsWithCallsAreRarelyRepeated(t *testing.T) {
 	granted := func(deep, ran bool) (n int) {
 		e := newEntrance(Config{
--- a/internal/mesh/pressures.go
+++ b/internal/mesh/pressures.go
@@ -51,11 +51,8 @@
 func (t *chainPressures) take(route, vm string, load *calllink.Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.routes[route]
-	if !ok {
-		r = &routePressure{told: make(map[string]toldPressure)}
-		t.routes[route] = r
-	}
+	r := t.route(route)
+	delete(r.told, unreachable)
 	if load.Leaving {
 		delete(r.told, vm)
 		return
@@ -68,6 +65,29 @@
 	}
 }
 
+// unreachable is the name under which a route tells that none of its endpoints can
+// be reached.
+const unreachable = ""
+
+// absent takes in that no endpoint of a route can be reached: it is as if all of
+// them refused everything.
+func (t *chainPressures) absent(route string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.route(route)
+	clear(r.told)
+	r.told[unreachable] = toldPressure{refuses: 1, at: t.now()}
+}
+
+func (t *chainPressures) route(name string) *routePressure {
+	r, ok := t.routes[name]
+	if !ok {
+		r = &routePressure{told: make(map[string]toldPressure)}
+		t.routes[name] = r
+	}
+	return r
+}
+
 // retain forgets the routes that are not known any more.
 func (t *chainPressures) retain(known map[string]bool) {
 	t.mu.Lock()
