--- a/internal/calllink/accept.go
+++ b/internal/calllink/accept.go
@@ -32,12 +32,12 @@
 // deployment. It returns false when there is none.
 func (a *Acceptor) AskState() bool {
 	a.mu.Lock()
-	var any *stream
-	for any = range a.streams {
+	var asked *stream
+	for asked = range a.streams {
 		break // the order of a map is random
 	}
 	a.mu.Unlock()
-	return any != nil && any.send(&frame{Kind: kindAskState}) == nil
+	return asked != nil && asked.send(&frame{Kind: kindAskState}) == nil
 }
 
 // ServeHTTP takes one link and serves it until it ends.
--- a/internal/calllink/calllink_test.go
+++ b/internal/calllink/calllink_test.go
@@ -231,20 +231,27 @@
 
 func noState() []byte { return nil }
 
-func TestNodeThatKnowsNothingIsTold(t *testing.T) {
+// asker starts a node that takes state, with a link from one that tells it.
+func asker(t *testing.T, take func([]byte), tell func() []byte) (*Acceptor, *Link) {
+	t.Helper()
 	c := &clock{}
-	told := make(chan []byte, 1)
-	acceptor := NewAcceptor(answering(200), func(state []byte) { told <- state }, c.now)
-	require.False(t, acceptor.AskState(), "nobody to ask")
+	acceptor := NewAcceptor(answering(200), take, c.now)
 	mux := http.NewServeMux()
 	mux.Handle(Path, acceptor)
 	server := httptest.NewServer(mux)
-	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, func() []byte { return []byte("all") })
+	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, tell)
 	t.Cleanup(func() {
 		l.Close()
 		acceptor.Close()
 		server.Close()
 	})
+	return acceptor, l
+}
+
+func TestNodeThatKnowsNothingIsTold(t *testing.T) {
+	told := make(chan []byte, 1)
+	acceptor, l := asker(t, func(state []byte) { told <- state }, func() []byte { return []byte("all") })
+	require.False(t, acceptor.AskState(), "nobody to ask")
 	_, err := l.Do(t.Context(), callOf("/a"))
 	require.NoError(t, err)
 	require.True(t, acceptor.AskState())
@@ -252,17 +259,7 @@
 }
 
 func TestNodeThatKnowsNothingTellsNothing(t *testing.T) {
-	c := &clock{}
-	acceptor := NewAcceptor(answering(200), func([]byte) { t.Error("told of nothing") }, c.now)
-	mux := http.NewServeMux()
-	mux.Handle(Path, acceptor)
-	server := httptest.NewServer(mux)
-	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, noState)
-	t.Cleanup(func() {
-		l.Close()
-		acceptor.Close()
-		server.Close()
-	})
+	acceptor, l := asker(t, func([]byte) { t.Error("told of nothing") }, noState)
 	_, err := l.Do(t.Context(), callOf("/a"))
 	require.NoError(t, err)
 	require.True(t, acceptor.AskState())
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -56,6 +56,10 @@
 func (b *Board) Configure(c *Configuration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.configure(c)
+}
+
+func (b *Board) configure(c *Configuration) {
 	if b.current != nil && c.Version <= b.current.Version {
 		return
 	}
@@ -69,6 +73,10 @@
 func (b *Board) Put(e registry.Entry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.put(e)
+}
+
+func (b *Board) put(e registry.Entry) {
 	if b.book.Put(e) {
 		b.changed(e.ID, e.Leaving)
 	}
--- a/internal/discovery/shared.go
+++ b/internal/discovery/shared.go
@@ -55,16 +55,15 @@
 		return
 	}
 	b.mu.Lock()
-	known := b.current != nil
-	b.mu.Unlock()
-	if known {
+	defer b.mu.Unlock()
+	if b.current != nil {
 		return
 	}
 	b.log.Emit(event.StateAdopted, "", event.F("revision", s.Version), event.F("endpoints", len(s.Endpoints)))
 	for _, e := range s.Endpoints {
-		b.Put(e)
+		b.put(e)
 	}
-	b.Configure(&Configuration{Version: s.Version, Catalogue: s.Catalogue, Bounds: s.Bounds})
+	b.configure(&Configuration{Version: s.Version, Catalogue: s.Catalogue, Bounds: s.Bounds})
 }
 
 func decodeShared(state []byte) (*shared, error) {
