--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -1,7 +1,8 @@
 // Package placement picks the endpoint for a call by how full each one is. It
 // answers endpoints of unequal speed: the one that is faster is less full, so it
 // gets more. Its own availability zone is preferred while it has room, because
-// bytes between zones are dear and zones may be cut off.
+// bytes between zones are dear and zones may be cut off. It also answers chains that
+// are slow in one zone: requests leave it before they miss their time.
 package placement
 
 import (
@@ -15,7 +16,7 @@
 	farPenalty = 0.6
 	// fullFrom is the share of the slots, with the calls that wait, from which on
 	// the own zone is no longer preferred. Around 1 the wait for a slot is short,
-	// and a small endpoint is there for moments at any load.
+	// and a small endpoint is that full for moments at any usual load.
 	fullFrom = 1.15
 	// failPenalty is what an endpoint that fails every call counts as fuller.
 	failPenalty = 3.0
