Wait without timer channels, which break the race detector in bubbles of fake time

Cause: a bubble of testing/synctest (Go 1.26) has one context of the race detector for all its timers. The bubble's root runs timers with it; a goroutine that finds a timer's channel due when it enters a select runs that timer itself, with the same context and on another thread. Two threads in one context corrupt it. Of our code the tickers of the control thread, wait.For with no time left and the fake platform's second/deadline pair, due at the same instant, did so.

Shown: a program of 25 lines with 60 goroutines that poll due timers in a bubble ended with the same message at once. Ruled out: a race or crash of ours (control alone passed 4 of 4 beside load, without a report); the limit of goroutines (another message). The abort was not seen again in internal/control itself.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // Defaults of a Client.
@@ -124,12 +126,12 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
 	d := &delivery{client: c, request: r, key: r.Key}
 	for d.sends < c.maxSends {
-		answer, wait, err := d.once(ctx)
+		answer, pause, err := d.once(ctx)
 		if answer != nil && !answer.resendable() {
 			return d.finish(answer), nil
 		}
 		d.last, d.lastErr = answer, err
-		if d.sends >= c.maxSends || !sleep(ctx, wait) {
+		if d.sends >= c.maxSends || !sleep(ctx, pause) {
 			break
 		}
 	}
@@ -145,15 +147,5 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= d {
 		return false
 	}
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return wait.For(ctx, d)
 }
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -18,6 +18,7 @@
 	"github.com/galenacart/galenacart/internal/call"
 	"github.com/galenacart/galenacart/internal/problem"
 	"github.com/galenacart/galenacart/internal/traffic"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 func TestMain(m *testing.M) {
@@ -57,10 +58,8 @@
 		f.replies = f.replies[1:]
 	}
 	f.mu.Unlock()
-	select {
-	case <-r.Context().Done():
+	if !wait.For(r.Context(), one.delay) {
 		return nil, r.Context().Err()
-	case <-time.After(one.delay):
 	}
 	if one.err != nil {
 		return nil, one.err
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // Control is the running control side of a node.
@@ -45,10 +46,12 @@
 func (c *Control) Status() Status {
 	reply := make(chan Status, 1)
 	c.thread.post(statusWanted{reply: reply})
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
 	select {
 	case s := <-reply:
 		return s
-	case <-time.After(statusTimeout):
+	case <-ctx.Done():
 		return Status{VM: c.thread.Settings.VM, Incarnation: c.thread.Incarnation, Busy: true}
 	}
 }
@@ -58,10 +61,12 @@
 func (c *Control) Catalogue() (state DocumentStatus, ok bool) {
 	reply := make(chan DocumentStatus, 1)
 	c.thread.post(documentWanted{key: keyCatalogue, reply: reply})
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
 	select {
 	case state = <-reply:
 		return state, true
-	case <-time.After(statusTimeout):
+	case <-ctx.Done():
 		return DocumentStatus{}, false
 	}
 }
@@ -96,16 +101,7 @@
 // pumpTicks posts the ticks. At most one waits, so that a busy thread is not
 // handed a backlog.
 func (t *thread) pumpTicks() {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			t.post(tick{})
-		case <-t.ctx.Done():
-			return
-		}
-	}
+	wait.Every(t.ctx, tickInterval, func() { t.post(tick{}) })
 }
 
 // pumpReports posts what traffic saw.
--- a/internal/control/platform_test.go
+++ b/internal/control/platform_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/platform"
 	"github.com/galenacart/galenacart/internal/vmlist"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // fakePlatform is a key service with the faults of the real one.
@@ -88,10 +90,10 @@
 func (p *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	key := strings.TrimPrefix(r.URL.Path, "/v1/keys/")
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
-	deadline := time.After(time.Duration(wait) * time.Millisecond)
-	second := time.NewTicker(time.Second) // a waiting watch counts each second
-	defer second.Stop()
+	waitMs, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(waitMs)*time.Millisecond)
+	defer cancel()
+	go wait.Every(ctx, time.Second, p.count) // a waiting watch counts each second
 	p.count()
 	for {
 		p.mu.Lock()
@@ -113,12 +115,10 @@
 		}
 		select {
 		case <-changed:
-		case <-second.C:
-			p.count()
-		case <-deadline:
-			w.WriteHeader(http.StatusNotModified)
-			return
-		case <-r.Context().Done():
+		case <-ctx.Done():
+			if r.Context().Err() == nil {
+				w.WriteHeader(http.StatusNotModified)
+			}
 			return
 		}
 	}
--- a/internal/control/spread_controller.go
+++ b/internal/control/spread_controller.go
@@ -7,6 +7,7 @@
 	"github.com/galenacart/galenacart/decision/adoption"
 	"github.com/galenacart/galenacart/internal/peer"
 	"github.com/galenacart/galenacart/internal/peer/delta"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 const (
@@ -138,16 +139,14 @@
 }
 
 // passLater has the thread run again when the gap is over.
-func (s *spreadController) passLater(wait time.Duration) {
+func (s *spreadController) passLater(gap time.Duration) {
 	if s.later {
 		return
 	}
 	s.later = true
 	s.goDo(func() {
-		select {
-		case <-time.After(wait):
+		if wait.For(s.ctx, gap) {
 			s.post(tick{})
-		case <-s.ctx.Done():
 		}
 	})
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,6 +15,7 @@
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/view"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // Configuration is one version of what operators declare.
@@ -137,16 +138,7 @@
 
 // Run drops entries that do not come back until ctx ends.
 func (b *Board) Run(ctx context.Context) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			b.expire()
-		}
-	}
+	wait.Every(ctx, expireInterval, b.expire)
 }
 
 func (b *Board) expire() {
--- a/internal/load/arrival/schedule.go
+++ b/internal/load/arrival/schedule.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenacart/galenacart/internal/load/experiment"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // Arrival is one request to come.
@@ -65,16 +66,9 @@
 // Play calls send for each arrival at its time, counted from start. send must
 // not block. Play returns early when ctx ends.
 func Play(ctx context.Context, start time.Time, arrivals []Arrival, send func(Arrival)) error {
-	t := time.NewTimer(0)
-	defer t.Stop()
 	for _, a := range arrivals {
-		if wait := time.Until(start.Add(a.At)); wait > 0 {
-			t.Reset(wait)
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-t.C:
-			}
+		if ahead := time.Until(start.Add(a.At)); ahead > 0 {
+			wait.For(ctx, ahead)
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,6 +19,7 @@
 	"github.com/galenacart/galenacart/internal/metrics"
 	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/view"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // Config is what a Mesh needs from the node around it.
@@ -92,18 +93,11 @@
 
 // Run looks after links and learns from counts until ctx ends.
 func (m *Mesh) Run(ctx context.Context) {
-	ticker := time.NewTicker(watchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.entrance.tick()
-			m.server.tick()
-			m.askState()
-		}
-	}
+	wait.Every(ctx, watchInterval, func() {
+		m.entrance.tick()
+		m.server.tick()
+		m.askState()
+	})
 }
 
 // askState asks another node for what it knows while this one knows nothing. Other
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -26,6 +26,7 @@
 	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/status"
 	"github.com/galenacart/galenacart/internal/view"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 const (
@@ -264,14 +265,5 @@
 
 // account tells of events that were not written until ctx ends.
 func (n *Node) account(ctx context.Context) {
-	ticker := time.NewTicker(accountInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			n.log.Account()
-		}
-	}
+	wait.Every(ctx, accountInterval, n.log.Account)
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // Bounds of one link.
@@ -102,7 +103,7 @@
 		l.Close(nil)
 	}
 	if errors.Is(l.cause, errClosed) {
-		waitFor(written, flushTimeout)
+		wait.Done(written, flushTimeout)
 	}
 	cancel()
 	_ = l.conn.CloseNow()
@@ -110,15 +111,6 @@
 	return l.cause
 }
 
-func waitFor(done <-chan struct{}, longest time.Duration) {
-	timer := time.NewTimer(longest)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-	}
-}
-
 // write sends what is queued. After Close it sends the rest of the queue.
 func (l *Link) write(ctx context.Context) error {
 	for {
--- a/internal/standin/endpoint/conns.go
+++ b/internal/standin/endpoint/conns.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // limitListener closes connections over a limit at accept and keeps track of
@@ -155,14 +157,7 @@
 		<-changed
 		return true
 	}
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-		return false
-	}
+	return wait.Done(changed, time.Until(deadline))
 }
 
 // Write writes, or swallows what a silent connection would send.
--- a/internal/standin/endpoint/health.go
+++ b/internal/standin/endpoint/health.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // HealthPath is the path of the health and load report.
@@ -112,7 +114,7 @@
 }
 
 func (e *Endpoint) serveHealth(w http.ResponseWriter, r *http.Request) {
-	if !sleep(r.Context(), milliseconds(e.settings.ProbeCostMs)) {
+	if !wait.For(r.Context(), milliseconds(e.settings.ProbeCostMs)) {
 		return
 	}
 	h := e.health()
--- a/internal/standin/endpoint/run.go
+++ b/internal/standin/endpoint/run.go
@@ -88,10 +88,9 @@
 
 // drain refuses new work and returns when nothing runs and the linger is over.
 func (e *Endpoint) drain() {
-	linger := time.NewTimer(e.settings.DrainLinger())
-	defer linger.Stop()
+	over := time.Now().Add(e.settings.DrainLinger())
 	<-e.Drain()
-	<-linger.C
+	time.Sleep(time.Until(over))
 }
 
 // shutdown closes a server when its connections are idle.
--- a/internal/standin/endpoint/serve.go
+++ b/internal/standin/endpoint/serve.go
@@ -12,6 +12,7 @@
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/standin/answer"
 	"github.com/galenacart/galenacart/internal/standin/truth"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // statusCallerGone stands in the log for a call whose caller went away.
@@ -139,7 +140,7 @@
 	if !ok || t.served.Swap(true) {
 		return true
 	}
-	return sleep(ctx, milliseconds(e.settings.ConnectionCostMs))
+	return wait.For(ctx, milliseconds(e.settings.ConnectionCostMs))
 }
 
 // connKey is the key of the connection in a request's context.
--- a/internal/standin/endpoint/work.go
+++ b/internal/standin/endpoint/work.go
@@ -11,6 +11,7 @@
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/standin/answer"
 	"github.com/galenacart/galenacart/internal/standin/truth"
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // errCrashed is the error of a call that ended the process.
@@ -22,7 +23,7 @@
 	if e.crashes(in) {
 		return nil, e.crash(ctx, in, own/2)
 	}
-	if !sleep(ctx, own) {
+	if !wait.For(ctx, own) {
 		return nil, ctx.Err()
 	}
 	children, err := e.callChildren(ctx, in)
@@ -44,7 +45,7 @@
 
 // crash ends the process after a part of the call's work.
 func (e *Endpoint) crash(ctx context.Context, in *incoming, after time.Duration) error {
-	if !sleep(ctx, after) {
+	if !wait.For(ctx, after) {
 		return ctx.Err()
 	}
 	e.note(in, truth.Record{Kind: truth.Crashed, RunMs: toMs(after)})
--- a/internal/standin/platform/watch.go
+++ b/internal/standin/platform/watch.go
@@ -58,17 +58,18 @@
 // wait waits for a change of the view, until the next second of a watch must be
 // counted, or until its end, and reports which came.
 func wait(ctx context.Context, changed <-chan struct{}, left, countIn time.Duration) waitEnd {
-	timer := time.NewTimer(min(left, countIn))
-	defer timer.Stop()
+	next, cancel := context.WithTimeout(ctx, min(left, countIn))
+	defer cancel()
 	select {
-	case <-ctx.Done():
-		return waitGone
 	case <-changed:
 		return waitChanged
-	case <-timer.C:
-		if left <= countIn {
-			return waitOver
-		}
-		return waitCount
+	case <-next.Done():
+	}
+	switch {
+	case ctx.Err() != nil:
+		return waitGone
+	case left <= countIn:
+		return waitOver
 	}
+	return waitCount
 }
--- a/internal/traffic/fuzz_conn_test.go
+++ b/internal/traffic/fuzz_conn_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // connFault is what goes wrong on one connection.
@@ -177,14 +179,7 @@
 
 // sleep waits unless the connection ends.
 func (c *memoryConn) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.done:
-		return false
-	}
+	return !wait.Done(c.done, d)
 }
 
 // repeat brings a piece once more, later and on another connection, to the
--- a/internal/traffic/fuzz_network_test.go
+++ b/internal/traffic/fuzz_network_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/wait"
 )
 
 // holdStep is the time between two looks whether held bytes may go on.
@@ -130,10 +132,8 @@
 			if !n.apart(from, l.owner) {
 				return n.connect(ctx, from, l)
 			}
-			select {
-			case <-ctx.Done():
+			if !wait.For(ctx, holdStep) {
 				return nil, ctx.Err()
-			case <-time.After(holdStep):
 			}
 		}
 	}
--- a/internal/traffic/probe.go
+++ b/internal/traffic/probe.go
@@ -48,26 +48,32 @@
 	e.ear.listen()
 	kept := make(chan sign, 1)
 	go func() { kept <- e.askOver(ctx, e.probe) }()
-	select {
-	case one := <-kept:
+	if one, ok := signWithin(kept, freshAfter); ok {
 		return one
-	case <-time.After(freshAfter):
 	}
 	fresh := e.askOver(ctx, e.fresh)
 	if !fresh.answered {
 		return fresh
 	}
-	select {
-	case one := <-kept:
-		if one.alive {
-			return one
-		}
-	case <-time.After(keptGrace):
+	if one, ok := signWithin(kept, keptGrace); ok && one.alive {
+		return one
 	}
 	fresh.silent = true
 	return fresh
 }
 
+// signWithin waits for a sign for at most a time.
+func signWithin(signs <-chan sign, longest time.Duration) (one sign, ok bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), longest)
+	defer cancel()
+	select {
+	case one = <-signs:
+		return one, true
+	case <-ctx.Done():
+		return sign{}, false
+	}
+}
+
 // askOver asks for a sign of life. A refused connection is one: nothing hangs
 // then.
 func (e *endpoint) askOver(ctx context.Context, over *http.Transport) sign {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -126,15 +126,13 @@
 	if t.gate.state().Queued > 0 {
 		interval = tickInterval
 	}
-	timer := time.NewTimer(interval)
-	defer timer.Stop()
+	next, cancel := context.WithTimeout(ctx, interval)
+	defer cancel()
 	select {
-	case <-ctx.Done():
-		return false
 	case <-t.gate.queued:
-	case <-timer.C:
+	case <-next.Done():
 	}
-	return true
+	return ctx.Err() == nil
 }
 
 // view returns the newest view, whose limits are in force when it returns.
