Two nodes of each zone read the store and tell the others

Cause: every node watched the store.

Weighed: longer pauses (news later for everybody), reads that may be stale (configuration is due within 2 s), the links of design 0004 (bring the trial's membership along). Design 0010 says how the chosen way keeps its bounds.

--- a/decision/readers/readers.go
+++ b/decision/readers/readers.go
@@ -71,6 +71,10 @@
 	return Score(Score(vmsRevision, 0), catalogueRevision)
 }
 
+// RelayPerZone is the number of nodes of a zone that read a platform that tells
+// every change and relay it to the others: one may end or freeze.
+const RelayPerZone = 2
+
 // IsReader reports whether the VM with the hash self is one of the readers of
 // its zone. zone holds the hashes of the zone's live VMs.
 func IsReader(zone []uint64, self, saltHash uint64) bool {
--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -76,15 +76,16 @@
 	if e.BornMs == r.entry.BornMs {
 		e.Leaving = e.Leaving || r.entry.Leaving
 	}
-	changed := !r.present || r.entry.comparable() != e.comparable()
+	changed := !r.present || !r.entry.Same(e)
 	r.entry, r.present, r.pending = e, true, false
 	return changed
 }
 
-// comparable returns the entry without what changes all the time.
-func (e Entry) comparable() Entry {
-	e.Sequence = 0
-	return e
+// Same reports whether the entry differs from another in nothing but what changes
+// all the time.
+func (e Entry) Same(other Entry) bool {
+	e.Sequence = other.Sequence
+	return e == other
 }
 
 // Remove takes in that an entry is no longer in the store.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -45,12 +45,18 @@
 	current *Configuration
 	index   *catalogue.Index
 	away    bool
+	at      uint64                    // the revision up to which everything is known
+	told    map[string]registry.Entry // the endpoints that listeners know
+	heard   map[*Listener]struct{}
 }
 
 // NewBoard returns an empty board. peerPort is the port at which each node
 // stands beside its endpoint.
 func NewBoard(holder *view.Holder, log *event.Log, now func() time.Duration, peerPort uint16) *Board {
-	return &Board{holder: holder, log: log, now: now, peerPort: peerPort, book: registry.New()}
+	return &Board{
+		holder: holder, log: log, now: now, peerPort: peerPort, book: registry.New(),
+		told: make(map[string]registry.Entry), heard: make(map[*Listener]struct{}),
+	}
 }
 
 // Configure takes a configuration into force unless a newer one is.
@@ -67,6 +73,7 @@
 	b.current = c
 	b.index = catalogue.NewIndex(c.Catalogue)
 	b.log.Emit(event.CatalogueInForce, "", event.F("revision", c.Version), event.F("routes", len(c.Catalogue.Routes)))
+	b.tell(&News{Configuration: c})
 	b.publish()
 }
 
@@ -126,6 +133,10 @@
 func (b *Board) Back() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.back()
+}
+
+func (b *Board) back() {
 	b.book.Back(b.now())
 	if b.away {
 		b.away = false
@@ -160,7 +171,9 @@
 		v.Revision = b.current.Version
 		v.Bounds = b.current.Bounds
 	}
-	for _, e := range b.book.Live() {
+	live := b.book.Live()
+	b.tellEndpoints(live)
+	for _, e := range live {
 		m := b.member(&e)
 		if m == nil {
 			continue
--- /dev/null
+++ b/internal/discovery/news_test.go
@@ -0,0 +1,102 @@
+package discovery
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/decision/registry"
+)
+
+// drain gives one board what another has told, as it travels.
+func drain(t *testing.T, l *Listener, to *Board) (count int) {
+	t.Helper()
+	for {
+		select {
+		case n := <-l.C:
+			data, err := cbor.Marshal(n)
+			require.NoError(t, err)
+			var travelled News
+			require.NoError(t, cbor.Unmarshal(data, &travelled))
+			require.True(t, to.Take(&travelled))
+			count++
+		default:
+			return count
+		}
+	}
+}
+
+func TestNewsKeepAnotherBoardAlike(t *testing.T) {
+	from, fromView := newBoard()
+	from.Configure(configurationOf(7, "s1"))
+	from.Put(entryOf("e1", "10.0.0.1:80", false))
+	from.Reached(10)
+	whole, listener := from.Listen()
+	defer from.Unlisten(listener)
+	to, toView := newBoard()
+	require.True(t, to.Take(whole))
+	require.Equal(t, fromView.Load().ByVM, toView.Load().ByVM)
+	require.Equal(t, uint64(10), to.At())
+
+	steps := []struct {
+		desc string
+		do   func()
+		news int
+	}{
+		{"an endpoint comes", func() { from.Put(entryOf("e2", "10.0.0.2:80", false)) }, 1},
+		{"it leaves", func() { from.Put(entryOf("e2", "10.0.0.2:80", true)) }, 1},
+		{"it is gone", func() { from.Remove("e2") }, 1},
+		{"a sign of life changes nothing", func() {
+			e := entryOf("e1", "10.0.0.1:80", false)
+			e.Sequence++
+			from.Put(e)
+		}, 0},
+		{"a configuration", func() { from.Configure(configurationOf(8, "s2")) }, 1},
+		{"an older one", func() { from.Configure(configurationOf(6, "s3")) }, 0},
+		{"a run at the address of another", func() {
+			e := entryOf("e3", "10.0.0.1:80", false)
+			e.BornMs++
+			from.Put(e)
+		}, 1},
+		{"the list, with another endpoint", func() { from.Replace([]registry.Entry{entryOf("e4", "10.0.0.4:80", false)}) }, 1},
+		{"a revision", func() { from.Reached(20) }, 1},
+		{"the same revision", func() { from.Reached(20) }, 0},
+	}
+	for _, step := range steps {
+		step.do()
+		require.Equal(t, step.news, drain(t, listener, to), step.desc)
+		require.Equal(t, fromView.Load().ByVM, toView.Load().ByVM, step.desc)
+		require.Equal(t, fromView.Load().Revision, toView.Load().Revision, step.desc)
+		require.Equal(t, from.At(), to.At(), step.desc)
+	}
+}
+
+func TestEverythingAsItWasBeforeIsRefused(t *testing.T) {
+	from, _ := newBoard()
+	from.Put(entryOf("gone", "10.0.0.1:80", false))
+	from.Reached(10)
+	whole, listener := from.Listen()
+	from.Unlisten(listener)
+	to, toView := newBoard()
+	to.Configure(configurationOf(7, "s1"))
+	to.Reached(11)
+	require.False(t, to.Take(whole))
+	require.Nil(t, toView.Load().ByVM["gone"])
+	require.Equal(t, uint64(11), to.At())
+}
+
+func TestListenerThatFallsBehindIsEnded(t *testing.T) {
+	b, _ := newBoard()
+	_, slow := b.Listen()
+	for revision := range uint64(newsMax + 2) {
+		b.Reached(revision + 1)
+	}
+	for range newsMax {
+		require.NotNil(t, <-slow.C)
+	}
+	n, open := <-slow.C
+	require.Nil(t, n)
+	require.False(t, open)
+	b.Unlisten(slow) // once more does no harm
+}
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -36,6 +36,10 @@
 	LeaveAnnounced Number = 2015
 	// StateAdopted means that another node told what the platform doesn't.
 	StateAdopted Number = 2016
+	// ReaderHeard means that the node hears news from another that reads.
+	ReaderHeard Number = 2017
+	// ReaderLost means that a node that reads told nothing more.
+	ReaderLost Number = 2018
 )
 
 // controlEvents holds the definitions numbered from 2000.
@@ -56,4 +60,6 @@
 	{Number: NothingKnown, Name: "nothing_known", Level: zerolog.WarnLevel, Meaning: "A node that started has found no catalogue: neither the platform nor a peer gave one. It refuses calls until one does."},
 	{Number: LeaveAnnounced, Name: "leave_announced", Level: zerolog.InfoLevel, Meaning: "The node told its peers that it takes no new work."},
 	{Number: StateAdopted, Name: "state_adopted", Level: zerolog.InfoLevel, Exact: true, Meaning: "The node started while the platform could not be read, and another node told it the configuration of the revision and a number of endpoints. It serves with them until the platform is back (2004)."},
+	{Number: ReaderHeard, Name: "reader_heard", Level: zerolog.InfoLevel, Meaning: "Another node of the availability zone reads the platform for this one and tells it what changes. This node has stopped reading."},
+	{Number: ReaderLost, Name: "reader_lost", Level: zerolog.InfoLevel, Meaning: "The node that read the platform for this one tells nothing more: it ended, stands still, no longer reads, or is behind. This node reads by itself at once, and looks for a reader again after 5 s."},
 }
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -17,12 +17,14 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/discovery"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/ingress"
 	"github.com/galenacart/galenacart/internal/mesh"
 	"github.com/galenacart/galenacart/internal/message"
 	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/newsfeed"
 	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/status"
 	"github.com/galenacart/galenacart/internal/view"
@@ -71,6 +73,7 @@
 	lines   io.Closer
 	holder  *view.Holder
 	board   *discovery.Board
+	feed    *newsfeed.Feed
 	mesh    *mesh.Mesh
 	clients *ingress.Server
 	door    net.Listener
@@ -102,6 +105,10 @@
 	n.log = event.NewLog(io.MultiWriter(lines, ring), "node", s.VM, s.Level()).LimitRate(eventsPerSecond)
 	instruments := metrics.NewSet()
 	n.board = discovery.NewBoard(n.holder, n.log, n.now, peer.Port())
+	n.feed = newsfeed.New(newsfeed.Config{
+		Board: n.board, Source: c.Source, View: n.holder, AvailabilityZone: s.AvailabilityZone,
+		EndpointAddress: s.EndpointAddress, Log: n.log,
+	})
 	n.mesh = mesh.New(mesh.Config{
 		Settings: s, Repeats: n.repeats, Headers: c.Headers, View: n.holder, State: n.board,
 		Log: n.log, Metrics: instruments, Now: n.now,
@@ -139,7 +146,7 @@
 		field, address string
 		handler        http.Handler
 	}{
-		{"peerAddress", s.PeerAddress, n.mesh.PeerHandler()},
+		{"peerAddress", s.PeerAddress, n.peerHandler()},
 		{"readinessAddress", s.ReadinessAddress, readiness},
 		{"statusAddress", s.StatusAddress, statusPages},
 	} {
@@ -157,6 +164,14 @@
 	return err
 }
 
+// peerHandler takes the links of other nodes.
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(calllink.Path, n.mesh.PeerHandler())
+	mux.Handle(newsfeed.Path, n.feed)
+	return mux
+}
+
 func listenOn(field, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	return l, errors.Wrapf(err, "%s %s: choose another address or end the process that uses it", field, address)
@@ -215,7 +230,7 @@
 	var group errgroup.Group
 	for _, work := range []func(context.Context){
 		n.mesh.Run, n.board.Run, n.reload, n.account,
-		func(ctx context.Context) { n.config.Source.Run(ctx, n.board) },
+		n.feed.Run,
 	} {
 		group.Go(func() error {
 			work(background)
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -137,22 +137,32 @@
 	require.Empty(t, r.Header.Get("Retry-After"))
 }
 
+// A timeout of 150 ms ends its request before one of a second ends a request that
+// began at the same time.
 func TestRouteTimeoutEndsTheRequest(t *testing.T) {
-	one := route("stock", true)
-	one.Limits.TimeoutMs = 150
-	f := newFleet(t, one)
+	short, long := route("stock", true), route("bond", true)
+	short.Limits.TimeoutMs, long.Limits.TimeoutMs = 150, 1000
+	f := newFleet(t, short, long)
 	entry := f.add("door", http.NotFound)
-	gone := make(chan struct{}, 1)
-	f.add("stock", func(_ http.ResponseWriter, r *http.Request) {
-		<-r.Context().Done()
-		gone <- struct{}{}
-	})
+	gone := make(chan string, 2)
+	for _, service := range []string{"stock", "bond"} {
+		f.add(service, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			gone <- service
+		})
+	}
 	f.publish()
-	began := time.Now()
-	r, _ := f.ask(entry, "GET", "/stock/1", "")
-	require.Equal(t, http.StatusGatewayTimeout, r.StatusCode)
-	require.Less(t, time.Since(began), time.Second)
-	<-gone // the endpoint is told too
+	answered := make(chan string, 2)
+	for _, service := range []string{"bond", "stock"} {
+		go func() {
+			r, _ := f.ask(entry, "GET", "/"+service+"/1", "")
+			answered <- fmt.Sprint(service, " ", r.StatusCode)
+		}()
+	}
+	require.Equal(t, "stock 504", <-answered)
+	require.Equal(t, "bond 504", <-answered)
+	require.Equal(t, "stock", <-gone, "the endpoint is told too")
+	require.Equal(t, "bond", <-gone)
 }
 
 func TestClientThatLeavesEndsItsRequest(t *testing.T) {
--- /dev/null
+++ b/internal/newsfeed/newsfeed_test.go
@@ -0,0 +1,289 @@
+package newsfeed
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/galenacart/galenacart/decision/registry"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/discovery"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/testaddress"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// platform is a source that all nodes of a test read. Each change is one revision.
+type platform struct {
+	mu       sync.Mutex
+	revision uint64
+	version  uint64
+	entries  map[string]registry.Entry
+}
+
+func (p *platform) change(f func(p *platform)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	f(p)
+}
+
+func (p *platform) put(e registry.Entry) {
+	p.change(func(p *platform) { p.entries[e.ID] = e })
+}
+
+func (p *platform) configure(version uint64) {
+	p.change(func(p *platform) { p.version = version })
+}
+
+// source is what one node reads the platform with.
+type source struct {
+	platform *platform
+	running  atomic.Bool
+	away     atomic.Bool
+	stuck    atomic.Bool // reads nothing, and doesn't notice
+}
+
+func (s *source) Run(ctx context.Context, b *discovery.Board) {
+	s.running.Store(true)
+	defer s.running.Store(false)
+	for ctx.Err() == nil {
+		switch {
+		case s.away.Load():
+			b.Away(context.DeadlineExceeded)
+		case !s.stuck.Load():
+			s.read(b)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *source) read(b *discovery.Board) {
+	s.platform.mu.Lock()
+	defer s.platform.mu.Unlock()
+	b.Back()
+	b.Configure(&discovery.Configuration{Version: s.platform.version, Catalogue: &catalogue.Catalogue{
+		Classes: []catalogue.Class{{Name: "0"}},
+	}})
+	var all []registry.Entry
+	for _, e := range s.platform.entries {
+		all = append(all, e)
+	}
+	b.Replace(all)
+	b.Reached(s.platform.revision)
+}
+
+// node is one node of a test, with a peer address of its own.
+type node struct {
+	id     string
+	source *source
+	view   *view.Holder
+	feed   *Feed
+	server *httptest.Server
+	mute   atomic.Bool // takes listeners and tells them nothing
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// fleet starts nodes that all know each other. A board finds a node at the IP
+// address of its endpoint and the one peer port, so that each has an address of
+// its own.
+func fleet(t *testing.T, p *platform, ids ...string) map[string]*node {
+	t.Helper()
+	nodes := make(map[string]*node)
+	addresses := testaddress.OnePort(len(ids))
+	for i, id := range ids {
+		n := &node{id: id, source: &source{platform: p}, view: &view.Holder{}, ended: make(chan struct{})}
+		n.server = serveAt(t, addresses[i], n)
+		address := addresses[i].Addr().String() + ":80"
+		p.put(registry.Entry{ID: id, Service: "stock", Address: address, AvailabilityZone: "a", Slots: 5, BornMs: 1, Sequence: 1})
+		log := event.NewLog(io.Discard, "node", id, zerolog.ErrorLevel)
+		start := time.Now()
+		board := discovery.NewBoard(n.view, log, func() time.Duration { return time.Since(start) }, addresses[i].Port())
+		n.feed = New(Config{Board: board, Source: n.source, View: n.view, AvailabilityZone: "a", EndpointAddress: address, Log: log})
+		nodes[id] = n
+	}
+	for _, n := range nodes {
+		ctx, cancel := context.WithCancel(context.Background())
+		n.cancel = cancel
+		go func() {
+			defer close(n.ended)
+			n.feed.Run(ctx)
+		}()
+	}
+	t.Cleanup(func() {
+		for _, n := range nodes {
+			n.cancel()
+			<-n.ended
+			n.server.CloseClientConnections()
+			n.server.Close()
+		}
+	})
+	return nodes
+}
+
+func serveAt(t *testing.T, address netip.AddrPort, h http.Handler) *httptest.Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", address.String())
+	require.NoError(t, err)
+	s := httptest.NewUnstartedServer(h)
+	require.NoError(t, s.Listener.Close())
+	s.Listener = listener
+	s.Start()
+	return s
+}
+
+func (n *node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if n.mute.Load() {
+		socket, err := websocket.Accept(w, r, nil)
+		if err == nil {
+			_, _, _ = socket.Read(r.Context()) // the greeting
+			_, _, _ = socket.Read(r.Context()) // until the listener has gone
+		}
+		return
+	}
+	n.feed.ServeHTTP(w, r)
+}
+
+// roles splits nodes into those that read and those that listen, once they have
+// settled.
+func roles(t *testing.T, nodes map[string]*node) (reading, listening []*node) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		reading, listening = nil, nil
+		for _, n := range nodes {
+			if n.source.running.Load() {
+				reading = append(reading, n)
+			} else {
+				listening = append(listening, n)
+			}
+		}
+		return len(reading) == 2
+	}, 10*time.Second, 10*time.Millisecond)
+	return reading, listening
+}
+
+func (n *node) knows(id string) bool {
+	return n.view.Load().ByVM[id] != nil
+}
+
+func TestTwoNodesReadForTheZone(t *testing.T) {
+	p := &platform{version: 1, entries: make(map[string]registry.Entry)}
+	nodes := fleet(t, p, "e1", "e2", "e3", "e4", "e5")
+	_, listening := roles(t, nodes)
+	require.Len(t, listening, 3)
+
+	p.put(registry.Entry{ID: "new", Service: "stock", Address: "10.0.0.9:80", AvailabilityZone: "b", BornMs: 1, Sequence: 1})
+	p.configure(2)
+	for _, n := range listening {
+		require.Eventually(t, func() bool { return n.knows("new") && n.view.Load().Revision == 2 }, time.Second, time.Millisecond)
+	}
+	p.put(registry.Entry{ID: "new", Service: "stock", Address: "10.0.0.9:80", AvailabilityZone: "b", Leaving: true, BornMs: 1, Sequence: 2})
+	for _, n := range listening {
+		require.Eventually(t, func() bool { return n.view.Load().ByVM["new"].Leaving }, time.Second, time.Millisecond)
+	}
+	p.change(func(p *platform) { delete(p.entries, "new") })
+	for _, n := range listening {
+		require.Eventually(t, func() bool { return !n.knows("new") }, time.Second, time.Millisecond)
+		require.False(t, n.source.running.Load())
+	}
+}
+
+// A change has to be in force 2 s after the platform took it, whatever becomes of a
+// reader. The platform's answer takes a part of that.
+func TestTimesLeaveAChangeItsBound(t *testing.T) {
+	const bound, answer = 2 * time.Second, 500 * time.Millisecond
+	require.Less(t, silentAfter+answer, bound, "a reader falls silent")
+	require.Less(t, wholeTimeout+answer, bound, "a reader takes a listener and tells nothing")
+	require.Less(t, 2*beatInterval, silentAfter, "one beat that is late is no silence")
+}
+
+func TestReaderThatFailsIsReplaced(t *testing.T) {
+	tests := []struct {
+		desc string
+		fail func(n *node)
+	}{
+		{"its process ends", func(n *node) {
+			n.cancel()
+			n.server.CloseClientConnections()
+		}},
+		{"it can't read the platform", func(n *node) { n.source.away.Store(true) }},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			p := &platform{version: 1, entries: make(map[string]registry.Entry)}
+			nodes := fleet(t, p, "e1", "e2", "e3", "e4")
+			reading, listening := roles(t, nodes)
+			for _, n := range reading {
+				test.fail(n)
+			}
+			p.configure(2)
+			for _, n := range listening {
+				require.Eventually(t, func() bool { return n.view.Load().Revision == 2 }, 10*time.Second, time.Millisecond)
+			}
+		})
+	}
+}
+
+func TestNodeReadsOnWhileItsReaderGivesNothing(t *testing.T) {
+	p := &platform{version: 1, entries: make(map[string]registry.Entry)}
+	nodes := fleet(t, p, "e1", "e2", "e3")
+	for _, n := range nodes {
+		n.mute.Store(true)
+	}
+	for version := uint64(2); version < 12; version++ {
+		p.configure(version)
+		for _, n := range nodes {
+			require.Eventually(t, func() bool { return n.view.Load().Revision == version }, 10*time.Second, time.Millisecond)
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
+// A reader whose platform stands still knows less than a node that read elsewhere.
+func TestNothingIsTakenFromAReaderThatIsBehind(t *testing.T) {
+	p := &platform{version: 1, entries: make(map[string]registry.Entry)}
+	nodes := fleet(t, p, "e1", "e2", "e3")
+	for _, n := range nodes {
+		require.Eventually(t, func() bool { return n.view.Load().Revision == 1 }, 5*time.Second, time.Millisecond)
+	}
+	for _, n := range nodes {
+		n.feed.config.Board.Take(&discovery.News{At: 3}) // all are up to date
+		n.source.stuck.Store(true)
+	}
+	one := nodes["e1"]
+	one.source.stuck.Store(false)
+	p.configure(2)
+	require.Eventually(t, func() bool { return one.view.Load().Revision == 2 }, 5*time.Second, time.Millisecond)
+	require.Never(t, func() bool { return one.view.Load().Revision != 2 }, 4*time.Second, 5*time.Millisecond)
+}
+
+func TestNodeThatDoesNotReadTakesNoListeners(t *testing.T) {
+	p := &platform{version: 1, entries: make(map[string]registry.Entry)}
+	nodes := fleet(t, p, "e1", "e2", "e3")
+	_, listening := roles(t, nodes)
+	response, err := http.Get(listening[0].server.URL + Path) //nolint:noctx // a test
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.True(t, strings.Contains(string(body), "does not read"))
+}
--- a/internal/testaddress/testaddress.go
+++ b/internal/testaddress/testaddress.go
@@ -9,6 +9,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -31,3 +32,20 @@
 	port := firstPort + (handedOut.Add(1)-1)%ports
 	return net.JoinHostPort(ip.String(), strconv.Itoa(int(port)))
 }
+
+// shared is the number of ports that OnePort hands out in one process.
+const shared = 300
+
+// OnePort returns addresses with one port, and IP numbers of their own, that no
+// other call in this process and no other live process was given. There are at
+// most 63.
+func OnePort(count int) []netip.AddrPort {
+	pid := os.Getpid()
+	port := firstPort + (pid>>16&63)*shared + int(handedOut.Add(1)-1)%shared
+	addresses := make([]netip.AddrPort, 0, count)
+	for i := range count {
+		ip := netip.AddrFrom4([4]byte{127, byte(1 + i), byte(pid >> 8), byte(pid)})
+		addresses = append(addresses, netip.AddrPortFrom(ip, uint16(port))) //nolint:gosec // below 32768
+	}
+	return addresses
+}
