Doubt all links to a zone once two of them are silent

decision/reach: two links with open calls that are silent for 0.25 s, and no sign of life from the zone, make the whole zone doubtful until any link brings something; links to it are probed each 0.2 s. The test plays 50 links at 20 calls/s.

--- a/internal/calllink/link.go
+++ b/internal/calllink/link.go
@@ -9,6 +9,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/decision/reach"
 )
 
 // Path is the path at which a node takes links.
@@ -78,6 +80,32 @@
 	return l.current.open() > 0 && l.current.stream.silentFor(l.now()) > doubtAfter
 }
 
+// Look returns what the link tells of the way to its node. ok is false for a link
+// that was never opened.
+func (l *Link) Look() (told reach.Link, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == nil {
+		return reach.Link{}, l.failed
+	}
+	now := l.now()
+	s := l.current.stream
+	return reach.Link{
+		Open: true, Waiting: l.current.open() > 0,
+		Silent: s.silentFor(now), Heard: now - time.Duration(s.came.Load()),
+	}, true
+}
+
+// Probe asks the node for a sign of life, also if no call waits.
+func (l *Link) Probe() {
+	l.mu.Lock()
+	s := l.current
+	l.mu.Unlock()
+	if s != nil {
+		s.ping()
+	}
+}
+
 // Watch probes a silent link, gives up one that stays silent, and opens one that
 // failed. It is called every few tens of milliseconds.
 func (l *Link) Watch() {
--- a/internal/calllink/session.go
+++ b/internal/calllink/session.go
@@ -29,6 +29,7 @@
 func newSession(socket *websocket.Conn, now func() time.Duration, state func() []byte) *session {
 	s := &session{stream: newStream(socket), now: now, state: state, calls: make(map[uint64]*open)}
 	s.stream.sent = s.markSent
+	s.stream.came.Store(int64(now()))
 	return s
 }
 
--- a/internal/calllink/stream.go
+++ b/internal/calllink/stream.go
@@ -25,7 +25,8 @@
 // message is written go out together in the next one.
 type stream struct {
 	socket *websocket.Conn
-	heard  atomic.Int64 // time of the last message, in nanoseconds since start
+	heard  atomic.Int64 // since when a message is due, in nanoseconds since start
+	came   atomic.Int64 // time of the last message, or of the opening
 
 	mu      sync.Mutex
 	queue   []*frame
@@ -105,7 +106,9 @@
 			s.close()
 			return errors.Wrap(err, "read from node")
 		}
-		s.heard.Store(int64(now()))
+		at := int64(now())
+		s.heard.Store(at)
+		s.came.Store(at)
 		if err := s.in.decode(data, take); err != nil {
 			s.close()
 			return err
@@ -113,7 +116,7 @@
 	}
 }
 
-// silentFor returns the time since the last message.
+// silentFor returns the time for which a message has been due.
 func (s *stream) silentFor(now time.Duration) time.Duration {
 	return now - time.Duration(s.heard.Load())
 }
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -156,7 +156,7 @@
 	if m.VM == e.config.Settings.VM || m.EndpointAddress == e.config.Settings.EndpointAddress {
 		return e.local(ctx, call), nil
 	}
-	return e.targets.link(m.PeerAddress).Do(ctx, call)
+	return e.targets.link(m).Do(ctx, call)
 }
 
 // broken takes in a call without a reply. It reports whether another attempt may
--- a/internal/mesh/targets.go
+++ b/internal/mesh/targets.go
@@ -22,7 +22,8 @@
 
 	mu         sync.Mutex
 	states     map[string]*target // by the endpoint's run
-	links      map[string]*calllink.Link
+	links      map[string]*way    // by the node's address
+	zones      map[string]*zoneWays
 	candidates []placement.Candidate
 	budgets    map[string]*retry.Window
 }
@@ -63,7 +64,8 @@
 		tell:    c.State.Share,
 		zone:    c.Settings.AvailabilityZone,
 		states:  make(map[string]*target),
-		links:   make(map[string]*calllink.Link),
+		links:   make(map[string]*way),
+		zones:   make(map[string]*zoneWays),
 		budgets: make(map[string]*retry.Window),
 	}
 }
@@ -81,7 +83,7 @@
 			c.State, c.Usual = &s.load, s.usual[route].known(t.now())
 			c.Barred = c.Barred || t.now() < s.leavingUntil
 		}
-		if l := t.links[m.PeerAddress]; l != nil && l.Doubtful() && !c.Barred {
+		if !c.Barred && t.doubtful(m) {
 			t.state(m.Endpoint).load.Doubt(t.now())
 		}
 		t.candidates = append(t.candidates, c)
@@ -136,15 +138,15 @@
 }
 
 // link returns the way to a node.
-func (t *targets) link(address string) *calllink.Link {
+func (t *targets) link(m *view.Member) *calllink.Link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l, ok := t.links[address]
+	l, ok := t.links[m.PeerAddress]
 	if !ok {
-		l = calllink.New(address, t.now, t.tell)
-		t.links[address] = l
+		l = &way{Link: calllink.New(m.PeerAddress, t.now, t.tell), zone: m.AvailabilityZone}
+		t.links[m.PeerAddress] = l
 	}
-	return l
+	return l.Link
 }
 
 // retain forgets endpoints, links and routes that left the view, and returns the
@@ -174,13 +176,14 @@
 	return endpoints
 }
 
-// watch probes silent links.
+// watch probes silent links and looks which zones are cut off.
 func (t *targets) watch() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, l := range t.links {
 		l.Watch()
 	}
+	t.watchZones()
 }
 
 func (t *targets) close() {
