Ask for a sign of life before a call goes out on a quiet link

Cause: a call that is sent to a node which is cut off or stands still may run or not.

calllink: a call goes out at once only if the link told something in the last 150 ms; else one probe, shared by all calls that wait, and without an answer in 100 ms the call goes elsewhere and has not run. The link stays doubtful until something comes, and is given up as before.

--- a/internal/calllink/link.go
+++ b/internal/calllink/link.go
@@ -77,7 +77,8 @@
 	if l.current == nil {
 		return l.failed
 	}
-	return l.current.open() > 0 && l.current.stream.silentFor(l.now()) > doubtAfter
+	waits, silent := l.current.waiting()
+	return waits && silent > doubtAfter || l.current.unproven()
 }
 
 // Look returns what the link tells of the way to its node. ok is false for a link
@@ -88,12 +89,10 @@
 	if l.current == nil {
 		return reach.Link{}, l.failed
 	}
-	now := l.now()
-	s := l.current.stream
-	return reach.Link{
-		Open: true, Waiting: l.current.open() > 0,
-		Silent: s.silentFor(now), Heard: now - time.Duration(s.came.Load()),
-	}, true
+	told.Open = true
+	told.Waiting, told.Silent = l.current.waiting()
+	told.Heard = l.now() - time.Duration(l.current.stream.came.Load())
+	return told, true
 }
 
 // Probe asks the node for a sign of life, also if no call waits.
@@ -115,11 +114,12 @@
 		l.open()
 	}
 	l.mu.Unlock()
-	if s == nil || s.open() == 0 {
+	if s == nil {
 		return
 	}
-	silent := s.stream.silentFor(l.now())
+	waits, silent := s.waiting()
 	switch {
+	case !waits:
 	case silent > lostAfter:
 		s.stream.close()
 	case silent > pingAfter:
--- a/internal/calllink/session.go
+++ b/internal/calllink/session.go
@@ -14,10 +14,11 @@
 	now    func() time.Duration
 	state  func() []byte // what this node knows of the deployment
 
-	mu     sync.Mutex
-	nextID uint64
-	calls  map[uint64]*open
-	ended  bool
+	mu      sync.Mutex
+	nextID  uint64
+	calls   map[uint64]*open
+	ended   bool
+	proving *proof
 }
 
 // open is a call that waits for its reply.
@@ -34,6 +35,9 @@
 }
 
 func (s *session) do(ctx context.Context, call *Call) (*Reply, error) {
+	if !s.prove(ctx) {
+		return nil, ErrUnsent
+	}
 	id, one := s.register()
 	if one == nil {
 		return nil, ErrUnsent
@@ -94,6 +98,7 @@
 // take hands a reply to the call that waits for it, and tells what this node
 // knows when it is asked.
 func (s *session) take(f *frame) {
+	s.proved()
 	if f.Kind == kindAskState {
 		if state := s.state(); state != nil {
 			_ = s.stream.send(&frame{Kind: kindState, State: state}) // the other node asks again
@@ -128,6 +133,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended = true
+	if s.proving != nil {
+		close(s.proving.answered)
+		s.proving = nil
+	}
 	for id, one := range s.calls {
 		close(one.reply)
 		delete(s.calls, id)
