--- a/internal/calllink/proof_test.go
+++ b/internal/calllink/proof_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,46 +10,24 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
-
-// standstill is a node that reads nothing while it stands still.
-type standstill struct {
-	net.Listener
-	still atomic.Bool
-}
-
-type stillConn struct {
-	net.Conn
-	node *standstill
-}
 
-func (s *standstill) Accept() (net.Conn, error) {
-	c, err := s.Listener.Accept()
-	return stillConn{c, s}, err
-}
-
-func (c stillConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	for err == nil && c.node.still.Load() {
-		time.Sleep(time.Millisecond)
-	}
-	return n, err
-}
+	"github.com/galenacart/galenacart/internal/testnet"
+)
 
 // serveStandstill starts a node that can be made to stand still, and returns the
 // way to it.
-func serveStandstill(t *testing.T, c *clock, handler Handler) (*Link, *standstill) {
+func serveStandstill(t *testing.T, c *clock, handler Handler) (*Link, *testnet.Standstill) {
 	t.Helper()
 	acceptor := NewAcceptor(handler, ignoreState, c.now)
 	mux := http.NewServeMux()
 	mux.Handle(Path, acceptor)
 	server := httptest.NewUnstartedServer(mux)
-	node := &standstill{Listener: server.Listener}
+	node := testnet.NewStandstill(server.Listener)
 	server.Listener = node
 	server.Start()
 	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, noState)
 	t.Cleanup(func() {
-		node.still.Store(false)
+		node.Set(false)
 		l.Close()
 		acceptor.Close()
 		server.Close()
@@ -72,7 +49,7 @@
 	require.EqualValues(t, 1, runs.Load())
 
 	c.at += freshFor + time.Millisecond
-	node.still.Store(true)
+	node.Set(true)
 	for range 3 {
 		_, err = l.Do(t.Context(), callOf("/2"))
 		require.ErrorIs(t, err, ErrUnsent)
@@ -84,7 +61,7 @@
 	require.True(t, told.Waiting)
 	require.GreaterOrEqual(t, told.Silent, 3*proofTimeout)
 
-	node.still.Store(false)
+	node.Set(false)
 	require.Eventually(t, func() bool { return !l.Doubtful() }, 10*time.Second, time.Millisecond)
 	_, err = l.Do(t.Context(), callOf("/3"))
 	require.NoError(t, err)
@@ -97,7 +74,7 @@
 	_, err := l.Do(t.Context(), callOf("/1"))
 	require.NoError(t, err)
 	c.at += freshFor + time.Millisecond
-	node.still.Store(true)
+	node.Set(true)
 	_, err = l.Do(t.Context(), callOf("/2"))
 	require.ErrorIs(t, err, ErrUnsent)
 	c.at += lostAfter + time.Millisecond
--- a/internal/mesh/zones_test.go
+++ b/internal/mesh/zones_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,46 +12,31 @@
 
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/testnet"
 	"github.com/galenacart/galenacart/internal/view"
 )
 
-// silence is a network that passes nothing on while it is cut.
-type silence struct {
-	net.Listener
-	cut *atomic.Bool
-}
-
-func (s silence) Accept() (net.Conn, error) {
-	c, err := s.Listener.Accept()
-	return silentConn{c, s.cut}, err
-}
-
-type silentConn struct {
-	net.Conn
-	cut *atomic.Bool
-}
-
-func (c silentConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	for err == nil && c.cut.Load() {
-		time.Sleep(time.Millisecond)
-	}
-	return n, err
-}
-
-// serveZone starts nodes of zone b, which answer every call until they are cut off.
-func serveZone(t *testing.T, count int, now func() time.Duration) ([]*view.Member, *atomic.Bool) {
+// serveZone starts nodes of zone b, which answer every call. The function cuts them
+// off or ends that.
+func serveZone(t *testing.T, count int, now func() time.Duration) ([]*view.Member, func(bool)) {
 	t.Helper()
-	cut := &atomic.Bool{}
 	var members []*view.Member
+	var listeners []*testnet.Standstill
+	cut := func(is bool) {
+		for _, l := range listeners {
+			l.Set(is)
+		}
+	}
 	for range count {
 		answer := func(context.Context, *calllink.Call) *calllink.Reply { return &calllink.Reply{Status: http.StatusOK} }
 		acceptor := calllink.NewAcceptor(answer, func([]byte) {}, now)
 		server := httptest.NewUnstartedServer(acceptor)
-		server.Listener = silence{server.Listener, cut}
+		listener := testnet.NewStandstill(server.Listener)
+		listeners = append(listeners, listener)
+		server.Listener = listener
 		server.Start()
 		t.Cleanup(func() {
-			cut.Store(false)
+			listener.Set(false)
 			acceptor.Close()
 			server.Close()
 		})
@@ -86,13 +69,13 @@
 	idle := members[2]
 	require.False(t, doubted(idle)())
 
-	cut.Store(true)
+	cut(true)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	for _, m := range members[:2] {
 		go func() { _, _ = targets.link(m).Do(ctx, &calllink.Call{RemainingMs: 1000}) }() // lost in the cut
 	}
 	require.Eventually(t, doubted(idle), 10*time.Second, 5*time.Millisecond)
-	cut.Store(false)
+	cut(false)
 	require.Eventually(t, func() bool { return !doubted(idle)() }, 10*time.Second, 5*time.Millisecond)
 }
