--- a/decision/readers/readers.go
+++ b/decision/readers/readers.go
@@ -71,9 +71,19 @@
 	return Score(Score(vmsRevision, 0), catalogueRevision)
 }
 
-// RelayPerZone is the number of nodes of a zone that read a platform that tells
-// every change and relay it to the others: one may end or freeze.
-const RelayPerZone = 2
+const (
+	// relaysMin is the least number of nodes of a zone that read a platform which
+	// tells every change, and relay it to the others: one may end or freeze.
+	relaysMin = 2
+	// nodesPerRelay bounds what one of them sends in a large zone. A listener costs
+	// some 0.4 KB/s of beats, and 18 KB/s is the users' bound for each node.
+	nodesPerRelay = 25
+)
+
+// Relays returns the number of nodes of a zone that read for the others.
+func Relays(nodes int) int {
+	return max(relaysMin, (nodes+nodesPerRelay-1)/nodesPerRelay)
+}
 
 // IsReader reports whether the VM with the hash self is one of the readers of
 // its zone. zone holds the hashes of the zone's live VMs.
--- a/decision/readers/readers_test.go
+++ b/decision/readers/readers_test.go
@@ -189,3 +189,17 @@
 		require.GreaterOrEqual(t, check, backoffMaxCheck/2)
 	})
 }
+
+// What a relay sends must not grow with the fleet, and what all read stays far under
+// the platform's limit of 2,000 reads a second.
+func TestRelaysHaveABoundedNumberOfListeners(t *testing.T) {
+	for nodes := 1; nodes <= 1200; nodes++ {
+		relays := Relays(nodes)
+		require.GreaterOrEqual(t, relays, 2)
+		require.LessOrEqual(t, nodes, max(relays*nodesPerRelay, 2*nodesPerRelay))
+	}
+	require.Equal(t, 2, Relays(50))
+	require.Equal(t, 3, Relays(51))
+	const zones, readsASecond = 10, 1.25 // of one node that watches a store which changes all the time
+	require.Less(t, float64(Relays(590)*zones)*readsASecond, 2000.0/5)
+}
--- a/internal/newsfeed/newsfeed.go
+++ b/internal/newsfeed/newsfeed.go
@@ -124,7 +124,7 @@
 			hashes = append(hashes, xxhash.Sum64String(m.VM))
 		}
 	}
-	for _, i := range readers.Top(hashes, 0, readers.RelayPerZone) {
+	for _, i := range readers.Top(hashes, 0, readers.Relays(len(hashes))) {
 		if zone[i].EndpointAddress == f.config.EndpointAddress {
 			f.chosen.reader = true
 			continue
