--- a/internal/calllink/calllink_test.go
+++ b/internal/calllink/calllink_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/galenacart/galenacart/internal/message"
 	"github.com/galenacart/galenacart/internal/testaddress"
+	"github.com/galenacart/galenacart/internal/testnet"
 )
 
 // clock is a time that tests set.
@@ -20,20 +21,40 @@
 
 func (c *clock) now() time.Duration { return c.at }
 
-// serve starts a node with a handler and returns the way to it.
-func serve(t *testing.T, c *clock, handler Handler) *Link {
+// pair is a node, which can be made to stand still, and the way to it.
+type pair struct {
+	*Link
+	node  *Acceptor
+	still *testnet.Standstill
+}
+
+// deployment is what the two nodes of a pair do with state: the node takes it, its
+// caller tells it.
+type deployment struct {
+	take func(state []byte)
+	tell func() []byte
+}
+
+// untold is a deployment in which nobody tells anything.
+var untold = deployment{take: func([]byte) {}, tell: func() []byte { return nil }}
+
+func connect(t testing.TB, c *clock, handler Handler, d deployment) *pair {
 	t.Helper()
-	acceptor := NewAcceptor(handler, ignoreState, c.now)
+	p := &pair{node: NewAcceptor(handler, d.take, c.now)}
 	mux := http.NewServeMux()
-	mux.Handle(Path, acceptor)
-	server := httptest.NewServer(mux)
-	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, noState)
+	mux.Handle(Path, p.node)
+	server := httptest.NewUnstartedServer(mux)
+	p.still = testnet.NewStandstill(server.Listener)
+	server.Listener = p.still
+	server.Start()
+	p.Link = New(strings.TrimPrefix(server.URL, "http://"), c.now, d.tell)
 	t.Cleanup(func() {
-		l.Close()
-		acceptor.Close()
+		p.still.Set(false)
+		p.Close()
+		p.node.Close()
 		server.Close()
 	})
-	return l
+	return p
 }
 
 func callOf(target string) *Call {
@@ -51,7 +72,7 @@
 }
 
 func TestCallsSideBySideGetTheirOwnReplies(t *testing.T) {
-	l := serve(t, &clock{}, answering(200))
+	l := connect(t, &clock{}, answering(200), untold)
 	done := make(chan struct{})
 	for i := range 50 {
 		go func() {
@@ -70,10 +91,10 @@
 
 func TestRequestTravelsUnchanged(t *testing.T) {
 	var seen *message.Request
-	l := serve(t, &clock{}, func(_ context.Context, call *Call) *Reply {
+	l := connect(t, &clock{}, func(_ context.Context, call *Call) *Reply {
 		seen = call.Request()
 		return &Reply{Refused: RefusedFull}
-	})
+	}, untold)
 	call := callOf("/a/b?c=%20d")
 	call.Body = []byte{0, 1, 2}
 	reply, err := l.Do(t.Context(), call)
@@ -88,13 +109,13 @@
 	working := make(chan struct{})
 	finish := make(chan struct{})
 	slow := false
-	l := serve(t, c, func(context.Context, *Call) *Reply {
+	l := connect(t, c, func(context.Context, *Call) *Reply {
 		if slow {
 			close(working)
 			<-finish
 		}
 		return &Reply{Status: 200}
-	})
+	}, untold)
 	_, err := l.Do(t.Context(), callOf("/first"))
 	require.NoError(t, err)
 
@@ -115,11 +136,11 @@
 func TestSilentLinkIsGivenUp(t *testing.T) {
 	c := &clock{}
 	working := make(chan struct{})
-	l := serve(t, c, func(ctx context.Context, _ *Call) *Reply {
+	l := connect(t, c, func(ctx context.Context, _ *Call) *Reply {
 		close(working)
 		<-ctx.Done()
 		return &Reply{}
-	})
+	}, untold)
 	result := make(chan error, 1)
 	go func() {
 		_, err := l.Do(t.Context(), callOf("/silent"))
@@ -135,12 +156,12 @@
 func TestCancelReachesTheOtherNode(t *testing.T) {
 	given := make(chan struct{})
 	working := make(chan struct{})
-	l := serve(t, &clock{}, func(ctx context.Context, _ *Call) *Reply {
+	l := connect(t, &clock{}, func(ctx context.Context, _ *Call) *Reply {
 		close(working)
 		<-ctx.Done()
 		close(given)
 		return &Reply{}
-	})
+	}, untold)
 	ctx, cancel := context.WithCancel(t.Context())
 	result := make(chan error, 1)
 	go func() {
@@ -158,7 +179,7 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	server.Close()
 	c := &clock{}
-	l := New(address, c.now, noState)
+	l := New(address, c.now, untold.tell)
 	_, err := l.Do(t.Context(), callOf("/x"))
 	require.ErrorIs(t, err, ErrUnsent)
 	require.True(t, l.Doubtful())
@@ -166,7 +187,7 @@
 
 func TestNoCallWaitsForANodeThatIsGone(t *testing.T) {
 	c := &clock{}
-	acceptor := NewAcceptor(answering(200), ignoreState, c.now)
+	acceptor := NewAcceptor(answering(200), untold.take, c.now)
 	mux := http.NewServeMux()
 	mux.Handle(Path, acceptor)
 	address := testaddress.New()
@@ -178,7 +199,7 @@
 		return s
 	}
 	server := start()
-	l := New(address, c.now, noState)
+	l := New(address, c.now, untold.tell)
 	defer l.Close()
 	_, err := l.Do(t.Context(), callOf("/x"))
 	require.NoError(t, err)
@@ -203,21 +224,11 @@
 
 // BenchmarkCall takes calls with a usual answer over a link and back.
 func BenchmarkCall(b *testing.B) {
-	c := &clock{}
-	acceptor := NewAcceptor(func(context.Context, *Call) *Reply {
+	l := connect(b, &clock{}, func(context.Context, *Call) *Reply {
 		r := &Reply{Load: Load{Busy: 3, Limit: 14, Pressure: 800, UsualMs: 30}}
 		r.SetAnswer(&message.Answer{Status: 200, Header: http.Header{"Content-Type": {"text/plain"}}, Body: make([]byte, 600)})
 		return r
-	}, ignoreState, c.now)
-	mux := http.NewServeMux()
-	mux.Handle(Path, acceptor)
-	server := httptest.NewServer(mux)
-	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, noState)
-	defer func() {
-		l.Close()
-		acceptor.Close()
-		server.Close()
-	}()
+	}, untold)
 	call := callOf("/levels/1")
 	b.ReportAllocs()
 	for b.Loop() {
@@ -227,42 +238,27 @@
 	}
 }
 
-func ignoreState([]byte) {}
-
-func noState() []byte { return nil }
-
-// asker starts a node that takes state, with a link from one that tells it.
-func asker(t *testing.T, take func([]byte), tell func() []byte) (*Acceptor, *Link) {
-	t.Helper()
-	c := &clock{}
-	acceptor := NewAcceptor(answering(200), take, c.now)
-	mux := http.NewServeMux()
-	mux.Handle(Path, acceptor)
-	server := httptest.NewServer(mux)
-	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, tell)
-	t.Cleanup(func() {
-		l.Close()
-		acceptor.Close()
-		server.Close()
-	})
-	return acceptor, l
-}
-
 func TestNodeThatKnowsNothingIsTold(t *testing.T) {
 	told := make(chan []byte, 1)
-	acceptor, l := asker(t, func(state []byte) { told <- state }, func() []byte { return []byte("all") })
-	require.False(t, acceptor.AskState(), "nobody to ask")
+	l := connect(t, &clock{}, answering(200), deployment{
+		take: func(state []byte) { told <- state },
+		tell: func() []byte { return []byte("all") },
+	})
+	require.False(t, l.node.AskState(), "nobody to ask")
 	_, err := l.Do(t.Context(), callOf("/a"))
 	require.NoError(t, err)
-	require.True(t, acceptor.AskState())
+	require.True(t, l.node.AskState())
 	require.Equal(t, []byte("all"), <-told)
 }
 
 func TestNodeThatKnowsNothingTellsNothing(t *testing.T) {
-	acceptor, l := asker(t, func([]byte) { t.Error("told of nothing") }, noState)
+	l := connect(t, &clock{}, answering(200), deployment{
+		take: func([]byte) { t.Error("told of nothing") },
+		tell: untold.tell,
+	})
 	_, err := l.Do(t.Context(), callOf("/a"))
 	require.NoError(t, err)
-	require.True(t, acceptor.AskState())
+	require.True(t, l.node.AskState())
 	_, err = l.Do(t.Context(), callOf("/b"))
 	require.NoError(t, err, "the link goes on")
 }
--- a/internal/calllink/link.go
+++ b/internal/calllink/link.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
-	"github.com/coder/websocket"
 	"github.com/pkg/errors"
 
 	"github.com/galenacart/galenacart/decision/reach"
+	"github.com/galenacart/galenacart/internal/socket"
 )
 
 // Path is the path at which a node takes links.
@@ -177,10 +175,7 @@
 
 // dial opens a session for all calls that wait for it.
 func (l *Link) dial() {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}
-	socket, _, err := websocket.Dial(ctx, "ws://"+l.address+Path, &websocket.DialOptions{HTTPClient: client}) //nolint:bodyclose // the library keeps the body
+	conn, err := socket.Dial(context.Background(), l.address, Path, dialTimeout)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	close(l.opening)
@@ -191,10 +186,10 @@
 		return
 	}
 	if l.closed {
-		_ = socket.CloseNow() // nobody waits for it any more
+		_ = conn.CloseNow() // nobody waits for it any more
 		return
 	}
-	l.current = newSession(socket, l.now, l.state)
+	l.current = newSession(conn, l.now, l.state)
 	go l.run(l.current)
 }
 
--- a/internal/calllink/proof.go
+++ b/internal/calllink/proof.go
@@ -64,6 +64,11 @@
 func (s *session) proved() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.endProof()
+}
+
+// endProof releases the calls that wait for a proof. It is called under the lock.
+func (s *session) endProof() {
 	if s.proving != nil {
 		close(s.proving.answered)
 		s.proving = nil
--- a/internal/calllink/proof_test.go
+++ b/internal/calllink/proof_test.go
@@ -2,54 +2,28 @@
 
 import (
 	"context"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/galenacart/galenacart/internal/testnet"
 )
 
-// serveStandstill starts a node that can be made to stand still, and returns the
-// way to it.
-func serveStandstill(t *testing.T, c *clock, handler Handler) (*Link, *testnet.Standstill) {
-	t.Helper()
-	acceptor := NewAcceptor(handler, ignoreState, c.now)
-	mux := http.NewServeMux()
-	mux.Handle(Path, acceptor)
-	server := httptest.NewUnstartedServer(mux)
-	node := testnet.NewStandstill(server.Listener)
-	server.Listener = node
-	server.Start()
-	l := New(strings.TrimPrefix(server.URL, "http://"), c.now, noState)
-	t.Cleanup(func() {
-		node.Set(false)
-		l.Close()
-		acceptor.Close()
-		server.Close()
-	})
-	return l, node
-}
-
 // A call for a node that fell silent while nobody called was never sent: it may go
 // elsewhere, also if it must not run twice.
 func TestNoCallIsSentIntoSilence(t *testing.T) {
 	c := &clock{}
 	var runs atomic.Int32
-	l, node := serveStandstill(t, c, func(context.Context, *Call) *Reply {
+	l := connect(t, c, func(context.Context, *Call) *Reply {
 		runs.Add(1)
 		return &Reply{Status: 200}
-	})
+	}, untold)
 	_, err := l.Do(t.Context(), callOf("/1"))
 	require.NoError(t, err)
 	require.EqualValues(t, 1, runs.Load())
 
 	c.at += freshFor + time.Millisecond
-	node.Set(true)
+	l.still.Set(true)
 	for range 3 {
 		_, err = l.Do(t.Context(), callOf("/2"))
 		require.ErrorIs(t, err, ErrUnsent)
@@ -61,7 +35,7 @@
 	require.True(t, told.Waiting)
 	require.GreaterOrEqual(t, told.Silent, 3*proofTimeout)
 
-	node.Set(false)
+	l.still.Set(false)
 	require.Eventually(t, func() bool { return !l.Doubtful() }, 10*time.Second, time.Millisecond)
 	_, err = l.Do(t.Context(), callOf("/3"))
 	require.NoError(t, err)
@@ -70,11 +44,11 @@
 
 func TestLinkThatStaysUnprovenIsGivenUp(t *testing.T) {
 	c := &clock{}
-	l, node := serveStandstill(t, c, answering(200))
+	l := connect(t, c, answering(200), untold)
 	_, err := l.Do(t.Context(), callOf("/1"))
 	require.NoError(t, err)
 	c.at += freshFor + time.Millisecond
-	node.Set(true)
+	l.still.Set(true)
 	_, err = l.Do(t.Context(), callOf("/2"))
 	require.ErrorIs(t, err, ErrUnsent)
 	c.at += lostAfter + time.Millisecond
@@ -88,7 +62,7 @@
 // A quiet link costs one question for all calls that come at once.
 func TestCallsOnAQuietLinkWaitForOneSign(t *testing.T) {
 	c := &clock{}
-	l, _ := serveStandstill(t, c, answering(200))
+	l := connect(t, c, answering(200), untold)
 	_, err := l.Do(t.Context(), callOf("/1"))
 	require.NoError(t, err)
 	c.at += time.Minute
--- a/internal/calllink/session.go
+++ b/internal/calllink/session.go
@@ -133,10 +133,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended = true
-	if s.proving != nil {
-		close(s.proving.answered)
-		s.proving = nil
-	}
+	s.endProof()
 	for id, one := range s.calls {
 		close(one.reply)
 		delete(s.calls, id)
--- a/internal/newsfeed/listen.go
+++ b/internal/newsfeed/listen.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"slices"
 	"time"
 
@@ -13,6 +11,7 @@
 
 	"github.com/galenacart/galenacart/internal/discovery"
 	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/socket"
 )
 
 const (
@@ -34,7 +33,7 @@
 // link is the way to a reader, from the listener's side.
 type link struct {
 	address string
-	socket  *websocket.Conn
+	conn    *websocket.Conn
 }
 
 // hello is what a listener says first.
@@ -44,26 +43,23 @@
 }
 
 func dial(ctx context.Context, address string) (*link, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}}
-	socket, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: client}) //nolint:bodyclose // the library keeps the body
+	conn, err := socket.Dial(ctx, address, Path, dialTimeout)
 	if err != nil {
-		return nil, errors.Wrap(err, "dial a reader")
+		return nil, errors.Wrap(err, "reach a reader")
 	}
-	socket.SetReadLimit(newsBytesMax)
-	return &link{address: address, socket: socket}, nil
+	conn.SetReadLimit(newsBytesMax)
+	return &link{address: address, conn: conn}, nil
 }
 
 func (l *link) close() {
-	_ = l.socket.CloseNow() // nothing more is expected of it
+	_ = l.conn.CloseNow() // nothing more is expected of it
 }
 
 // hear returns the next news.
 func (l *link) hear(ctx context.Context, longest time.Duration) (*discovery.News, error) {
 	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
-	_, data, err := l.socket.Read(ctx)
+	_, data, err := l.conn.Read(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "hear a reader")
 	}
@@ -79,7 +75,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
 	defer cancel()
-	if err := l.socket.Write(ctx, websocket.MessageBinary, data); err != nil {
+	if err := l.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return errors.Wrap(err, "greet a reader")
 	}
 	first, err := l.hear(ctx, wholeTimeout)
@@ -101,7 +97,7 @@
 	}
 	f.config.Log.Emit(event.ReaderHeard, l.address)
 	for {
-		if others := f.choose(); f.chosen.reader || !slices.Contains(others, l.address) {
+		if c := f.choose(); c.reader || !slices.Contains(c.others, l.address) {
 			return true
 		}
 		n, err := l.hear(ctx, silentAfter)
--- a/internal/newsfeed/newsfeed.go
+++ b/internal/newsfeed/newsfeed.go
@@ -49,7 +49,7 @@
 type Feed struct {
 	config Config
 	reads  atomic.Bool // this node reads, so that others may listen to it
-	chosen choice
+	chosen *choice     // of the view looked at last
 }
 
 // choice is who reads for the zone, as of one view.
@@ -97,11 +97,11 @@
 	}()
 	wait.For(ctx, pause)
 	for wait.For(ctx, dutyInterval) {
-		others := f.choose()
-		if f.chosen.reader || len(others) == 0 {
+		c := f.choose()
+		if c.reader || len(c.others) == 0 {
 			continue
 		}
-		if l, err := dial(ctx, others[rand.N(len(others))]); err == nil {
+		if l, err := dial(ctx, c.others[rand.N(len(c.others))]); err == nil {
 			return l
 		}
 		wait.For(ctx, retryPause)
@@ -109,13 +109,17 @@
 	return nil
 }
 
-// choose returns the other nodes that read for this node's zone.
-func (f *Feed) choose() []string {
+// choose returns who reads for this node's zone. It works that out once for a view.
+func (f *Feed) choose() *choice {
 	v := f.config.View.Load()
-	if f.chosen.view == v {
-		return f.chosen.others
+	if f.chosen == nil || f.chosen.view != v {
+		f.chosen = f.choiceOf(v)
 	}
-	f.chosen = choice{view: v}
+	return f.chosen
+}
+
+func (f *Feed) choiceOf(v *view.View) *choice {
+	c := &choice{view: v}
 	var zone []*view.Member
 	var hashes []uint64
 	for _, m := range v.ByVM {
@@ -126,10 +130,10 @@
 	}
 	for _, i := range readers.Top(hashes, 0, readers.Relays(len(hashes))) {
 		if zone[i].EndpointAddress == f.config.EndpointAddress {
-			f.chosen.reader = true
+			c.reader = true
 			continue
 		}
-		f.chosen.others = append(f.chosen.others, zone[i].PeerAddress)
+		c.others = append(c.others, zone[i].PeerAddress)
 	}
-	return f.chosen.others
+	return c
 }
