--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -126,6 +126,32 @@
 		_, err = ask(t, conn, "", long)
 		require.ErrorContains(t, err, "reset")
 	})
+	for mode, arrives := range map[Mode]bool{Inbound: false, Outbound: true} {
+		t.Run("one way waits: "+string(mode), func(t *testing.T) {
+			r, connect := start(t, long)
+			conn := open(t, connect)
+			_, err := ask(t, conn, "before", long)
+			require.NoError(t, err)
+			require.NoError(t, r.SetCut(Cut{AvailabilityZones: []string{"b"}, Mode: mode}))
+			_, err = ask(t, conn, "during", settle)
+			require.ErrorContains(t, err, "timeout", "one way is enough for no answer")
+			require.Equal(t, arrives, !r.network.cut.stops("a", "b"))
+			require.Equal(t, arrives, r.network.cut.stops("b", "a"))
+			require.NoError(t, r.SetCut(Cut{}))
+			got, err := ask(t, conn, "", long)
+			require.NoError(t, err)
+			require.Equal(t, "during", got)
+		})
+	}
+	t.Run("bytes come later", func(t *testing.T) {
+		r, connect := start(t, long)
+		require.NoError(t, r.SetCut(Cut{AvailabilityZones: []string{"b"}, Mode: Delay, DelayMs: 60}))
+		began := time.Now()
+		got, err := ask(t, open(t, connect), "late", long)
+		require.NoError(t, err)
+		require.Equal(t, "late", got)
+		require.GreaterOrEqual(t, time.Since(began), 120*time.Millisecond, "there and back")
+	})
 	t.Run("the end of one way passes", func(t *testing.T) {
 		_, connect := start(t, long)
 		conn := open(t, connect).(*net.TCPConn)
