--- a/cmd/galenacart-node/serve.go
+++ b/cmd/galenacart-node/serve.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/google/subcommands"
 
@@ -53,6 +54,7 @@
 		fmt.Printf("%s: settings of VM %s are valid\n", c.settings, s.Load().VM)
 		return subcommands.ExitSuccess
 	}
+	debug.SetGCPercent(s.Load().HeapGrowth())
 	n, err := meshnode.Start(meshnode.Config{
 		Settings:      s,
 		Headers:       platform.Headers(),
