Revert "Collect the heap after a growth of 50 percent"

Conclusion: memory stays as the language has it. What is left of its price has to come from using less.

--- a/cmd/galenacart-node/serve.go
+++ b/cmd/galenacart-node/serve.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"runtime/debug"
 
 	"github.com/google/subcommands"
 
@@ -54,7 +53,6 @@
 		fmt.Printf("%s: settings of VM %s are valid\n", c.settings, s.Load().VM)
 		return subcommands.ExitSuccess
 	}
-	debug.SetGCPercent(s.Load().HeapGrowth())
 	n, err := meshnode.Start(meshnode.Config{
 		Settings:      s,
 		Headers:       platform.Headers(),
--- a/cmd/galenacart-node/serve_test.go
+++ b/cmd/galenacart-node/serve_test.go
@@ -3,17 +3,14 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime/debug"
 	"strings"
 	"syscall"
 	"testing"
 
-	"github.com/google/subcommands"
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenacart/galenacart/internal/program"
@@ -103,17 +100,3 @@
 	p.await("node_stopped")
 	require.NoError(t, p.command.Wait())
 }
-
-// TestHeapGrowthIsInForce serves with an address that is taken, so that the node ends
-// at once.
-func TestHeapGrowthIsInForce(t *testing.T) {
-	taken, err := net.Listen("tcp", testaddress.New())
-	require.NoError(t, err)
-	defer func() { _ = taken.Close() }()
-	file := filepath.Join(t.TempDir(), "node.json")
-	writeSettings(t, file, taken.Addr().String(), "1s")
-	usual := debug.SetGCPercent(100)
-	defer debug.SetGCPercent(usual)
-	require.Equal(t, subcommands.ExitFailure, (&serveCommand{settings: file}).Execute(t.Context(), nil))
-	require.Equal(t, 50, debug.SetGCPercent(100))
-}
--- a/internal/settings/live.go
+++ b/internal/settings/live.go
@@ -50,7 +50,7 @@
 		return false, err
 	}
 	if before := l.current.Load(); before != nil && before.place() != m.place() {
-		return false, errors.New("addresses, names and heapGrowthPercent are read at the start only; restart the node")
+		return false, errors.New("addresses and names are read at the start only; restart the node")
 	}
 	l.current.Store(m)
 	l.data = data
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -41,17 +41,10 @@
 	RetryAllowance float64 `json:"retryAllowance" validate:"gte=0,lte=1000000"`
 	// RetryWindow is the time over which repeats are counted, such as "10s".
 	RetryWindow string `json:"retryWindow" validate:"required"`
-	// HeapGrowthPercent is the growth of the heap, in percent of what is in use, after
-	// which unused memory is collected. Less of it takes more processor time. Default 50.
-	HeapGrowthPercent int `json:"heapGrowthPercent,omitempty" validate:"omitempty,gte=10,lte=1000"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
 }
 
-// defaultHeapGrowth takes 17 % less memory at its peak than the 100 of the language,
-// for 4 % more processor time (docs/MEASUREMENTS.md, round "a tighter heap").
-const defaultHeapGrowth = 50
-
 // DecodeMesh reads and checks settings. file is used in errors only. The error
 // is a *strictjson.Faults that lists every fault.
 func DecodeMesh(file string, data []byte) (*Mesh, error) {
@@ -91,14 +84,6 @@
 	return checked(m.StopTimeout)
 }
 
-// HeapGrowth is the growth of the heap, in percent, after which it is collected.
-func (m *Mesh) HeapGrowth() int {
-	if m.HeapGrowthPercent == 0 {
-		return defaultHeapGrowth
-	}
-	return m.HeapGrowthPercent
-}
-
 // RetryTime is the time over which repeats are counted.
 func (m *Mesh) RetryTime() time.Duration {
 	return checked(m.RetryWindow)
--- a/internal/settings/mesh_test.go
+++ b/internal/settings/mesh_test.go
@@ -22,11 +22,6 @@
 	require.NoError(t, err)
 	require.Equal(t, 6*time.Second, m.StopTime())
 	require.Equal(t, 10*time.Second, m.RetryTime())
-	require.Equal(t, 50, m.HeapGrowth())
-
-	m, err = DecodeMesh("node.json", []byte(strings.Replace(meshText, `"vm"`, `"heapGrowthPercent": 200, "vm"`, 1)))
-	require.NoError(t, err)
-	require.Equal(t, 200, m.HeapGrowth())
 }
 
 func TestMeshFaults(t *testing.T) {
@@ -37,7 +32,6 @@
 		{"address without a port", `"10.0.0.1:7003"`, `"10.0.0.1"`, "/endpointAddress"},
 		{"two settings with one address", `"10.0.0.1:7003"`, `"10.0.0.1:7002"`, "/endpointAddress"},
 		{"ratio over 1", `0.2`, `1.2`, "/retryRatio"},
-		{"heap without room", `"vm"`, `"heapGrowthPercent": 9, "vm"`, "/heapGrowthPercent"},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -64,7 +58,7 @@
 	require.True(t, changed)
 	require.InDelta(t, 0.1, l.Load().RetryRatio, 0)
 
-	for _, bad := range []string{"{", strings.Replace(meshText, ":7000", ":7100", 1), strings.Replace(meshText, `"vm"`, `"heapGrowthPercent": 200, "vm"`, 1)} {
+	for _, bad := range []string{"{", strings.Replace(meshText, ":7000", ":7100", 1)} {
 		write(bad)
 		_, err = l.Reload()
 		require.Error(t, err)
