Spare an endpoint that breaks off all calls

A trial with a line for each attempt showed three in a row: lost at an endpoint that is down and up by turns of a second and resets what it accepts while down (some 1,400 calls a second), refused by the one that is left, and sent to a crashed one as the last resort. Each of 67 nodes learned of the first by itself, and it looked empty.

Change: the node beside the endpoint refuses calls after three breaks in a row, but for one each 100 ms (1 s for what must not run twice); connections that the endpoint had forgotten while idle don't count. A full endpoint stays the reason of a refusal when others are down, so that its route doesn't count as one without endpoints.

Ruled out: lost answers (413 answer_broken in the same seconds, 1,048 resets); a wrong choice by load alone (the share of failed calls counts against the endpoint, but the full one refuses in 3 ms and it is next).

--- a/decision/idlelimit/idlelimit.go
+++ b/decision/idlelimit/idlelimit.go
@@ -33,13 +33,15 @@
 	return &Limit{usual: usual, limit: usual}
 }
 
-// Lost takes in that a connection which had rested was reset after a send.
-func (l *Limit) Lost(now, rested, afterSend time.Duration) {
+// Lost takes in that a connection which had rested was reset after a send. It
+// reports whether the other end had forgotten it.
+func (l *Limit) Lost(now, rested, afterSend time.Duration) bool {
 	if rested < restMin || afterSend > quick {
-		return
+		return false
 	}
 	l.limit = min(l.Current(now), max(rested/cut, limitMin))
 	l.at = now
+	return true
 }
 
 // Current returns the longest rest after which a connection is used.
--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -83,6 +83,9 @@
 	RefusedUnreachable
 	// RefusedByEndpoint means that the endpoint itself refused.
 	RefusedByEndpoint
+	// RefusedBroken means that the endpoint breaks off all calls. Its node takes few,
+	// to find out when that is over.
+	RefusedBroken
 )
 
 // Reply is the outcome of a call.
--- a/internal/endpointlink/exchange.go
+++ b/internal/endpointlink/exchange.go
@@ -39,6 +39,10 @@
 // ErrMisdirected means that another endpoint has the address.
 var ErrMisdirected = errors.New("another endpoint has the address")
 
+// ErrForgotten means that the endpoint had closed an idle connection. Whether it ran
+// the request is unknown all the same.
+var ErrForgotten = errors.New("the endpoint had closed the idle connection")
+
 // ErrNotOurs means that the answer belongs to another request.
 var ErrNotOurs = errors.New("the answer belongs to another request")
 
@@ -63,13 +67,11 @@
 func (p *Pool) exchange(c *conn, call *Call) (a *message.Answer, fate Fate, reusable bool, err error) {
 	sent := time.Now()
 	if _, err := c.raw.Write(p.encode(call)); err != nil {
-		p.broke(c, sent)
-		return nil, Unknown, false, errors.Wrap(err, "send to the endpoint")
+		return nil, Unknown, false, errors.Wrap(p.broke(c, sent, err), "send to the endpoint")
 	}
 	response, err := p.readOwn(c, call) //nolint:bodyclose // readBody reads it whole; the connection is the pool's
 	if err != nil {
-		p.broke(c, sent)
-		return nil, Unknown, false, err
+		return nil, Unknown, false, p.broke(c, sent, err)
 	}
 	body, err := readBody(response)
 	if err != nil {
--- a/internal/endpointlink/pool.go
+++ b/internal/endpointlink/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/galenacart/galenacart/decision/idlelimit"
 	"github.com/galenacart/galenacart/internal/message"
 )
@@ -96,14 +98,18 @@
 	return current
 }
 
-// broke takes in that no answer came on a connection after a send.
-func (p *Pool) broke(c *conn, sent time.Time) {
+// broke takes in that no answer came on a connection after a send. It returns the
+// error, as an ErrForgotten where the endpoint had closed the connection before.
+func (p *Pool) broke(c *conn, sent time.Time, err error) error {
 	if c.idleSince.IsZero() {
-		return // a new connection
+		return err // a new connection
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit.Lost(time.Since(p.began), sent.Sub(c.idleSince), time.Since(sent))
+	if p.limit.Lost(time.Since(p.began), sent.Sub(c.idleSince), time.Since(sent)) {
+		return errors.Wrap(ErrForgotten, err.Error())
+	}
+	return err
 }
 
 func (p *Pool) pop() *conn {
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -32,6 +32,8 @@
 	// OwnCallFailed means that a call of the local endpoint was answered by a
 	// failure of the called endpoint.
 	OwnCallFailed Number = 1013
+	// EndpointBroken means that the local endpoint breaks off all calls.
+	EndpointBroken Number = 1014
 )
 
 // trafficEvents holds the definitions numbered from 1000.
@@ -49,4 +51,5 @@
 	{Number: EndpointFailed, Name: "endpoint_failed", Level: zerolog.InfoLevel, Meaning: "The local endpoint answered a call with a failure of its own after the time in the field took. If calls that it made failed meanwhile (1012 and 1013 at the same VM), they are the likely cause."},
 	{Number: OwnCallRefused, Name: "own_call_refused", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint got an answer in place of the called endpoint's own. The fields kind, ran and detail say why. The request that the endpoint made it for has probably failed."},
 	{Number: OwnCallFailed, Name: "own_call_failed", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint was answered by a failure of the called endpoint, which has event 1011 under the same correlation. The request that the endpoint made it for has probably failed."},
+	{Number: EndpointBroken, Name: "endpoint_broken", Level: zerolog.WarnLevel, Exact: true, Meaning: "The local endpoint broke off three calls in a row, or can't be connected to. The node refuses calls for it but single ones, until one of these is answered (1010). The field error is that of the last call."},
 }
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -166,7 +166,7 @@
 	gone := ctx.Err() != nil && !unsent
 	p.entrance.targets.done(m, p.route.Name, outcome{failed: !gone && !unsent})
 	if unsent {
-		p.reason = problem.New(problem.KindUnreachable, problem.RanNo, "VM %s can't be reached", m.VM)
+		p.unserved(problem.KindUnreachable, "VM "+m.VM+" can't be reached")
 		return true
 	}
 	p.ran = true
@@ -179,21 +179,22 @@
 // attempt may follow.
 func (p *passage) refused(m *view.Member, reply *calllink.Reply) bool {
 	o := outcome{load: &reply.Load, unreachable: reply.Refused == calllink.RefusedUnreachable}
-	o.failed = reply.Refused == calllink.RefusedByEndpoint || o.unreachable
+	broken := reply.Refused == calllink.RefusedBroken
+	o.failed = reply.Refused == calllink.RefusedByEndpoint || o.unreachable || broken
 	p.entrance.targets.done(m, p.route.Name, o)
-	if !o.unreachable {
+	if !o.unreachable && !broken {
 		p.entrance.pressures.take(p.route.Name, m.VM, &reply.Load)
 	}
 	kind := problem.KindOverloaded
 	switch reply.Refused {
 	case calllink.RefusedLeaving:
 		kind = problem.KindLeaving
-	case calllink.RefusedUnreachable:
+	case calllink.RefusedUnreachable, calllink.RefusedBroken:
 		kind = problem.KindUnreachable
 	case calllink.RefusedByEndpoint:
 		kind = problem.KindEndpointRefused
 	}
-	p.reason = problem.New(kind, problem.RanNo, "VM %s: %s", m.VM, reply.Detail)
+	p.unserved(kind, "VM "+m.VM+": "+reply.Detail)
 	if reply.Refused == calllink.RefusedByEndpoint {
 		p.turned = true
 		return p.affords(m, false)
@@ -201,6 +202,15 @@
 	return true
 }
 
+// unserved notes why an endpoint did not run the request. Where one is full and others
+// are down, the full one is why.
+func (p *passage) unserved(kind problem.Kind, detail string) {
+	if kind == problem.KindUnreachable && p.reason != nil && p.reason.Kind == problem.KindOverloaded {
+		return
+	}
+	p.reason = problem.New(kind, problem.RanNo, "%s", detail)
+}
+
 // ownFailure reports whether a failure is the endpoint's own, as far as can be
 // told: one that makes calls fails with them, and overload is no reason to repeat.
 func (p *passage) ownFailure() bool {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/problem"
 	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/view"
 )
@@ -173,6 +174,30 @@
 	require.Equal(t, near, pick(), "it is fast again")
 }
 
+// TestFullEndpointIsTheReason holds that a request which one endpoint refused because
+// of load, and another because it is down, counts as refused because of load: the route
+// is no route without endpoints.
+func TestFullEndpointIsTheReason(t *testing.T) {
+	for _, test := range []struct {
+		desc  string
+		kinds []problem.Kind
+		want  problem.Kind
+	}{
+		{"down only", []problem.Kind{problem.KindUnreachable, problem.KindUnreachable}, problem.KindUnreachable},
+		{"full, then down", []problem.Kind{problem.KindOverloaded, problem.KindUnreachable}, problem.KindOverloaded},
+		{"down, then full", []problem.Kind{problem.KindUnreachable, problem.KindOverloaded}, problem.KindOverloaded},
+		{"leaving, then down", []problem.Kind{problem.KindLeaving, problem.KindUnreachable}, problem.KindUnreachable},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			p := &passage{}
+			for _, kind := range test.kinds {
+				p.unserved(kind, "")
+			}
+			require.Equal(t, test.want, p.reason.Kind)
+		})
+	}
+}
+
 func TestTimesOfRoutesThatAreGoneAreForgotten(t *testing.T) {
 	v := threeServices()
 	v.Index = catalogue.NewIndex(&catalogue.Catalogue{Routes: []catalogue.Route{{Name: "kept"}}})
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenacart/galenacart/decision/breaker"
 	"github.com/galenacart/galenacart/decision/callgraph"
 	"github.com/galenacart/galenacart/decision/pressure"
 	"github.com/galenacart/galenacart/decision/slotqueue"
@@ -37,6 +38,7 @@
 
 	mu       sync.Mutex
 	gate     *slotqueue.Gate
+	breaker  breaker.Breaker
 	pressure pressure.Gauge
 	refusals pressure.Refusals
 	graph    *callgraph.Graph
@@ -143,6 +145,9 @@
 
 // exchange hands a call to the endpoint. whole says that it ran to its end.
 func (s *endpointServer) exchange(ctx context.Context, call *calllink.Call, deadline time.Duration) (reply *calllink.Reply, whole bool) {
+	if !s.sends(call) {
+		return refusal(calllink.RefusedBroken, "the endpoint breaks off all calls"), false
+	}
 	remaining := deadline - s.config.Now()
 	if !call.Idempotent {
 		ctx = context.WithoutCancel(ctx)
@@ -156,6 +161,7 @@
 		Remaining:     remaining,
 		Idempotent:    call.Idempotent,
 	})
+	s.heard(fate, err, ctx.Err() != nil)
 	switch {
 	case fate == endpointlink.Answered:
 		if answer.Status >= http.StatusInternalServerError {
@@ -178,6 +184,29 @@
 	}
 }
 
+// sends reports whether a call may go to the endpoint, which may break off all calls.
+func (s *endpointServer) sends(call *calllink.Call) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.breaker.Admit(s.config.Now(), call.Idempotent)
+}
+
+// heard takes in what an exchange told of the endpoint. One whose time ended tells
+// nothing, nor does a connection that the endpoint had forgotten.
+func (s *endpointServer) heard(fate endpointlink.Fate, err error, timeOver bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case fate == endpointlink.Answered, errors.Is(err, endpointlink.ErrRefused), errors.Is(err, endpointlink.ErrMisdirected):
+		if s.breaker.Answered() {
+			s.config.Log.Emit(event.EndpointBack, "")
+		}
+	case timeOver, errors.Is(err, endpointlink.ErrForgotten):
+	case s.breaker.Broke():
+		s.config.Log.Emit(event.EndpointBroken, "", event.F("error", err))
+	}
+}
+
 // describe adds to a reply what the node says of itself.
 func (s *endpointServer) describe(call *calllink.Call, inner bool, reply *calllink.Reply) {
 	s.mu.Lock()
--- a/internal/meshnode/node_test.go
+++ b/internal/meshnode/node_test.go
@@ -240,3 +240,35 @@
 	r, _ = f.ask(late, http.MethodGet, "/three/a", "")
 	require.Equal(t, http.StatusOK, r.StatusCode)
 }
+
+// TestEndpointThatBreaksOffIsSpared asks for what must not run twice at the only
+// endpoint, which breaks off everything for a while. Clients are told that nearly all
+// requests have not run, and are served as soon as it works again.
+func TestEndpointThatBreaksOffIsSpared(t *testing.T) {
+	const asked, lostMax = 100, 10
+	f := newFleet(t, route("stock", false))
+	entry := f.add("door", http.NotFound)
+	var works atomic.Bool
+	f.add("stock", func(http.ResponseWriter, *http.Request) {
+		if !works.Load() {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	f.publish()
+	lost := 0
+	for range asked {
+		r, _ := f.ask(entry, "POST", "/stock/1", "x")
+		if r.StatusCode == http.StatusBadGateway {
+			lost++
+			continue
+		}
+		require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+		require.NotEmpty(t, r.Header.Get("Retry-After"))
+	}
+	require.LessOrEqual(t, lost, lostMax)
+	works.Store(true)
+	require.Eventually(t, func() bool {
+		r, _ := f.ask(entry, "POST", "/stock/1", "x")
+		return r.StatusCode == http.StatusOK
+	}, 10*time.Second, 10*time.Millisecond)
+}
