Void revisions, and keep beliefs, when the store comes back from an older copy

Cause: the client of the store did not read Store-Era. A watch from a revision of before a restore passes over what is written under the same numbers again, and a list read then brings endpoints back that have left, since the entry known last was enough to be taken in again. Change: decision/storeera orders positions and judges answers; boards, news and greetings between nodes carry the era; decision/registry takes in an endpoint that is gone only by a newer word, and tells others who is gone. Ruled out: noticing that revisions go back, which new writes hide.

--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -1,8 +1,9 @@
 // Package registry keeps the endpoints that are published in a store, although
-// entries come late, out of order, from other writers, or vanish while the store
-// is away. It answers planned stops and outages of the store: an endpoint that
-// has begun to leave never comes back under the same run, and an endpoint that
-// only lost its entry for a moment is kept.
+// entries come late, out of order, from other writers, from an older copy of the
+// store, or vanish while the store is away. It answers planned stops, outages and
+// restores of the store: an endpoint that has begun to leave never comes back under
+// the same run, one that is gone comes back only by a newer word of its own, and one
+// that only lost its entry for a moment is kept.
 package registry
 
 import "time"
@@ -52,6 +53,12 @@
 	pending bool          // vanished while the store was away; gone at until
 }
 
+// gone reports whether the endpoint is known to have left the store. A pending one
+// is still present.
+func (r *record) gone() bool {
+	return !r.present
+}
+
 // Book holds the endpoints. It is not safe for concurrent use.
 type Book struct {
 	records  map[string]*record
@@ -72,7 +79,7 @@
 		b.records[e.ID] = &record{entry: e, present: true}
 		return true
 	}
-	if e.older(&r.entry) {
+	if e.older(&r.entry) || r.gone() && !r.entry.older(&e) {
 		return false
 	}
 	if e.BornMs == r.entry.BornMs {
@@ -136,6 +143,38 @@
 	}
 }
 
+// Restored takes in that the store has come back from an older copy: entries that the
+// copy lacks come back like those that lapsed in an outage.
+func (b *Book) Restored(now time.Duration) {
+	b.Away()
+	b.Back(now)
+}
+
+// Bury takes in that an endpoint is gone, as another node knows it. It reports
+// whether anything changed. A newer word of the endpoint stands.
+func (b *Book) Bury(now time.Duration, e Entry) bool {
+	r, known := b.records[e.ID]
+	if known && e.older(&r.entry) {
+		return false
+	}
+	changed := known && r.present
+	if !known || changed {
+		b.records[e.ID] = &record{entry: e, until: now + forgetAfter}
+	}
+	return changed
+}
+
+// Gone returns the entries that are known to be gone, for nodes that know less.
+func (b *Book) Gone() []Entry {
+	var gone []Entry
+	for _, r := range b.records {
+		if r.gone() {
+			gone = append(gone, r.entry)
+		}
+	}
+	return gone
+}
+
 // Expire removes the entries that did not come back, and forgets those that are
 // long gone. It reports whether any was removed.
 func (b *Book) Expire(now time.Duration) bool {
@@ -147,7 +186,7 @@
 			r.pending, r.present = false, false
 			r.until = now + forgetAfter
 			changed = true
-		case !r.present:
+		case r.gone():
 			delete(b.records, id)
 		}
 	}
--- a/decision/registry/registry_test.go
+++ b/decision/registry/registry_test.go
@@ -71,6 +71,59 @@
 	require.Equal(t, "back", live[0].ID)
 }
 
+func TestWhatIsGoneComesBackByANewerWordOnly(t *testing.T) {
+	tests := []struct {
+		desc string
+		word Entry
+		live int
+	}{
+		{"its last word, out of an older copy", entry("a", 5), 0},
+		{"an earlier one", entry("a", 4), 0},
+		{"an earlier run", reborn(entry("a", 9), 50), 0},
+		{"a later word of the same run", entry("a", 6), 1},
+		{"a later run", reborn(entry("a", 1), 200), 1},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			for _, learn := range []func(b *Book){
+				func(b *Book) { b.Put(entry("a", 5)); b.Remove(0, "a") },
+				func(b *Book) { b.Bury(0, entry("a", 5)) },
+				func(b *Book) { b.Put(entry("a", 4)); require.True(t, b.Bury(0, entry("a", 5))) },
+			} {
+				b := New()
+				learn(b)
+				require.Len(t, b.Gone(), 1)
+				require.Equal(t, test.live == 1, b.Put(test.word))
+				require.Len(t, b.Live(), test.live)
+			}
+		})
+	}
+}
+
+func TestNewerWordStandsAgainstABurial(t *testing.T) {
+	b := New()
+	b.Put(entry("a", 6))
+	require.False(t, b.Bury(0, entry("a", 5)))
+	require.Len(t, b.Live(), 1)
+	require.Empty(t, b.Gone())
+}
+
+// TestRestoreCountsLikeAnOutage holds that entries which an older copy lacks get the
+// time of lapsed ones, anew with each restore.
+func TestRestoreCountsLikeAnOutage(t *testing.T) {
+	b := New()
+	b.Put(entry("a", 1))
+	b.Restored(10 * time.Second)
+	require.False(t, b.Replace(10*time.Second, nil))
+	b.Put(entry("b", 1))
+	b.Restored(11 * time.Second)
+	require.False(t, b.Replace(11*time.Second, nil))
+	require.True(t, b.Expire(10*time.Second+returnGrace), "the first is over its time")
+	require.Len(t, b.Live(), 1)
+	require.True(t, b.Expire(11*time.Second+returnGrace))
+	require.Empty(t, b.Live())
+}
+
 func TestWithoutAnOutageWhatIsRemovedIsGone(t *testing.T) {
 	b := New()
 	b.Put(entry("a", 1))
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/galenacart/galenacart/decision/registry"
+	"github.com/galenacart/galenacart/decision/storeera"
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/view"
@@ -45,7 +46,7 @@
 	current *Configuration
 	index   *catalogue.Index
 	away    bool
-	at      uint64                    // the revision up to which everything is known
+	at      storeera.Position         // up to which everything is known
 	told    map[string]registry.Entry // the endpoints that listeners know
 	heard   map[*Listener]struct{}
 }
@@ -144,6 +145,24 @@
 	}
 }
 
+// Heard takes in the era that an answer of the source names, before anything else of
+// the answer. Only an answer that is current may be taken in.
+func (b *Board) Heard(era uint64) storeera.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	verdict := storeera.Judge(b.at, era)
+	switch verdict {
+	case storeera.Outdated:
+	case storeera.Current:
+		b.at.Era = era
+	case storeera.Restored:
+		b.log.Emit(event.StoreRestored, "", event.F("era", era), event.F("era_before", b.at.Era), event.F("revision_before", b.at.Revision))
+		b.at = storeera.Position{Era: era}
+		b.book.Restored(b.now())
+	}
+	return verdict
+}
+
 // expireInterval is the time between two looks at entries that lapsed.
 const expireInterval = 100 * time.Millisecond
 
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/galenacart/galenacart/decision/registry"
+	"github.com/galenacart/galenacart/decision/storeera"
 )
 
 // newsMax bounds the news that wait for a listener. One that falls further behind
@@ -11,9 +12,9 @@
 // News is what one board tells another: everything, or what changed since the
 // news before. Empty news are a sign of life.
 type News struct {
-	// At is the revision of the source up to which the receiver then knows
-	// everything, or 0 if that did not change.
-	At uint64
+	// At is the position in the source's history up to which the receiver then knows
+	// everything. Its revision is 0 if that did not change.
+	At storeera.Position
 	// Configuration is a new configuration, or nil.
 	Configuration *Configuration
 	// Whole says that Endpoints holds all endpoints.
@@ -22,6 +23,9 @@
 	Endpoints []registry.Entry
 	// Removed names endpoints that are gone.
 	Removed []string
+	// Gone holds, beside all endpoints, those that are gone: the receiver may meet
+	// older words of them.
+	Gone []registry.Entry
 }
 
 // Listener receives the news of a board in order.
@@ -37,7 +41,19 @@
 	defer b.mu.Unlock()
 	l := &Listener{C: make(chan *News, newsMax)}
 	b.heard[l] = struct{}{}
-	return &News{At: b.at, Configuration: b.current, Whole: true, Endpoints: b.book.Live()}, l
+	return b.everything(b.at), l
+}
+
+// everything returns the news that tell all that the board knows.
+func (b *Board) everything(at storeera.Position) *News {
+	return &News{At: at, Configuration: b.current, Whole: true, Endpoints: b.book.Live(), Gone: b.book.Gone()}
+}
+
+// Beat returns news that say nothing but that the board is there.
+func (b *Board) Beat() *News {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return &News{At: storeera.Position{Era: b.at.Era}}
 }
 
 // Unlisten ends a listener.
@@ -54,8 +70,9 @@
 	}
 }
 
-// tell hands news to every listener.
+// tell hands news to every listener, with the era that they belong to.
 func (b *Board) tell(n *News) {
+	n.At.Era = b.at.Era
 	for l := range b.heard {
 		select {
 		case l.C <- n:
@@ -86,18 +103,19 @@
 	}
 }
 
-// Reached takes in that the source has told everything up to a revision.
+// Reached takes in that the source has told everything up to a revision of the era
+// heard last.
 func (b *Board) Reached(revision uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if revision > b.at {
-		b.at = revision
-		b.tell(&News{At: revision})
+	if revision > b.at.Revision {
+		b.at.Revision = revision
+		b.tell(&News{At: b.at})
 	}
 }
 
-// At returns the revision of the source up to which everything is known, or 0.
-func (b *Board) At() uint64 {
+// At returns the position in the source's history up to which everything is known.
+func (b *Board) At() storeera.Position {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.at
@@ -110,15 +128,16 @@
 	return !b.away
 }
 
-// Take takes in the news of another board. It returns false, and takes nothing,
-// if they hold everything as it was before what this board knows.
+// Take takes in the news of another board. It returns false, and takes nothing, if
+// they are of an earlier era, or hold everything as it was before what this board
+// knows.
 func (b *Board) Take(n *News) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if n.At.Era < b.at.Era || n.Whole && n.At.Before(b.at) {
+		return false
+	}
 	if n.Whole {
-		if n.At < b.at {
-			return false
-		}
 		b.back()
 	}
 	if n.Configuration != nil {
@@ -127,13 +146,18 @@
 	if b.takeEndpoints(n) {
 		b.publish()
 	}
-	b.at = max(b.at, n.At)
+	if b.at.Before(n.At) {
+		b.at = n.At
+	}
 	return true
 }
 
 func (b *Board) takeEndpoints(n *News) (changed bool) {
+	for _, e := range n.Gone {
+		changed = b.book.Bury(b.now(), e) || changed
+	}
 	if n.Whole {
-		return b.book.Replace(b.now(), n.Endpoints)
+		return b.book.Replace(b.now(), n.Endpoints) || changed
 	}
 	for _, e := range n.Endpoints {
 		changed = b.book.Put(e) || changed
--- a/internal/discovery/news_test.go
+++ b/internal/discovery/news_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenacart/galenacart/decision/registry"
+	"github.com/galenacart/galenacart/decision/storeera"
 )
 
 // drain gives one board what another has told, as it travels.
@@ -38,7 +39,7 @@
 	to, toView := newBoard()
 	require.True(t, to.Take(whole))
 	require.Equal(t, fromView.Load().ByVM, toView.Load().ByVM)
-	require.Equal(t, uint64(10), to.At())
+	require.Equal(t, storeera.Position{Revision: 10}, to.At())
 
 	steps := []struct {
 		desc string
@@ -102,7 +103,7 @@
 	to.Reached(11)
 	require.False(t, to.Take(whole))
 	require.Nil(t, toView.Load().ByVM["gone"])
-	require.Equal(t, uint64(11), to.At())
+	require.Equal(t, storeera.Position{Revision: 11}, to.At())
 }
 
 func TestListenerThatFallsBehindIsEnded(t *testing.T) {
--- a/internal/discovery/shared.go
+++ b/internal/discovery/shared.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenacart/galenacart/decision/storeera"
 	"github.com/galenacart/galenacart/internal/event"
 )
 
@@ -21,7 +22,7 @@
 	if b.current == nil {
 		return nil
 	}
-	data, err := cbor.Marshal(&News{Configuration: b.current, Whole: true, Endpoints: b.book.Live()})
+	data, err := cbor.Marshal(b.everything(storeera.Position{}))
 	if err != nil {
 		b.log.Emit(event.DocumentRefused, "", event.F("key", "shared"), event.F("error", err))
 		return nil
@@ -47,6 +48,9 @@
 	for _, e := range n.Endpoints {
 		b.put(e)
 	}
+	for _, e := range n.Gone {
+		b.book.Bury(b.now(), e)
+	}
 	b.configure(n.Configuration)
 }
 
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -40,6 +40,8 @@
 	ReaderHeard Number = 2017
 	// ReaderLost means that a node that reads told nothing more.
 	ReaderLost Number = 2018
+	// StoreRestored means that the platform's store came back from an older copy.
+	StoreRestored Number = 2019
 )
 
 // controlEvents holds the definitions numbered from 2000.
@@ -62,4 +64,5 @@
 	{Number: StateAdopted, Name: "state_adopted", Level: zerolog.InfoLevel, Exact: true, Meaning: "The node started while the platform could not be read, and another node told it the configuration of the revision and a number of endpoints. It serves with them until the platform is back (2004)."},
 	{Number: ReaderHeard, Name: "reader_heard", Level: zerolog.InfoLevel, Meaning: "Another node of the availability zone reads the platform for this one and tells it what changes. This node has stopped reading."},
 	{Number: ReaderLost, Name: "reader_lost", Level: zerolog.InfoLevel, Meaning: "The node that read the platform for this one tells nothing more: it ended, stands still, no longer reads, or is behind. This node reads by itself at once, and looks for a reader again after 5 s."},
+	{Number: StoreRestored, Name: "store_restored", Level: zerolog.WarnLevel, Exact: true, Meaning: "The platform's store came back from an older copy of itself: its era has risen, and the revisions of before count no more. The node reads everything anew, keeps the configuration in force until a newer one is written, and keeps endpoints that the copy lacks for 2 s. Write again what was changed since the copy was made."},
 }
--- a/internal/newsfeed/listen.go
+++ b/internal/newsfeed/listen.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenacart/galenacart/decision/storeera"
 	"github.com/galenacart/galenacart/internal/discovery"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/socket"
@@ -38,8 +39,8 @@
 
 // hello is what a listener says first.
 type hello struct {
-	// After is the revision up to which the listener knows everything.
-	After uint64
+	// After is the position up to which the listener knows everything.
+	After storeera.Position
 }
 
 func dial(ctx context.Context, address string) (*link, error) {
@@ -107,6 +108,9 @@
 			}
 			return false
 		}
-		f.config.Board.Take(n)
+		if !f.config.Board.Take(n) {
+			f.config.Log.Emit(event.ReaderLost, l.address, event.F("error", errBehind))
+			return false
+		}
 	}
 }
--- a/internal/newsfeed/newsfeed_test.go
+++ b/internal/newsfeed/newsfeed_test.go
@@ -20,6 +20,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/galenacart/galenacart/decision/registry"
+	"github.com/galenacart/galenacart/decision/storeera"
 	"github.com/galenacart/galenacart/internal/catalogue"
 	"github.com/galenacart/galenacart/internal/discovery"
 	"github.com/galenacart/galenacart/internal/event"
@@ -34,6 +35,7 @@
 // platform is a source that all nodes of a test read. Each change is one revision.
 type platform struct {
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	version  uint64
 	entries  map[string]registry.Entry
@@ -79,6 +81,9 @@
 func (s *source) read(b *discovery.Board) {
 	s.platform.mu.Lock()
 	defer s.platform.mu.Unlock()
+	if b.Heard(s.platform.era) == storeera.Outdated {
+		return
+	}
 	b.Back()
 	b.Configure(&discovery.Configuration{Version: s.platform.version, Catalogue: &catalogue.Catalogue{
 		Classes: []catalogue.Class{{Name: "0"}},
@@ -271,6 +276,31 @@
 	}
 }
 
+// TestAllFollowARestore plays a platform that comes back from an older copy twice, and
+// gives out its revisions again. A reader that stands still over it, with a higher
+// revision than any other, overwrites nobody.
+func TestAllFollowARestore(t *testing.T) {
+	p := &platform{era: 1, version: 1, entries: make(map[string]registry.Entry)}
+	nodes := fleet(t, p, "e1", "e2", "e3", "e4")
+	p.change(func(p *platform) { p.revision += 100 })
+	reading, _ := roles(t, nodes)
+	reading[0].source.stuck.Store(true)
+	for range 2 {
+		p.change(func(p *platform) {
+			p.era++
+			p.revision -= 50
+			p.version++
+		})
+	}
+	p.put(registry.Entry{ID: "new", Service: "stock", Address: "10.0.0.9:80", AvailabilityZone: "b", BornMs: 1, Sequence: 1})
+	upToDate := func(n *node) bool { return n.knows("new") && n.view.Load().Revision == 3 }
+	require.Eventually(t, func() bool { return upToDate(reading[1]) }, time.Second, time.Millisecond)
+	reading[0].source.stuck.Store(false)
+	for _, n := range nodes {
+		require.Eventually(t, func() bool { return upToDate(n) && n.feed.config.Board.At().Era == 3 }, 10*time.Second, time.Millisecond)
+	}
+}
+
 // A reader whose platform stands still knows less than a node that read elsewhere.
 func TestNothingIsTakenFromAReaderThatIsBehind(t *testing.T) {
 	p := &platform{version: 1, entries: make(map[string]registry.Entry)}
@@ -279,7 +309,7 @@
 		require.Eventually(t, func() bool { return n.view.Load().Revision == 1 }, 5*time.Second, time.Millisecond)
 	}
 	for _, n := range nodes {
-		n.feed.config.Board.Take(&discovery.News{At: 3}) // all are up to date
+		n.feed.config.Board.Take(&discovery.News{At: storeera.Position{Revision: 3}}) // all are up to date
 		n.source.stuck.Store(true)
 	}
 	one := nodes["e1"]
--- a/internal/newsfeed/tell.go
+++ b/internal/newsfeed/tell.go
@@ -44,9 +44,15 @@
 	f.tell(socket)
 }
 
-// telling reports whether this node has news that others may rely on.
+// reading reports whether this node reads the platform, as far as it knows.
+func (f *Feed) reading() bool {
+	return f.reads.Load() && f.config.Board.Reading()
+}
+
+// telling reports whether this node has news that a new listener may rely on. Those
+// that listen already hear what changes also while everything is read anew.
 func (f *Feed) telling() bool {
-	return f.reads.Load() && f.config.Board.Reading() && f.config.Board.At() > 0
+	return f.reading() && f.config.Board.At().Revision > 0
 }
 
 // awaitAsMuch waits until this node knows at least what the listener does.
@@ -61,7 +67,7 @@
 	if err := cbor.Unmarshal(data, &h); err != nil {
 		return errors.Wrap(err, "decode a greeting")
 	}
-	for f.config.Board.At() < h.After {
+	for f.config.Board.At().Before(h.After) {
 		if !wait.For(ctx, catchUpPoll) {
 			return errBehind
 		}
@@ -75,12 +81,12 @@
 	whole, listener := f.config.Board.Listen()
 	defer f.config.Board.Unlisten(listener)
 	next := whole
-	for f.telling() && write(gone, socket, next) == nil {
+	for f.reading() && write(gone, socket, next) == nil {
 		beat, cancel := context.WithTimeout(gone, beatInterval)
 		select {
 		case next = <-listener.C:
 		case <-beat.Done():
-			next = &discovery.News{}
+			next = f.config.Board.Beat()
 		}
 		cancel()
 		if next == nil || gone.Err() != nil {
