Let no late copy pass for an answer, and no stop cut what was taken

(1) An endpoint that sends a refusal twice, late, on a connection that carries the same request once more, or whose refusal bears no ID: the copy was taken for the answer to a request that runs. It was told not run and could go to another endpoint. (2) In a planned stop the first answer closed its connection, whatever was pipelined behind it and ran already; closing the server cut requests just read; and a connection closed with bytes unread is reset, which can cost the client its last answer. Change: connections to the endpoint remember the IDs that they carried and are not used for these again, nor after an answer without an ID. In a stop the answer to the last request in line closes; the server answers what it took, for 0.1 s at most; a connection is read on for 0.5 s after its last answer. Ruled out: a new connection after each refusal, as connections are priced.

--- a/internal/endpointlink/conn.go
+++ b/internal/endpointlink/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -21,8 +22,13 @@
 	in        *bufio.Reader
 	idleMax   time.Duration
 	idleSince time.Time
+	carried   []string // IDs of the latest requests, the newest at the end
 }
 
+// carriedMax bounds the requests that a connection remembers. A second copy of an
+// answer comes before the next answer or not at all.
+const carriedMax = 8
+
 func newConn(raw net.Conn) *conn {
 	return &conn{raw: raw, in: bufio.NewReaderSize(raw, readBufferBytes), idleMax: idleBefore}
 }
@@ -31,6 +37,20 @@
 	_ = c.raw.Close() // nothing is expected of it any more
 }
 
+// carry notes that the connection is used for a request.
+func (c *conn) carry(id string) {
+	if len(c.carried) == carriedMax {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, id)
+}
+
+// fresh reports whether no late copy of an earlier answer can pass for the answer to
+// a request.
+func (c *conn) fresh(id string) bool {
+	return id == "" || !slices.Contains(c.carried, id)
+}
+
 // young reports whether the endpoint has no reason yet to close the connection.
 func (c *conn) young(now time.Time) bool {
 	return now.Sub(c.idleSince) < c.idleMax
--- a/internal/endpointlink/exchange.go
+++ b/internal/endpointlink/exchange.go
@@ -50,7 +50,7 @@
 // the connection is closed, by which the endpoint drops the request. With
 // Unknown and NotRun the error says why.
 func (p *Pool) Do(ctx context.Context, call *Call) (*message.Answer, Fate, error) {
-	c, err := p.take(ctx, call.Idempotent)
+	c, err := p.take(ctx, call)
 	if err != nil {
 		return nil, NotRun, errors.Wrap(err, "connect to the endpoint")
 	}
@@ -77,16 +77,17 @@
 	if err != nil {
 		return nil, Unknown, false, errors.Wrap(err, "read the endpoint's answer")
 	}
+	// A late copy of an answer without an ID could not be told from the next answer.
+	reusable = c.keep(response) && response.Header.Get(p.headers.RequestID) != ""
 	if response.StatusCode == http.StatusMisdirectedRequest {
-		return nil, NotRun, c.keep(response), ErrMisdirected
+		return nil, NotRun, reusable, ErrMisdirected
 	}
 	if p.provesNotRun(response) {
-		return nil, NotRun, c.keep(response), errors.Wrapf(ErrRefused, "status %d", response.StatusCode)
+		return nil, NotRun, reusable, errors.Wrapf(ErrRefused, "status %d", response.StatusCode)
 	}
 	if err := p.check(response); err != nil {
 		return nil, Unknown, false, err
 	}
-	reusable = c.keep(response)
 	message.DropHopByHop(response.Header)
 	return &message.Answer{Status: response.StatusCode, Header: response.Header, Body: body}, Answered, reusable, nil
 }
--- a/internal/endpointlink/pool.go
+++ b/internal/endpointlink/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,14 +69,16 @@
 	Idempotent bool
 }
 
-// take returns a connection that is fit for use, or a new one.
-func (p *Pool) take(ctx context.Context, idempotent bool) (*conn, error) {
+// take returns a connection that is fit for a call, or a new one.
+func (p *Pool) take(ctx context.Context, call *Call) (*conn, error) {
+	id := call.Request.Header.Get(p.headers.RequestID)
 	for {
-		c := p.pop()
+		c := p.pop(id)
 		if c == nil {
 			break
 		}
-		if c.fit(time.Now(), p.idleMax(idempotent)) {
+		if c.fit(time.Now(), p.idleMax(call.Idempotent)) {
+			c.carry(id)
 			return c, nil
 		}
 		c.close()
@@ -84,7 +87,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw), nil
+	c := newConn(raw)
+	c.carry(id)
+	return c, nil
 }
 
 // idleMax returns how long a connection for a request may have rested.
@@ -112,16 +117,17 @@
 	return err
 }
 
-func (p *Pool) pop() *conn {
+// pop takes out the connection used last among those that are fresh for a request.
+func (p *Pool) pop(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for at := len(p.idle) - 1; at >= 0; at-- {
+		if c := p.idle[at]; c.fresh(id) {
+			p.idle = slices.Delete(p.idle, at, at+1)
+			return c
+		}
 	}
-	last := len(p.idle) - 1
-	c := p.idle[last]
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
 // put keeps a connection for the next request. Connections that have been idle
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -15,6 +15,10 @@
 	pipelineMax = 64
 	// writeTimeout bounds the writing of one answer to a client that reads slowly.
 	writeTimeout = 10 * time.Second
+	// lingerTime is the time for which a connection whose last answer is written is read
+	// on: closing it with unread bytes could cost the client that answer. The client
+	// has the answer within a round trip.
+	lingerTime = 500 * time.Millisecond
 	// readBufferBytes holds a usual head and small body.
 	readBufferBytes = 2 << 10
 )
@@ -32,7 +36,9 @@
 	room    *sync.Cond
 	waiting []*exchange // in the order of arrival
 	writing bool
+	closing bool // no further request is taken
 	ended   bool // nothing more may be written
+	linger  *time.Timer
 }
 
 // exchange is one request that waits for its answer.
@@ -67,6 +73,7 @@
 		}
 		e := &exchange{last: last}
 		if !c.begin(e) {
+			c.awaitEnd()
 			return
 		}
 		if refused != nil {
@@ -108,14 +115,14 @@
 }
 
 // begin puts a request in line. It waits while too many are in line, and takes
-// none once the connection has ended.
+// none once the last answer of the connection is due.
 func (c *conn) begin(e *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.waiting) >= pipelineMax && !c.ended {
+	for len(c.waiting) >= pipelineMax && !c.closing {
 		c.room.Wait()
 	}
-	if c.ended {
+	if c.closing {
 		return false
 	}
 	c.waiting = append(c.waiting, e)
@@ -129,28 +136,55 @@
 	e.answer = a
 	for !c.writing && !c.ended && len(c.waiting) > 0 && c.waiting[0].answer != nil {
 		next := c.waiting[0]
+		// In a stop the answer to the last request in line closes the connection: one
+		// before it would cut off those behind, which may run already.
+		c.closing = c.closing || next.last || c.server.leaving.Load() && len(c.waiting) == 1
+		closes := c.closing && len(c.waiting) == 1
 		c.writing = true
 		c.mu.Unlock()
-		closes, err := c.write(next)
+		err := c.write(next, closes)
 		c.mu.Lock()
 		c.writing = false
 		if c.ended {
 			return // the client left meanwhile, and nobody is in line any more
 		}
 		c.waiting = c.waiting[1:]
-		if closes || err != nil {
+		switch {
+		case err != nil:
+			c.stop()
+		case closes:
 			c.ended = true
-			_ = c.raw.Close() // the client has what it gets
+			c.closeWrite()
 		}
 		c.room.Broadcast()
 	}
 }
 
-func (c *conn) write(e *exchange) (closes bool, err error) {
-	closes = e.last || c.server.leaving.Load()
+func (c *conn) write(e *exchange, closes bool) error {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
-	_, err = c.raw.Write(encode(e.answer, e.head, closes))
-	return closes, err
+	_, err := c.raw.Write(encode(e.answer, e.head, closes))
+	return err
+}
+
+// closeWrite ends the answers of a connection. The client ends the other way.
+func (c *conn) closeWrite() {
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		_ = c.raw.Close() // the client has what it gets
+		return
+	}
+	c.linger = time.AfterFunc(lingerTime, func() { _ = c.raw.Close() }) // it may be closed already
+}
+
+// leave takes no further request, and ends an idle connection.
+func (c *conn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	c.room.Broadcast()
+	if len(c.waiting) == 0 {
+		_ = c.raw.Close() // its loop ends and removes it
+	}
 }
 
 // outstanding returns the number of requests in line.
@@ -172,10 +206,19 @@
 	}
 }
 
+// end closes the connection at once.
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = true
+	c.stop()
+	if c.linger != nil {
+		c.linger.Stop()
+	}
+}
+
+// stop ends the connection, whatever is in line. The lock is held.
+func (c *conn) stop() {
+	c.closing, c.ended = true, true
 	c.waiting = nil
 	c.room.Broadcast()
 	_ = c.raw.Close() // may be closed already
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -225,6 +225,67 @@
 	c.closed()
 }
 
+// TestLeavingServerAnswersAllInLine plays pipelined requests that run when the stop
+// begins: none that was begun is cut off by the answer to one before it.
+func TestLeavingServerAnswersAllInLine(t *testing.T) {
+	release := make(chan struct{})
+	s, dial := serve(t, usualLimits(), func(ctx context.Context, r *message.Request) *message.Answer {
+		<-release
+		return echo(ctx, r)
+	})
+	c := dial()
+	c.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Eventually(t, func() bool { return s.Busy() == 3 }, time.Second, time.Millisecond)
+	s.Leave()
+	close(release)
+	for _, want := range []string{"/1", "/2", "/3"} {
+		r, body := c.receive()
+		require.Equal(t, "GET "+want+" ", body)
+		require.Equal(t, want == "/3", r.Close)
+	}
+	c.closed()
+}
+
+// TestClosedServerAnswersWhatItTook plays requests that were taken just before the
+// server closes.
+func TestClosedServerAnswersWhatItTook(t *testing.T) {
+	s, dial := serve(t, usualLimits(), func(ctx context.Context, r *message.Request) *message.Answer {
+		time.Sleep(20 * time.Millisecond)
+		return echo(ctx, r)
+	})
+	busy, idle := dial(), dial()
+	idle.send("GET /0 HTTP/1.1\r\nHost: h\r\n\r\n")
+	idle.receive()
+	busy.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Eventually(t, func() bool { return s.Busy() == 2 }, time.Second, time.Millisecond)
+	s.Close()
+	for _, want := range []string{"/1", "/2"} {
+		_, body := busy.receive()
+		require.Equal(t, "GET "+want+" ", body)
+	}
+	busy.closed()
+	idle.closed()
+}
+
+// TestAnswerOutlivesTheRequestBehindIt plays a client that sends a further request
+// while the last answer of its connection is written. Closing the connection with
+// those bytes unread would reset it, and the answer could be lost.
+func TestAnswerOutlivesTheRequestBehindIt(t *testing.T) {
+	s, dial := serve(t, usualLimits(), echo)
+	c := dial()
+	s.Leave()
+	c.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Eventually(t, func() bool { _, err := c.in.Peek(1); return err == nil }, time.Second, time.Millisecond)
+	for range 20 {
+		_, err := io.WriteString(c.conn, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err, "the server reads on")
+		time.Sleep(time.Millisecond)
+	}
+	_, body := c.receive()
+	require.Equal(t, "GET /1 ", body)
+	c.closed()
+}
+
 func TestExpectedContinueIsSent(t *testing.T) {
 	_, dial := serve(t, usualLimits(), echo)
 	c := dial()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -115,13 +115,29 @@
 	return busy
 }
 
-// Close closes every connection.
+// closeTimeout is the time in which requests that were just taken get their answer
+// when the server closes. It is what is left of a stop whose time is over.
+const closeTimeout = 100 * time.Millisecond
+
+// Close closes every connection, those with requests in line once these are
+// answered or closeTimeout has passed.
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
 	for c := range s.conns {
-		_ = c.raw.Close() // its loop ends and removes it
+		c.leave()
 	}
 	s.mu.Unlock()
+	late := time.AfterFunc(closeTimeout, s.cut)
+	defer late.Stop()
 	s.group.Wait()
 }
+
+// cut ends every connection at once.
+func (s *Server) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.raw.Close() // its loop ends and removes it
+	}
+}
