End a call, not the process, when the node's own code fails

Cause: a panic anywhere ended the process. News of another node with a configuration that lacks its catalogue would have caused one in each listener (nil pointer, seen by the seed corpus of FuzzTake before the check). Change: calls at the entrance and at the endpoint's node are guarded: event 1015 with cause and stack, an unknown fate for the caller, the slot given back. Background tasks start anew after a second. News are decoded and checked in one place. New fuzz targets for what clients send, what endpoints answer and what nodes tell. Ruled out: a guard around single decoders, since they return errors; what they let through is what fails later. Conclusion: the process goes on with a fault, and says so at level error.

--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -1,6 +1,9 @@
 package discovery
 
 import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
 	"github.com/galenacart/galenacart/decision/registry"
 	"github.com/galenacart/galenacart/decision/storeera"
 )
@@ -28,6 +31,18 @@
 	Gone []registry.Entry
 }
 
+// DecodeNews reads news as another node sent them.
+func DecodeNews(data []byte) (*News, error) {
+	n := &News{}
+	if err := cbor.Unmarshal(data, n); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	if c := n.Configuration; c != nil && (c.Catalogue == nil || len(c.Catalogue.Classes) == 0) {
+		return nil, errors.New("a configuration without classes")
+	}
+	return n, nil
+}
+
 // Listener receives the news of a board in order.
 type Listener struct {
 	// C holds the news. It is closed when the listener fell too far behind.
--- a/internal/discovery/news_test.go
+++ b/internal/discovery/news_test.go
@@ -120,3 +120,36 @@
 	require.False(t, open)
 	b.Unlisten(slow) // once more does no harm
 }
+
+// FuzzTake reads what a node may be told, and uses it.
+func FuzzTake(f *testing.F) {
+	b, _ := newBoard()
+	b.Configure(configurationOf(7, "s1"))
+	b.Put(entryOf("e1", "10.0.0.1:80", false))
+	b.Put(entryOf("e2", "10.0.0.2:80", false))
+	b.Remove("e2")
+	whole, l := b.Listen()
+	b.Unlisten(l)
+	for _, n := range []*News{whole, b.Beat(), {Configuration: &Configuration{Version: 9}}, {Removed: []string{"e1"}}} {
+		data, err := cbor.Marshal(n)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		n, err := DecodeNews(data)
+		if err != nil {
+			return
+		}
+		b, holder := newBoard()
+		b.Take(n)
+		index := holder.Load().Index
+		if index == nil {
+			return
+		}
+		if route := index.AtHost("a.example", "/x/y"); route != nil {
+			route.ServiceFor(0.5)
+			index.Rank(route.Class)
+		}
+		b.Share()
+	})
+}
--- a/internal/discovery/shared.go
+++ b/internal/discovery/shared.go
@@ -55,12 +55,9 @@
 }
 
 func decodeShared(state []byte) (*News, error) {
-	n := &News{}
-	if err := cbor.Unmarshal(state, n); err != nil {
-		return nil, errors.Wrap(err, "decode")
+	n, err := DecodeNews(state)
+	if err == nil && (!n.Whole || n.Configuration == nil) {
+		err = errors.New("no configuration")
 	}
-	if c := n.Configuration; !n.Whole || c == nil || c.Catalogue == nil || len(c.Catalogue.Classes) == 0 {
-		return nil, errors.New("no configuration")
-	}
-	return n, nil
+	return n, err
 }
--- a/internal/endpointlink/copies_test.go
+++ b/internal/endpointlink/copies_test.go
@@ -1,7 +1,11 @@
 package endpointlink
 
 import (
+	"bufio"
+	"context"
 	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -84,3 +88,33 @@
 	require.Equal(t, "bb", string(a.Body))
 	require.EqualValues(t, 2, e.connections.Load())
 }
+
+// FuzzAnswer reads what an endpoint may answer. Nothing but the request's own answer
+// with a seal passes for a success.
+func FuzzAnswer(f *testing.F) {
+	for _, text := range []string{
+		ofA, ofB + ofA, refusal, refusalOfA, misdirection, "\x00\x01\r\n\r\n", "HTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nSeal: s\r\nKeep-Alive: timeout=99999999999999999999, max=1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReader(far)) // any request gets these bytes
+			_, _ = far.Write(data)
+			_ = far.Close()
+		}()
+		p := New("", testHeaders())
+		p.dial = func(context.Context, string) (net.Conn, error) { return near, nil }
+		defer p.Close()
+		a, fate, err := p.Do(t.Context(), callOf("a"))
+		require.Equal(t, fate == Answered, err == nil)
+		require.Equal(t, fate == Answered, a != nil)
+		if a != nil && a.Status < 300 {
+			require.Equal(t, "a", a.Header.Get("Request-Id"))
+			require.NotEmpty(t, a.Header.Get("Seal"))
+		}
+	})
+}
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -34,6 +34,8 @@
 	OwnCallFailed Number = 1013
 	// EndpointBroken means that the local endpoint breaks off all calls.
 	EndpointBroken Number = 1014
+	// WorkPanicked means that the node's own code failed.
+	WorkPanicked Number = 1015
 )
 
 // trafficEvents holds the definitions numbered from 1000.
@@ -52,4 +54,5 @@
 	{Number: OwnCallRefused, Name: "own_call_refused", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint got an answer in place of the called endpoint's own. The fields kind, ran and detail say why. The request that the endpoint made it for has probably failed."},
 	{Number: OwnCallFailed, Name: "own_call_failed", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint was answered by a failure of the called endpoint, which has event 1011 under the same correlation. The request that the endpoint made it for has probably failed."},
 	{Number: EndpointBroken, Name: "endpoint_broken", Level: zerolog.WarnLevel, Exact: true, Meaning: "The local endpoint broke off three calls in a row, or can't be connected to. The node refuses calls for it but single ones, until one of these is answered (1010). The field error is that of the last call."},
+	{Number: WorkPanicked, Name: "work_panicked", Level: zerolog.ErrorLevel, Meaning: "The node's own code failed, which is a fault of the program: report it with the fields cause and stack. A call that it handled ends with an unknown fate; a background task starts anew after a second. The process goes on."},
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -311,3 +311,32 @@
 	_, body := c.receive()
 	require.Equal(t, "GET /y ", body)
 }
+
+// FuzzConnection reads what a client may send. The connection ends or answers; the
+// process goes on.
+func FuzzConnection(f *testing.F) {
+	for _, text := range []string{
+		"GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.0\r\n\r\n",
+		"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+		"POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+		"GET /x HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n", "\x00\r\n\r\n", "",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		c := newConn(New(Config{Limits: usualLimits, Handler: echo}), near)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			c.run()
+		}()
+		go func() {
+			_, _ = far.Write(data) // the server may hang up first
+			_ = far.Close()
+		}()
+		_, _ = io.Copy(io.Discard, far)
+		<-ended
+	})
+}
--- a/internal/mesh/entrance.go
+++ b/internal/mesh/entrance.go
@@ -69,10 +69,13 @@
 	reason   *problem.Error
 }
 
-func (e *entrance) serve(ctx context.Context, r *message.Request) *message.Answer {
+func (e *entrance) serve(ctx context.Context, r *message.Request) (a *message.Answer) {
 	v := e.config.View.Load()
 	p := &passage{entrance: e, view: v, request: r, id: r.Header.Get(e.config.Headers.RequestID), began: e.config.Now()}
-	a := p.run(ctx)
+	defer e.config.Log.Recover(p.id, func() {
+		a = p.refuse(problem.New(problem.KindInternal, problem.RanUnknown, "the node failed"))
+	})
+	a = p.run(ctx)
 	p.record(a)
 	return a
 }
--- /dev/null
+++ b/internal/mesh/recover_test.go
@@ -0,0 +1,54 @@
+package mesh
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/decision/stopping"
+	"github.com/galenacart/galenacart/internal/calllink"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/message"
+	"github.com/galenacart/galenacart/internal/metrics"
+	"github.com/galenacart/galenacart/internal/settings"
+	"github.com/galenacart/galenacart/internal/view"
+)
+
+// TestPanicEndsItsCallOnly plays code that fails while it handles a call: the process
+// lives, the fate is unknown, and the endpoint's slot is free again.
+func TestPanicEndsItsCallOnly(t *testing.T) {
+	lines := &bytes.Buffer{}
+	config := Config{
+		Settings: &settings.Mesh{Service: "stock", EndpointAddress: "127.0.0.1:1"}, View: &view.Holder{}, State: knownState{}, Metrics: metrics.NewSet(),
+		Log: event.NewLog(lines, "node", "vm", zerolog.InfoLevel), Now: func() time.Duration { return 0 },
+	}
+	m := New(config)
+	defer m.Close()
+
+	pool := m.server.pool
+	m.server.pool = nil // the code fails where it hands a call over
+	reply := m.server.handle(context.Background(), &calllink.Call{Service: "stock", Route: "r", RemainingMs: 1000, Method: "GET"})
+	require.Zero(t, reply.Status)
+	require.Equal(t, calllink.RefusedNot, reply.Refused, "it may have run")
+	require.Zero(t, m.server.busy())
+	require.Contains(t, lines.String(), "work_panicked")
+
+	lines.Reset()
+	m.entrance.stopped = func() stopping.Phase { panic("at the entrance") }
+	v := threeServices()
+	v.Index = catalogue.NewIndex(&catalogue.Catalogue{
+		Classes: []catalogue.Class{{Name: "0"}},
+		Routes:  []catalogue.Route{{Name: "r", Class: "0", Host: "a.example", Path: "/x/", Service: "stock"}},
+	})
+	m.config.View.Store(v)
+	a := m.Serve(context.Background(), &message.Request{Method: "GET", Target: "/x/", Host: "a.example", Header: http.Header{}})
+	require.Equal(t, http.StatusBadGateway, a.Status, "promises nothing")
+	require.Contains(t, lines.String(), "at the entrance")
+	m.server.pool = pool
+}
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -93,10 +93,11 @@
 
 // handle runs a call of this or another node. A call that must not run twice
 // goes on after its sender has given it up: it may be a booking that holds.
-func (s *endpointServer) handle(ctx context.Context, call *calllink.Call) *calllink.Reply {
+func (s *endpointServer) handle(ctx context.Context, call *calllink.Call) (reply *calllink.Reply) {
+	defer s.config.Log.Recover("", func() { reply = &calllink.Reply{Detail: "the endpoint's node failed"} })
 	started := s.config.Now()
 	inner := s.origins.take(call.Route, call.CallerService, s.config.View.Load())
-	reply := s.admit(ctx, call, inner)
+	reply = s.admit(ctx, call, inner)
 	s.config.Metrics.Call(metrics.RolePeer, s.config.Now()-started)
 	s.describe(call, inner, reply)
 	return reply
@@ -133,9 +134,10 @@
 		return refusal(calllink.RefusedFull, "the endpoint has no slot in time")
 	}
 	s.started(call.Route)
-	started := s.config.Now()
+	end := ended{route: call.Route, began: s.config.Now(), deadline: deadline}
+	defer func() { s.leave(end) }()
 	reply, whole := s.exchange(ctx, call, deadline)
-	s.leave(ended{route: call.Route, began: started, deadline: deadline, whole: whole, refused: reply.Refused == calllink.RefusedByEndpoint})
+	end.whole, end.refused = whole, reply.Refused == calllink.RefusedByEndpoint
 	return reply
 }
 
--- a/internal/meshnode/node.go
+++ b/internal/meshnode/node.go
@@ -233,7 +233,7 @@
 		n.feed.Run,
 	} {
 		group.Go(func() error {
-			work(background)
+			n.keep(background, work)
 			return nil
 		})
 	}
@@ -259,6 +259,20 @@
 	return err
 }
 
+// restartPause is the pause before a background task that failed starts anew. It is
+// within the time that others have to take over what the task did.
+const restartPause = time.Second
+
+// keep does background work until ctx ends, anew where it fails.
+func (n *Node) keep(ctx context.Context, work func(context.Context)) {
+	for ctx.Err() == nil {
+		func() {
+			defer n.log.Recover("", func() { wait.For(ctx, restartPause) })
+			work(ctx)
+		}()
+	}
+}
+
 // linesTimeout bounds the writing of the last events. It is short against the
 // rest of a stop's time once nothing is in flight.
 const linesTimeout = 200 * time.Millisecond
--- a/internal/newsfeed/listen.go
+++ b/internal/newsfeed/listen.go
@@ -64,8 +64,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "hear a reader")
 	}
-	n := &discovery.News{}
-	return n, errors.Wrap(cbor.Unmarshal(data, n), "decode news")
+	return discovery.DecodeNews(data)
 }
 
 // greet says what this node knows, and takes in everything that the reader knows.
