--- a/decision/pressure/gauge.go
+++ b/decision/pressure/gauge.go
@@ -44,6 +44,9 @@
 	// refusedFrom is the share from which on refusals count as pressure: fewer are
 	// repeated without much ado.
 	refusedFrom = 0.15
+	// refusedGain is the pressure of an endpoint that refuses everything, beyond
+	// one whose slots are all taken.
+	refusedGain = 2.0
 )
 
 // Refusals follows the share of its calls that an endpoint itself refuses. The
@@ -66,14 +69,13 @@
 	return r.share
 }
 
-// OfRefusals returns the pressure of a service whose endpoints all refuse at least a
-// share of their calls although they have free slots. A chain of calls through them
-// ends well only with repeats, so no more may be begun than the budget for these can
-// pay. use is the number of repeats that are wanted, as a share of those that may be
-// made. The most important of a number of classes is held once all are in use.
-func OfRefusals(share, use float64, ranks int) float64 {
+// OfRefusals returns the pressure of a service whose endpoints all refuse at
+// least a share of their calls although they have free slots. A chain of calls
+// through them rarely ends well, so few may be begun, and those are worth their
+// repeats.
+func OfRefusals(share float64) float64 {
 	if share < refusedFrom {
 		return 0
 	}
-	return use * Target(0, ranks)
+	return 1 + refusedGain*share
 }
--- a/decision/retry/window.go
+++ b/decision/retry/window.go
@@ -1,23 +1,9 @@
 package retry
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-const (
-	// windowParts is the number of parts that a window is counted in.
-	windowParts = 10
-	// paceShare is the share of what is left of a budget that refused calls may take in
-	// one part. A short trouble gets most of the budget, a long one never all of it at once.
-	paceShare = 0.2
-	// paceLeast is the number of attempts that no part goes under, so that a node with
-	// few calls can still answer a moment's trouble.
-	paceLeast = 3.0
-	// wantedParts is the time over which wanted attempts are averaged, in parts: a few
-	// calls of a usual chain.
-	wantedParts = 0.5
-)
+// windowParts is the number of parts that a window is counted in.
+const windowParts = 10
 
 // Window bounds the extra attempts towards one service to a share of its recent
 // calls and a fixed allowance, both of one node, in any window of time. Calls
@@ -28,9 +14,6 @@
 	calls [2 * windowParts]int
 	extra [windowParts]int
 	at    int64
-
-	wanted   float64 // mean number of attempts wanted after refusals in the time of a part
-	wantedAt time.Duration
 }
 
 // advance moves to the part of the window that now lies in. span is the length
@@ -51,60 +34,19 @@
 	w.calls[w.at%int64(len(w.calls))]++
 }
 
-// Budget bounds the extra attempts of one node towards a service.
-type Budget struct {
-	// Span is the length of the windows in which they are counted.
-	Span time.Duration
-	// Ratio is their share of the calls.
-	Ratio float64
-	// Allowance is a number of them beside that share.
-	Allowance float64
-}
-
-// Spend counts an extra attempt if every window that it lies in has room for it.
-func (w *Window) Spend(now time.Duration, b Budget) bool {
-	w.advance(now, b.Span)
-	if w.left(b) < 1 {
-		return false
-	}
-	w.extra[w.at%windowParts]++
-	return true
-}
-
-// SpendEvenly counts an extra attempt after a refusal if there is room for it, and if
-// enough of the budget is then left for the rest of a window. It answers endpoints that refuse
-// part of all calls for long. use is the number of attempts that were wanted of late, as
-// a share of those that may be made.
-func (w *Window) SpendEvenly(now time.Duration, b Budget) (granted bool, use float64) {
-	w.advance(now, b.Span)
-	w.want(now, b.Span)
-	left := w.left(b)
-	made := float64(w.extra[w.at%windowParts])
-	whole := b.Ratio*float64(w.most(w.at-windowParts+1)) + b.Allowance
-	share := max(whole/windowParts, paceShare*(left+made), paceLeast)
-	use = w.wanted / min(share, max(left+made, 1))
-	if left < 1 || made+1 > share {
-		return false, use
-	}
-	w.extra[w.at%windowParts]++
-	return true, use
-}
-
-// want counts a wanted attempt in the mean.
-func (w *Window) want(now, span time.Duration) {
-	kept := math.Exp(-float64(now-w.wantedAt) / (wantedParts * float64(span/windowParts)))
-	w.wanted = w.wanted*kept + 1/wantedParts
-	w.wantedAt = now
-}
-
-// left returns the extra attempts for which every window has room now.
-func (w *Window) left(b Budget) float64 {
-	left, extra := math.Inf(1), 0
+// Spend counts an extra attempt if every window that it lies in has room for it:
+// ratio of the calls and the allowance.
+func (w *Window) Spend(now, span time.Duration, ratio, allowance float64) bool {
+	w.advance(now, span)
+	extra := 0
 	for first := w.at; first > w.at-windowParts && first >= 0; first-- {
 		extra += w.extra[first%windowParts]
-		left = min(left, b.Ratio*float64(w.most(first))+b.Allowance-float64(extra))
+		if float64(extra+1) > ratio*float64(w.most(first))+allowance {
+			return false
+		}
 	}
-	return left
+	w.extra[w.at%windowParts]++
+	return true
 }
 
 // most returns the calls that count for the window which begins with a part.
--- a/decision/retry/window_test.go
+++ b/decision/retry/window_test.go
@@ -17,13 +17,13 @@
 	}
 	granted := 0
 	for range 100 {
-		if w.Spend(time.Second, Budget{span, 0.1, 2}) {
+		if w.Spend(time.Second, span, 0.1, 2) {
 			granted++
 		}
 	}
 	require.Equal(t, 12, granted)
-	require.False(t, w.Spend(span-1, Budget{span, 0.1, 2}))
-	require.True(t, w.Spend(2*span, Budget{span, 0.1, 2}), "the allowance is there again")
+	require.False(t, w.Spend(span-1, span, 0.1, 2))
+	require.True(t, w.Spend(2*span, span, 0.1, 2), "the allowance is there again")
 }
 
 // TestNoWindowOfTimeHoldsMore plays calls at uneven rates and holds the bound in
@@ -38,7 +38,7 @@
 			w.Call(now, span)
 			calls = append(calls, now)
 		}
-		if w.Spend(now, Budget{span, 0.1, 3}) {
+		if w.Spend(now, span, 0.1, 3) {
 			extra = append(extra, now)
 		}
 	}
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/message"
@@ -227,29 +226,17 @@
 	return p.affords(m, true)
 }
 
-// grant takes a repeat out of the budget. That after a refusal tells how much of the
-// budget refusals want.
-func (p *passage) grant(ran bool) bool {
-	e := p.entrance
-	fleet := e.config.Repeats()
-	nodes := float64(max(len(p.view.ByVM), 1))
-	b := retry.Budget{Span: fleet.Window, Ratio: fleet.Ratio * repeatShare, Allowance: fleet.Allowance * repeatShare / nodes}
-	if ran {
-		if e.pressures.deep(p.route.Name) {
-			b.Ratio, b.Allowance = fleet.Ratio*deepRatioShare, fleet.Allowance*deepAllowanceShare/nodes
-		}
-		return e.targets.mayRepeat(p.service, b)
-	}
-	granted, use := e.targets.mayRepeatRefused(p.service, b)
-	e.pressures.wanted(p.route.Name, use, len(p.view.Index.Catalogue().Classes))
-	return granted
-}
-
 // affords takes a repeat out of this node's part of the fleet's budget. ran says
 // that the attempt before may have run, and made calls.
 func (p *passage) affords(m *view.Member, ran bool) bool {
 	e := p.entrance
-	if granted := p.grant(ran); !granted {
+	fleet := e.config.Repeats()
+	nodes := float64(max(len(p.view.ByVM), 1))
+	ratio, allowance := fleet.Ratio*repeatShare, fleet.Allowance*repeatShare/nodes
+	if ran && e.pressures.deep(p.route.Name) {
+		ratio, allowance = fleet.Ratio*deepRatioShare, fleet.Allowance*deepAllowanceShare/nodes
+	}
+	if !e.targets.mayRepeat(p.service, fleet.Window, ratio, allowance) {
 		return false
 	}
 	e.config.Metrics.Retry()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -102,13 +102,9 @@
 	p.take("r", "vm-2", &calllink.Load{Pressure: 300})
 	require.InDelta(t, 0.3, p.pressure("r"), 1e-9, "there is another one to go to")
 	p.take("r", "vm-2", &calllink.Load{Pressure: 300, Refuses: 500})
-	require.InDelta(t, 0.3, p.pressure("r"), 1e-9, "repeats are not yet wanted")
-	p.wanted("r", 1, 3)
-	require.InDelta(t, pressure.Target(0, 3), p.pressure("r"), 1e-9, "all repeats are in use: the most important are held")
-	p.take("r", "vm-2", &calllink.Load{Pressure: 300})
-	require.InDelta(t, 0.3, p.pressure("r"), 1e-9, "there is another one to go to again")
+	require.InDelta(t, 2.0, p.pressure("r"), 1e-9)
 	p.take("r", "vm-2", &calllink.Load{Leaving: true})
-	require.InDelta(t, pressure.Target(0, 3), p.pressure("r"), 1e-9, "one that leaves tells nothing of the others")
+	require.Greater(t, p.pressure("r"), 2.0, "one that leaves tells nothing of the others")
 }
 
 // TestRequestsWithCallsAreRarelyRepeated holds that a repeat whose run makes
@@ -119,9 +115,9 @@
 	c.take("r", "stock-1", &calllink.Load{Pressure: 300})
 	require.InDelta(t, 0.3, c.pressure("r"), 1e-9)
 	c.absent("r")
-	require.InDelta(t, unreachablePressure, c.pressure("r"), 1e-9, "what was told before holds no more")
+	require.InDelta(t, pressure.OfRefusals(1), c.pressure("r"), 1e-9, "what was told before holds no more")
 	now += toldFor + decayTime
-	require.Less(t, c.pressure("r"), unreachablePressure/2, "it is tried again soon")
+	require.Less(t, c.pressure("r"), pressure.OfRefusals(1)/2, "it is tried again soon")
 	c.absent("r")
 	c.take("r", "stock-1", &calllink.Load{Pressure: 400})
 	require.InDelta(t, 0.4, c.pressure("r"), 1e-9, "it is back")
@@ -138,9 +134,7 @@
 			Metrics:  metrics.NewSet(),
 		}, func() stopping.Phase { return stopping.Lending })
 		e.pressures.take("r", "stock-1", &calllink.Load{Deep: deep})
-		v := threeServices()
-		v.Index = catalogue.NewIndex(&catalogue.Catalogue{Classes: []catalogue.Class{{Name: "0"}}})
-		p := &passage{entrance: e, view: v, route: &catalogue.Route{Name: "r", Idempotent: true}, service: "stock"}
+		p := &passage{entrance: e, view: threeServices(), route: &catalogue.Route{Name: "r", Idempotent: true}, service: "stock"}
 		for range 100 {
 			e.targets.first("stock", 10*time.Second)
 		}
@@ -150,7 +144,7 @@
 		return n
 	}
 	require.Equal(t, 2, granted(true, true))
-	require.Equal(t, 4, granted(true, false), "what was not run has made no calls, and is spread")
+	require.Equal(t, 21, granted(true, false), "what was not run has made no calls")
 	require.Equal(t, 21, granted(false, true))
 }
 
--- a/internal/mesh/pressures.go
+++ b/internal/mesh/pressures.go
@@ -32,17 +32,9 @@
 }
 
 type routePressure struct {
-	inner   bool
-	deep    bool
-	told    map[string]toldPressure // by VM
-	repeats usedRepeats
-}
-
-// usedRepeats is how much of the budget for repeats the refused calls of a route want.
-type usedRepeats struct {
-	use   float64 // share of what may be made
-	ranks int     // classes of the configuration
-	at    time.Duration
+	inner bool
+	deep  bool
+	told  map[string]toldPressure // by VM
 }
 
 type toldPressure struct {
@@ -73,21 +65,10 @@
 	}
 }
 
-// unreachablePressure is the pressure of a route whose endpoints can't be reached: far
-// beyond the target of every class.
-const unreachablePressure = 3.0
-
 // unreachable is the name under which a route tells that none of its endpoints can
 // be reached.
 const unreachable = ""
 
-// wanted takes in that a refused call of a route wants a repeat.
-func (t *chainPressures) wanted(route string, use float64, ranks int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.route(route).repeats = usedRepeats{use: use, ranks: ranks, at: t.now()}
-}
-
 // absent takes in that no endpoint of a route can be reached: it is as if all of
 // them refused everything.
 func (t *chainPressures) absent(route string) {
@@ -95,7 +76,7 @@
 	defer t.mu.Unlock()
 	r := t.route(route)
 	clear(r.told)
-	r.told[unreachable] = toldPressure{pressure: unreachablePressure, refuses: 1, at: t.now()}
+	r.told[unreachable] = toldPressure{refuses: 1, at: t.now()}
 }
 
 func (t *chainPressures) route(name string) *routePressure {
@@ -160,8 +141,7 @@
 	if weights == 0 {
 		return 0
 	}
-	repeats := pressure.OfRefusals(refuses, r.repeats.use*decay(now-r.repeats.at), r.repeats.ranks)
-	return max(sum/weights, repeats) * decay(newest)
+	return max(sum/weights, pressure.OfRefusals(refuses)) * decay(newest)
 }
 
 // decay returns what is left of a pressure of some age.
--- a/internal/mesh/targets.go
+++ b/internal/mesh/targets.go
@@ -210,17 +210,9 @@
 	t.budget(service).Call(t.now(), span)
 }
 
-// mayRepeat takes one repeat of a call that may have run out of a service's budget.
-func (t *targets) mayRepeat(service string, b retry.Budget) bool {
+// mayRepeat takes one repeat out of the budget of a service.
+func (t *targets) mayRepeat(service string, span time.Duration, ratio, allowance float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.budget(service).Spend(t.now(), b)
-}
-
-// mayRepeatRefused takes one repeat of a refused call out of a service's budget. use is
-// the share of the repeats there may be that refused calls want.
-func (t *targets) mayRepeatRefused(service string, b retry.Budget) (granted bool, use float64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.budget(service).SpendEvenly(t.now(), b)
+	return t.budget(service).Spend(t.now(), span, ratio, allowance)
 }
