Leave slow machines and endpoints that lose answers before many miss

Unequal machines counted as no fault up to 3.3 times the fastest, lateness from half of the time left on, and a lost answer as much as a refusal. Change: decision/placement counts the share of calls that are of no use at an endpoint: expected misses of the route's target time, told from its usual time, and answers that were lost or came too late. Each of the three new weights has a test that fails without it.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -1,8 +1,9 @@
 // Package placement picks the endpoint for a call by how full each one is. It
 // answers endpoints of unequal speed: the one that is faster is less full, so it
 // gets more. Its own availability zone is preferred while it has room, because
-// bytes between zones are dear and zones may be cut off. It also answers chains that
-// are slow in one zone: requests leave it before they miss their time.
+// bytes between zones are dear and zones may be cut off; what is large leaves it last.
+// It also answers machines and chains that are slow, and endpoints that lose answers, in
+// one zone: requests leave it before too many miss their time or are lost.
 package placement
 
 import (
@@ -14,28 +15,38 @@
 	// farPenalty is the share of its slots by which an endpoint of another zone
 	// has to be less full than one of the own zone.
 	farPenalty = 0.6
+	// farBytePenalty is what each byte of a call and its answer adds to farPenalty, up to
+	// farBytesMax of them, which doubles it: where something must cross, it is what is
+	// small.
+	farBytePenalty = 0.15 / 1024
+	farBytesMax    = 4 << 10
 	// fullFrom is the share of the slots, with the calls that wait, from which on
 	// the own zone is no longer preferred. Around 1 the wait for a slot is short,
 	// and a small endpoint is that full for moments at any usual load.
 	fullFrom = 1.15
-	// failPenalty is what an endpoint that fails every call counts as fuller.
+	// lostPenalty is what an endpoint counts as fuller that loses the answers of all its
+	// calls, or answers them too late: what ran there is of no use, and may not be
+	// repeated. One call in thirteen is worth leaving the zone (farPenalty).
+	lostPenalty = 8.0
+	// failPenalty is the same for one that fails or refuses all of them: such failures are
+	// often those of calls further down, which other endpoints meet as well.
 	failPenalty = 3.0
 	// slowFrom is how many times as long as the fastest an endpoint may take
 	// before it counts as fuller. Unequal machines are no fault: they differ by up
 	// to 2.4 times, and one that is nearly full takes another third.
 	slowFrom = 3.3
-	// lateFrom is the share of the time that is left for a call, from which on the
-	// usual time of an endpoint counts against it: times vary by a half and more, so
-	// some calls there miss their time.
-	lateFrom = 0.5
-	// latePenalty is what an endpoint counts as fuller that usually takes all of the
-	// time beyond lateFrom.
-	latePenalty = 2.0
+	// missSteepness tells the share of calls that miss their time from the usual one:
+	// exp(-missSteepness) of them where it is all of the time left. Times of calls
+	// spread about as a log-normal distribution of sigma 0.5 to 0.8.
+	missSteepness = 1.4
+	// missPenalty is what an endpoint counts as fuller at which every call is expected to
+	// miss its time: as much as if its answer were lost.
+	missPenalty = lostPenalty
 	// limitBefore is taken for the slots of an endpoint that has told none.
 	limitBefore = 16
-	// failWeight is the weight of one call in the share of failed ones.
+	// failWeight is the weight of one call in the penalty for failures.
 	failWeight = 1.0 / 16
-	// failHalf is the time in which half of the failed share is gone without calls:
+	// failHalf is the time in which half of that penalty is gone without calls:
 	// an endpoint that is avoided has no calls that show its recovery.
 	failHalf = 10 * time.Second
 	// asideBase and asideMax bound the time for which an endpoint that could not
@@ -58,13 +69,21 @@
 	State *State
 }
 
+// Call is a call for which an endpoint is picked.
+type Call struct {
+	// Left is the time in which its answer is due.
+	Left time.Duration
+	// Bytes is the size of the call and of its usual answer.
+	Bytes int
+}
+
 // State is what a node knows of one endpoint. It is not safe for concurrent use.
 type State struct {
-	busy     int // told with the last reply
-	limit    int // told with the last reply
-	open     int // own calls without a reply
-	openThen int // the same when the last reply came
-	failed   float64
+	busy     int           // told with the last reply
+	limit    int           // told with the last reply
+	open     int           // own calls without a reply
+	openThen int           // the same when the last reply came
+	failures float64       // mean penalty of the last calls
 	failedAt time.Duration // of the last call's end
 	misses   int
 	until    time.Duration // left out until then
@@ -75,22 +94,42 @@
 	s.open++
 }
 
-// End takes back a call. failed says that the endpoint broke it.
-func (s *State) End(now time.Duration, failed bool) {
-	s.open--
-	value := 0.0
-	if failed {
-		value = 1
+// End is how a call to an endpoint ended.
+type End uint8
+
+// The ends of a call.
+const (
+	// Fine means that the endpoint answered, or that it is not to blame.
+	Fine End = iota
+	// Failed means that the endpoint failed or refused the call.
+	Failed
+	// Lost means that it may have run the call and gave no whole answer.
+	Lost
+)
+
+func (e End) penalty() float64 {
+	switch e {
+	case Failed:
+		return failPenalty
+	case Lost:
+		return lostPenalty
+	default:
+		return 0
 	}
-	known := s.failedShare(now)
-	s.failed = known + (value-known)*failWeight
+}
+
+// End takes back a call.
+func (s *State) End(now time.Duration, end End) {
+	s.open--
+	known := s.penalty(now)
+	s.failures = known + (end.penalty()-known)*failWeight
 	s.failedAt = now
 }
 
-// failedShare returns the share of failed calls as far as it is still known.
-func (s *State) failedShare(now time.Duration) float64 {
+// penalty returns what failures count, as far as they are still known.
+func (s *State) penalty(now time.Duration) float64 {
 	age := max(now-s.failedAt, 0)
-	return s.failed * math.Exp2(-age.Seconds()/failHalf.Seconds())
+	return s.failures * math.Exp2(-age.Seconds()/failHalf.Seconds())
 }
 
 // Told takes in what a reply said of the endpoint.
@@ -141,14 +180,14 @@
 // Pick returns the index of the endpoint for a call with some time left, or -1.
 // random breaks ties. An endpoint that is left out is taken only when there is no
 // other.
-func Pick(now, left time.Duration, candidates []Candidate, random uint64) int {
-	if at := pick(now, left, candidates, random, false); at >= 0 {
+func Pick(now time.Duration, call Call, candidates []Candidate, random uint64) int {
+	if at := pick(now, call, candidates, random, false); at >= 0 {
 		return at
 	}
-	return pick(now, left, candidates, random, true)
+	return pick(now, call, candidates, random, true)
 }
 
-func pick(now, left time.Duration, candidates []Candidate, random uint64, aside bool) int {
+func pick(now time.Duration, call Call, candidates []Candidate, random uint64, aside bool) int {
 	best, bestScore := -1, 0.0
 	fastest := fastestOf(candidates)
 	for i := range candidates {
@@ -157,7 +196,7 @@
 		if c.Barred || !aside && c.State != nil && c.State.Aside(now) {
 			continue
 		}
-		if score := c.score(now, left, fastest); best < 0 || score < bestScore {
+		if score := c.score(now, call, fastest); best < 0 || score < bestScore {
 			best, bestScore = at, score
 		}
 	}
@@ -175,27 +214,26 @@
 	return fastest
 }
 
-func (c *Candidate) score(now, left, fastest time.Duration) float64 {
+func (c *Candidate) score(now time.Duration, call Call, fastest time.Duration) float64 {
 	score := c.load()
 	if slow := c.slowness(fastest); slow > 1 {
 		score *= slow * slow
 	} else if !c.Near && score < fullFrom {
-		score = min(score+farPenalty, fullFrom)
+		score = min(score+farPenalty+farBytePenalty*float64(min(call.Bytes, farBytesMax)), fullFrom)
 	}
 	if c.State != nil {
-		score += failPenalty * c.State.failedShare(now)
+		score += c.State.penalty(now)
 	}
-	return score + latePenalty*c.lateness(left)
+	return score + missPenalty*c.missShare(call.Left)
 }
 
-// lateness returns how much of the time left the endpoint usually takes beyond
-// what is safe, as a share: 1 for all of it.
-func (c *Candidate) lateness(left time.Duration) float64 {
-	if left <= 0 {
+// missShare returns the share of calls that would take more than the time left, as
+// far as the usual time tells.
+func (c *Candidate) missShare(left time.Duration) float64 {
+	if left <= 0 || c.Usual <= 0 {
 		return 0
 	}
-	taken := float64(c.Usual) / float64(left)
-	return min(max(taken-lateFrom, 0)/(1-lateFrom), 1)
+	return math.Exp(-missSteepness * float64(left) / float64(c.Usual))
 }
 
 // slowness returns how much slower the endpoint is than unequal machines are.
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -21,7 +21,7 @@
 	failing := told(0, 10)
 	for range 20 {
 		failing.Start()
-		failing.End(0, true)
+		failing.End(0, Failed)
 	}
 	tests := []struct {
 		desc       string
@@ -82,7 +82,7 @@
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			for random := range uint64(8) {
-				require.Equal(t, test.want, Pick(0, time.Second, test.candidates, random))
+				require.Equal(t, test.want, Pick(0, Call{Left: time.Second}, test.candidates, random))
 			}
 		})
 	}
@@ -94,7 +94,7 @@
 		first.Start()
 	}
 	candidates := []Candidate{{Near: true, State: first}, {Near: true, State: second}}
-	require.Equal(t, 1, Pick(0, time.Second, candidates, 0))
+	require.Equal(t, 1, Pick(0, Call{Left: time.Second}, candidates, 0))
 }
 
 func TestPauseGrowsAndEndsWithAReply(t *testing.T) {
@@ -128,7 +128,7 @@
 			kept := ends[i][:0]
 			for _, end := range ends[i] {
 				if end <= now {
-					states[i].End(now, false)
+					states[i].End(now, Fine)
 					states[i].Told(len(ends[i]), slots)
 					continue
 				}
@@ -141,7 +141,7 @@
 			for i := range candidates {
 				candidates[i] = Candidate{Near: true, State: states[i]}
 			}
-			at := Pick(now, time.Second, candidates, random.Uint64())
+			at := Pick(now, Call{Left: time.Second}, candidates, random.Uint64())
 			states[at].Start()
 			wait := time.Duration(max(len(ends[at])-slots, 0)) * work / slots
 			took := time.Duration(float64(work)*(0.5+random.Float64())/speeds[at]) + wait
@@ -173,10 +173,14 @@
 		sound.Told(4+random.IntN(3), 10)
 		broken.Told(4+random.IntN(3), 10)
 		states := []*State{sound, broken}
-		at := Pick(now, time.Second, []Candidate{{Near: true, State: sound}, {Near: true, State: broken}}, random.Uint64())
+		at := Pick(now, Call{Left: time.Second}, []Candidate{{Near: true, State: sound}, {Near: true, State: broken}}, random.Uint64())
 		states[at].Start()
 		fails := at == 1 && now >= brokenAt && now < soundAt
-		states[at].End(now, fails)
+		end := Fine
+		if fails {
+			end = Failed
+		}
+		states[at].End(now, end)
 		switch {
 		case now >= brokenAt && now < soundAt:
 			calls++
@@ -210,7 +214,7 @@
 			{Near: true, Usual: usual[0], State: told(10, 80)},
 			{Usual: usual[1], State: told(20, 80)},
 		}
-		at := Pick(0, timeout, candidates, random.Uint64())
+		at := Pick(0, Call{Left: timeout}, candidates, random.Uint64())
 		took := float64(usual[at]) * math.Exp(spread*random.NormFloat64()-spread*spread/2)
 		if time.Duration(took) <= timeout {
 			whole++
@@ -219,6 +223,85 @@
 	require.GreaterOrEqual(t, float64(whole), inTime*calls, "%d of %d in time", whole, calls)
 }
 
+// TestSlowMachinesMissLess plays requests of a zone with one slow machine, at a load that
+// the fast one of the next zone could take as well. Their times spread as those of views do:
+// on the slow machine one in twelve takes longer than its route allows.
+func TestSlowMachinesMissLess(t *testing.T) {
+	const (
+		calls   = 20000
+		gap     = 100 * time.Millisecond
+		timeout = 1200 * time.Millisecond
+		mean    = 220 * time.Millisecond // of the work, on a machine of speed 1
+		below   = 200 * time.Millisecond // of the calls that the work makes
+		spread  = 0.8
+		slow    = 0.55
+		fast    = 1.2
+		inTime  = 0.98 // of the requests; the fast machine answers 0.988 in time
+	)
+	random := rand.New(rand.NewPCG(3, 1))
+	took := func(speed float64) time.Duration {
+		return below + time.Duration(float64(mean)/speed*math.Exp(spread*random.NormFloat64()-spread*spread/2))
+	}
+	speeds := []float64{slow, fast}
+	states := []*State{{}, {}}
+	whole := 0
+	for i := range calls {
+		now := time.Duration(i) * gap
+		states[0].Told(10, 58)
+		states[1].Told(5, 58)
+		at := Pick(now, Call{Left: timeout}, []Candidate{
+			{Near: true, Usual: below + mean*100/55, State: states[0]},
+			{Usual: below + mean*100/120, State: states[1]},
+		}, random.Uint64())
+		end := Lost
+		if took(speeds[at]) <= timeout {
+			end = Fine
+			whole++
+		}
+		states[at].Start()
+		states[at].End(now, end)
+	}
+	require.GreaterOrEqual(t, float64(whole), inTime*calls, "%d of %d in time", whole, calls)
+}
+
+// TestEndpointThatLosesAnswersGetsFewCalls plays an endpoint of the own zone that runs
+// calls and loses the answers of a third of them, beside a sound one of another zone. What
+// it lost may not be repeated, so callers of bookings get no answer.
+func TestEndpointThatLosesAnswersGetsFewCalls(t *testing.T) {
+	const (
+		gap     = 100 * time.Millisecond // between two calls of one node
+		length  = 10 * time.Second
+		share   = 0.33
+		lostMax = 0.06 // of the calls
+	)
+	lost, calls := 0, 0
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		losing, sound := told(2, 10), told(2, 10)
+		states := []*State{losing, sound}
+		for now := time.Duration(0); now < length; now += gap {
+			at := Pick(now, Call{Left: time.Second}, []Candidate{{Near: true, State: losing}, {State: sound}}, random.Uint64())
+			end := Fine
+			if at == 0 && random.Float64() < share {
+				end = Lost
+				lost++
+			}
+			calls++
+			states[at].Start()
+			states[at].End(now, end)
+		}
+	}
+	require.LessOrEqual(t, float64(lost), lostMax*float64(calls), "%d of %d", lost, calls)
+}
+
+func TestWhatIsSmallCrossesFirst(t *testing.T) {
+	candidates := []Candidate{{Near: true, State: told(8, 10)}, {State: told(1, 10)}}
+	require.Equal(t, 1, Pick(0, Call{Left: time.Second, Bytes: 300}, candidates, 0), "a view")
+	require.Equal(t, 0, Pick(0, Call{Left: time.Second, Bytes: 4 << 10}, candidates, 0), "a form")
+	candidates[0].State.Told(14, 10)
+	require.Equal(t, 1, Pick(0, Call{Left: time.Second, Bytes: 1 << 20}, candidates, 0), "anything, rather than a long wait")
+}
+
 // TestFluctuationsStayInTheZone plays calls at two zones with one endpoint each,
 // whose slots are used for three quarters on average. Each zone has room for its
 // own calls; what crosses does so for the chance of a moment, in both directions.
@@ -243,7 +326,7 @@
 			for left := rate * step.Seconds(); left > random.Float64(); left-- {
 				candidates := []Candidate{{State: zones[0].seenFrom[home]}, {State: zones[1].seenFrom[home]}}
 				candidates[home].Near = true
-				at := Pick(now, time.Second, candidates, random.Uint64())
+				at := Pick(now, Call{Left: time.Second}, candidates, random.Uint64())
 				took := time.Duration(float64(work) * (0.5 + random.Float64()))
 				wait := zones[at].start(now, took, home)
 				calls++
@@ -300,7 +383,7 @@
 			continue
 		}
 		z.open = append(z.open[:i], z.open[i+1:]...)
-		z.seenFrom[one.from].End(now, false)
+		z.seenFrom[one.from].End(now, Fine)
 		z.seenFrom[one.from].Told(len(z.open), len(z.free))
 	}
 }
--- a/internal/catalogue/index.go
+++ b/internal/catalogue/index.go
@@ -130,6 +130,14 @@
 	return time.Duration(r.Limits.TimeoutMs) * time.Millisecond
 }
 
+// Target returns the time within which an answer is worth most.
+func (r *Route) Target() time.Duration {
+	if r.Limits.TargetMs == 0 {
+		return r.Timeout()
+	}
+	return min(time.Duration(r.Limits.TargetMs)*time.Millisecond, r.Timeout())
+}
+
 // BodyLimit returns the largest request body, in bytes.
 func (r *Route) BodyLimit() int64 {
 	if r.Limits.BodyBytes == 0 {
--- a/internal/catalogue/types.go
+++ b/internal/catalogue/types.go
@@ -104,6 +104,10 @@
 type RouteLimits struct {
 	// TimeoutMs is the time for the whole answer, in milliseconds.
 	TimeoutMs int `json:"timeoutMs" validate:"gte=1,lte=600000"`
+	// TargetMs is the time within which an answer is worth most, in milliseconds. On
+	// the platform, endpoints that usually keep it are preferred. 0 stands for
+	// timeoutMs.
+	TargetMs int `json:"targetMs,omitempty" validate:"gte=0,lte=600000"`
 	// BodyBytes is the largest request body, in bytes. 0 stands for 1 MiB.
 	BodyBytes int64 `json:"bodyBytes,omitempty" validate:"gte=0,lte=67108864"`
 }
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/galenacart/galenacart/decision/placement"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/message"
@@ -38,10 +39,10 @@
 	defer cancel()
 	e.targets.first(p.service, e.config.Repeats().Window)
 	for range refusalsMax {
-		member := e.targets.pick(p.view.ByService[p.service], p.route.Name, p.left(), p.tried)
+		member := e.targets.pick(p.view.ByService[p.service], p.route.Name, p.call(), p.tried)
 		if member == nil && p.turned {
 			p.tried, p.turned = p.tried[:0], false // what was refused once may be taken now
-			member = e.targets.pick(p.view.ByService[p.service], p.route.Name, p.left(), nil)
+			member = e.targets.pick(p.view.ByService[p.service], p.route.Name, p.call(), nil)
 		}
 		if member == nil {
 			break
@@ -57,9 +58,19 @@
 	return p.giveUp(ctx)
 }
 
-// left returns the time in which the answer is due.
-func (p *passage) left() time.Duration {
-	return p.deadline - p.entrance.config.Now()
+// due returns the time in which the answer is worth most, or what is left at all once
+// that has passed.
+func (p *passage) due() time.Duration {
+	now := p.entrance.config.Now()
+	if target := p.began + p.route.Target(); now < target {
+		return min(target, p.deadline) - now
+	}
+	return p.deadline - now
+}
+
+// call describes the request for the choice of an endpoint.
+func (p *passage) call() placement.Call {
+	return placement.Call{Left: p.due(), Bytes: len(p.request.Body)}
 }
 
 // giveUp answers a request that no endpoint answered.
@@ -98,8 +109,7 @@
 	e.pressures.take(p.route.Name, m.VM, &reply.Load)
 	a = p.answerOf(reply)
 	p.answered = p.answered || a != nil
-	bad := a == nil || a.Status >= http.StatusInternalServerError
-	e.targets.done(m, p.route.Name, outcome{load: &reply.Load, failed: bad})
+	e.targets.done(m, p.route.Name, outcome{load: &reply.Load, end: endOf(a), bytes: len(reply.Body)})
 	p.ran = true
 	p.sent++
 	if a == nil {
@@ -113,6 +123,18 @@
 	return a, false
 }
 
+// endOf returns how a call that was run ended, by its answer.
+func endOf(a *message.Answer) placement.End {
+	switch {
+	case a == nil, a.Status == http.StatusGatewayTimeout:
+		return placement.Lost
+	case a.Status >= http.StatusInternalServerError:
+		return placement.Failed
+	default:
+		return placement.Fine
+	}
+}
+
 // outcomeOf returns the outcome of a call for metrics.
 func outcomeOf(reply *calllink.Reply, err error) metrics.Outcome {
 	switch {
@@ -164,7 +186,11 @@
 func (p *passage) broken(ctx context.Context, m *view.Member, err error) bool {
 	unsent := errors.Is(err, calllink.ErrUnsent)
 	gone := ctx.Err() != nil && !unsent
-	p.entrance.targets.done(m, p.route.Name, outcome{failed: !gone && !unsent})
+	o := outcome{}
+	if !gone && !unsent {
+		o.end = placement.Lost
+	}
+	p.entrance.targets.done(m, p.route.Name, o)
 	if unsent {
 		p.unserved(problem.KindUnreachable, "VM "+m.VM+" can't be reached")
 		return true
@@ -180,7 +206,9 @@
 func (p *passage) refused(m *view.Member, reply *calllink.Reply) bool {
 	o := outcome{load: &reply.Load, unreachable: reply.Refused == calllink.RefusedUnreachable}
 	broken := reply.Refused == calllink.RefusedBroken
-	o.failed = reply.Refused == calllink.RefusedByEndpoint || o.unreachable || broken
+	if reply.Refused == calllink.RefusedByEndpoint || o.unreachable || broken {
+		o.end = placement.Failed
+	}
 	p.entrance.targets.done(m, p.route.Name, o)
 	if !o.unreachable && !broken {
 		p.entrance.pressures.take(p.route.Name, m.VM, &reply.Load)
--- a/internal/mesh/targets.go
+++ b/internal/mesh/targets.go
@@ -26,6 +26,7 @@
 	zones      map[string]*zoneWays
 	candidates []placement.Candidate
 	budgets    map[string]*retry.Window
+	answers    map[string]int // usual bytes of an answer, by route
 }
 
 // leaverPause is the time after which an endpoint that said it leaves is asked
@@ -67,12 +68,13 @@
 		links:   make(map[string]*way),
 		zones:   make(map[string]*zoneWays),
 		budgets: make(map[string]*retry.Window),
+		answers: make(map[string]int),
 	}
 }
 
 // pick chooses the endpoint for a call and counts the call. tried holds the runs
 // of endpoints that had it before.
-func (t *targets) pick(members []*view.Member, route string, left time.Duration, tried []string) *view.Member {
+func (t *targets) pick(members []*view.Member, route string, call placement.Call, tried []string) *view.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.candidates = t.candidates[:0]
@@ -88,7 +90,8 @@
 		}
 		t.candidates = append(t.candidates, c)
 	}
-	at := placement.Pick(t.now(), left, t.candidates, rand.Uint64())
+	call.Bytes += t.answers[route]
+	at := placement.Pick(t.now(), call, t.candidates, rand.Uint64())
 	if at < 0 {
 		return nil
 	}
@@ -112,8 +115,9 @@
 // outcome is what a call told of its endpoint.
 type outcome struct {
 	load        *calllink.Load // nil without a reply
-	failed      bool           // the endpoint broke the call
-	unreachable bool           // no call gets there
+	end         placement.End
+	unreachable bool // no call gets there
+	bytes       int  // of the answer, if there is one
 }
 
 // done takes a call back and learns from its end.
@@ -121,10 +125,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(m.Endpoint)
-	s.load.End(t.now(), o.failed)
+	s.load.End(t.now(), o.end)
 	if o.unreachable {
 		s.load.Missed(t.now())
 	}
+	if o.bytes > 0 {
+		t.answers[route] += (o.bytes - t.answers[route]) / 16
+	}
 	if o.load == nil {
 		return
 	}
