Add galenacart-ctl losses: lost requests by time, route and cause

Change: the command counts refused and failed requests of clients in captured output by step of time, route, how they ended and the failed call furthest down the chain, as a table and a plot. The search for causes looks up events by request and VM instead of reading all of them again. Refusals name their route. Ruled out: metrics, which do not tie a failure to the call further down that caused it.

--- a/cmd/galenacart-ctl/ctl_test.go
+++ b/cmd/galenacart-ctl/ctl_test.go
@@ -76,6 +76,8 @@
 	changed := file(t, "d.json", strings.Replace(catalogueText, `"slots": 10`, `"slots": 12`, 1))
 	warned := file(t, "w.json", strings.Replace(catalogueText, `"connections": 200`, `"connections": 2`, 1))
 	bad := file(t, "b.json", strings.Replace(catalogueText, `"slots": 10`, `"slots": -1, "spots": 2`, 1))
+	captured := file(t, "nodes.log", `{"level":"info","process":"node","vm":"vm-1","time":"2026-01-01T00:00:01.7Z","clock":9,"event":1001,"name":"call_refused","correlation":"r1","route":"view","kind":"overloaded","ran":"no"}`+"\n")
+	plot := filepath.Join(t.TempDir(), "losses.svg")
 	tests := []struct {
 		desc           string
 		args           []string
@@ -105,6 +107,11 @@
 		{"no log", []string{"timeline"}, 2, "", "want at least one LOG"},
 		{"no event", []string{"timeline", good}, 1, "", "no event found"},
 		{"no correlation", []string{"why"}, 2, "", "want a CORRELATION"},
+		{"losses", []string{"losses", "-plot", plot, captured}, 0, "overloaded, ran: no", ""},
+		{"losses without a file", []string{"losses"}, 2, "", "want one CAPTURED file"},
+		{"losses in steps that go back", []string{"losses", "-step", "-1s", captured}, 2, "", "a step that is not negative"},
+		{"losses of a file without events", []string{"losses", good}, 1, "", "no event found"},
+		{"losses as an unknown picture", []string{"losses", "-plot", plot + ".gif", captured}, 1, "", "want .svg or .png"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
--- /dev/null
+++ b/cmd/galenacart-ctl/losses.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/load/chart"
+	"github.com/galenacart/galenacart/internal/timeline"
+)
+
+const (
+	// defaultLossStep is the time of one group of the table.
+	defaultLossStep = 2 * time.Second
+	// defaultLossRows bounds the rows of each group.
+	defaultLossRows = 5
+)
+
+// lossesCommand tells where requests were lost.
+type lossesCommand struct {
+	terminal
+	step time.Duration
+	rows int
+	plot string
+}
+
+func (*lossesCommand) Name() string     { return "losses" }
+func (*lossesCommand) Synopsis() string { return "group lost requests by time, route and cause" }
+func (*lossesCommand) Usage() string {
+	return `galenacart-ctl losses [-step TIME] [-rows N] [-plot FILE] CAPTURED
+Reads the captured output of all nodes and counts the requests of clients that were
+refused or failed: by time, route, reason and the failed call furthest down the
+chain. Nodes bound the events that they write; 3006 tells of those held back.
+Exit codes: 0 done, also without a loss, 1 failed or no event found, 2 bad usage.
+`
+}
+
+func (c *lossesCommand) SetFlags(f *flag.FlagSet) {
+	f.DurationVar(&c.step, "step", defaultLossStep, "`time` of one group; 0 takes all together")
+	f.IntVar(&c.rows, "rows", defaultLossRows, "`number` of rows of each group, the largest")
+	f.StringVar(&c.plot, "plot", "", "draw losses over time into a .svg or .png `file`")
+}
+
+// Execute reads the events and prints the table.
+func (c *lossesCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 || c.step < 0 || c.rows < 1 || c.plot != "" && c.step == 0 {
+		return c.misuse("losses: want one CAPTURED file, a step that is not negative, at least one row, and a step for a plot")
+	}
+	l, err := timeline.ReadFile(f.Arg(0))
+	if err != nil {
+		return c.fail(err)
+	}
+	events := timeline.Merge(l)
+	if len(events) == 0 {
+		return c.fail(errors.New("no event found"))
+	}
+	losses := timeline.LossesOf(events, c.step)
+	if err := timeline.WriteLosses(c.out, losses, c.rows); err != nil {
+		return c.fail(err)
+	}
+	if c.plot == "" {
+		return subcommands.ExitSuccess
+	}
+	err = writeFile(c.plot, func(w io.Writer) error {
+		return chart.WriteLosses(w, c.plot, c.step, losses)
+	})
+	if err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/galenacart-ctl/main.go
+++ b/cmd/galenacart-ctl/main.go
@@ -33,6 +33,7 @@
 	c.Register(&statusCommand{terminal: t}, "nodes")
 	c.Register(&whyCommand{terminal: t}, "nodes")
 	c.Register(&timelineCommand{terminal: t}, "nodes")
+	c.Register(&lossesCommand{terminal: t}, "nodes")
 }
 
 // terminal is where a command writes.
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -40,7 +40,7 @@
 
 // trafficEvents holds the definitions numbered from 1000.
 var trafficEvents = []Definition{
-	{Number: CallRefused, Name: "call_refused", Level: zerolog.InfoLevel, Meaning: "A caller got an answer in place of the endpoint's own. The fields kind, ran and detail say why."},
+	{Number: CallRefused, Name: "call_refused", Level: zerolog.InfoLevel, Meaning: "A caller got an answer in place of the endpoint's own. The fields route, kind, ran and detail say why."},
 	{Number: CallRetried, Name: "call_retried", Level: zerolog.DebugLevel, Meaning: "A failed attempt is followed by another one at another endpoint."},
 	{Number: EndpointCrashed, Name: "endpoint_crashed", Level: zerolog.WarnLevel, Meaning: "The local endpoint broke down while it ran the request with this fingerprint. Look at the endpoint's own log."},
 	{Number: ConnectionSilent, Name: "connection_silent", Level: zerolog.WarnLevel, Meaning: "A connection to another node, or to the local endpoint, showed no progress; it and its idle kin were dropped."},
@@ -51,7 +51,7 @@
 	{Number: EndpointBack, Name: "endpoint_back", Level: zerolog.InfoLevel, Exact: true, Meaning: "The local endpoint answers again."},
 	{Number: StrangerRefused, Name: "stranger_refused", Level: zerolog.WarnLevel, Meaning: "The peer address got a call without the proof of the fleet key. Check fleetKey in the settings of all nodes."},
 	{Number: EndpointFailed, Name: "endpoint_failed", Level: zerolog.InfoLevel, Meaning: "The local endpoint answered a call with a failure of its own after the time in the field took. If calls that it made failed meanwhile (1012 and 1013 at the same VM), they are the likely cause."},
-	{Number: OwnCallRefused, Name: "own_call_refused", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint got an answer in place of the called endpoint's own. The fields kind, ran and detail say why. The request that the endpoint made it for has probably failed."},
+	{Number: OwnCallRefused, Name: "own_call_refused", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint got an answer in place of the called endpoint's own. The fields route, kind, ran and detail say why. The request that the endpoint made it for has probably failed."},
 	{Number: OwnCallFailed, Name: "own_call_failed", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint was answered by a failure of the called endpoint, which has event 1011 under the same correlation. The request that the endpoint made it for has probably failed."},
 	{Number: EndpointBroken, Name: "endpoint_broken", Level: zerolog.WarnLevel, Exact: true, Meaning: "The local endpoint broke off three calls in a row, or can't be connected to. The node refuses calls for it but single ones, until one of these is answered (1010). The field error is that of the last call."},
 	{Number: WorkPanicked, Name: "work_panicked", Level: zerolog.ErrorLevel, Meaning: "The node's own code failed, which is a fault of the program: report it with the fields cause and stack. A call that it handled ends with an unknown fate; a background task starts anew after a second. The process goes on."},
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -324,7 +324,7 @@
 	} {
 		f.Add([]byte(text))
 	}
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		near, far := net.Pipe()
 		c := newConn(New(Config{Limits: usualLimits, Handler: echo}), near)
 		ended := make(chan struct{})
--- a/internal/load/chart/chart.go
+++ b/internal/load/chart/chart.go
@@ -2,6 +2,7 @@
 package chart
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 
@@ -49,16 +50,16 @@
 	return errors.Wrap(f.Close(), "write chart")
 }
 
-func write(f *os.File, extension string, goodput, latency *plot.Plot) error {
+func write(f io.Writer, extension string, plots ...*plot.Plot) error {
 	switch extension {
 	case ".svg":
 		c := vgsvg.New(width, height)
-		tile(draw.New(c), goodput, latency)
+		tile(draw.New(c), plots)
 		_, err := c.WriteTo(f)
 		return err
 	case ".png":
 		c := vgimg.New(width, height)
-		tile(draw.New(c), goodput, latency)
+		tile(draw.New(c), plots)
 		_, err := vgimg.PngCanvas{Canvas: c}.WriteTo(f)
 		return err
 	default:
@@ -66,15 +67,20 @@
 	}
 }
 
-// tile draws two plots, one above the other, on a common time axis.
-func tile(c draw.Canvas, top, bottom *plot.Plot) {
+// tile draws plots one below the other, on a common time axis.
+func tile(c draw.Canvas, plots []*plot.Plot) {
 	tiles := draw.Tiles{
-		Rows: 2, Cols: 1,
+		Rows: len(plots), Cols: 1,
 		PadTop: margin, PadBottom: margin, PadLeft: margin, PadRight: margin, PadY: margin,
 	}
-	canvases := plot.Align([][]*plot.Plot{{top}, {bottom}}, tiles, c)
-	top.Draw(canvases[0][0])
-	bottom.Draw(canvases[1][0])
+	rows := make([][]*plot.Plot, len(plots))
+	for i, p := range plots {
+		rows[i] = []*plot.Plot{p}
+	}
+	canvases := plot.Align(rows, tiles, c)
+	for i, p := range plots {
+		p.Draw(canvases[i][0])
+	}
 }
 
 func newGoodput(reports []*report.Report) (*plot.Plot, error) {
--- /dev/null
+++ b/internal/load/chart/losses.go
@@ -0,0 +1,42 @@
+package chart
+
+import (
+	"io"
+	"maps"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+
+	"github.com/galenacart/galenacart/internal/timeline"
+)
+
+// WriteLosses draws losses over time, a line for each reason, as the extension of a
+// file's name says. step is the time of one group.
+func WriteLosses(w io.Writer, file string, step time.Duration, losses []timeline.Loss) error {
+	byReason := make(map[string]map[time.Duration]int)
+	last := time.Duration(0)
+	for _, l := range losses {
+		if byReason[l.Reason] == nil {
+			byReason[l.Reason] = make(map[time.Duration]int)
+		}
+		byReason[l.Reason][l.After] += l.Count
+		last = max(last, l.After)
+	}
+	p := newPlot("Requests lost", "requests/s")
+	var named []any // names and points in turn
+	for _, reason := range slices.Sorted(maps.Keys(byReason)) {
+		var points plotter.XYs
+		for after := time.Duration(0); after <= last; after += step {
+			points = append(points, plotter.XY{X: after.Seconds(), Y: float64(byReason[reason][after]) / step.Seconds()})
+		}
+		named = append(named, reason, points)
+	}
+	if err := plotutil.AddLines(p, named...); err != nil {
+		return errors.Wrap(err, "draw lines")
+	}
+	return write(w, filepath.Ext(file), p)
+}
--- a/internal/mesh/entrance.go
+++ b/internal/mesh/entrance.go
@@ -161,11 +161,14 @@
 func (p *passage) refuse(why *problem.Error) *message.Answer {
 	e := p.entrance
 	e.config.Metrics.Refusal(why.Kind)
-	number := event.CallRefused
-	if p.route != nil && e.pressures.inner(p.route.Name) {
-		number = event.OwnCallRefused
-	}
-	e.config.Log.Emit(number, p.id, event.F("kind", why.Kind.String()),
+	number, route := event.CallRefused, ""
+	if p.route != nil {
+		route = p.route.Name
+		if e.pressures.inner(route) {
+			number = event.OwnCallRefused
+		}
+	}
+	e.config.Log.Emit(number, p.id, event.F("route", route), event.F("kind", why.Kind.String()),
 		event.F("ran", why.Ran.String()), event.F("detail", why.Detail), event.F("service", p.service))
 	a := message.Failed(p.status(why), why.Detail)
 	if p.id != "" {
--- a/internal/timeline/why.go
+++ b/internal/timeline/why.go
@@ -34,18 +34,32 @@
 
 // WhyOf returns what events tell about the request with an ID.
 func WhyOf(events []Event, id string) *Why {
-	return whyOf(events, id, depthMax)
+	return newIndex(events).whyOf(id, depthMax)
 }
 
-func whyOf(events []Event, id string, depth int) *Why {
-	w := &Why{}
+// index finds events by their request, and failed calls by the VM that made them.
+type index struct {
+	requests map[string][]Event
+	failed   map[string][]Event
+}
+
+func newIndex(events []Event) *index {
+	x := &index{requests: make(map[string][]Event), failed: make(map[string][]Event)}
 	for _, e := range events {
-		if e.Correlation != id {
-			continue
+		x.requests[e.Correlation] = append(x.requests[e.Correlation], e)
+		if e.Number == event.OwnCallRefused || e.Number == event.OwnCallFailed {
+			x.failed[e.VM] = append(x.failed[e.VM], e)
 		}
+	}
+	return x
+}
+
+func (x *index) whyOf(id string, depth int) *Why {
+	w := &Why{}
+	for _, e := range x.requests[id] {
 		w.Events = append(w.Events, e)
 		if e.Number == event.EndpointFailed {
-			causes := failedMeanwhile(events, &e)
+			causes := x.failedMeanwhile(&e)
 			w.Causes = append(w.Causes, causes...)
 			w.Own = len(causes) == 0
 		}
@@ -53,7 +67,7 @@
 	if len(w.Causes) == 0 || depth == 0 {
 		return w
 	}
-	if below := whyOf(events, w.Causes[len(w.Causes)-1].Correlation, depth-1); len(below.Causes) > 0 || below.Own {
+	if below := x.whyOf(w.Causes[len(w.Causes)-1].Correlation, depth-1); len(below.Causes) > 0 || below.Own {
 		w.Below = below
 	}
 	return w
@@ -61,15 +75,14 @@
 
 // failedMeanwhile returns the calls of a VM's endpoint that failed while it ran
 // the request of a failed run, the newest last.
-func failedMeanwhile(events []Event, run *Event) []Event {
+func (x *index) failedMeanwhile(run *Event) []Event {
 	took, err := time.ParseDuration(run.field("took"))
 	if err != nil {
 		return nil
 	}
 	var causes []Event
-	for _, e := range events {
-		failed := e.Number == event.OwnCallRefused || e.Number == event.OwnCallFailed
-		if !failed || e.VM != run.VM || e.Correlation == run.Correlation {
+	for _, e := range x.failed[run.VM] {
+		if e.Correlation == run.Correlation {
 			continue
 		}
 		if !e.Time.Before(run.Time.Add(-took)) && !e.Time.After(run.Time) {
@@ -88,6 +101,17 @@
 	return ""
 }
 
+// deepest returns the event that is most likely at the bottom of it all, or nil.
+func (w *Why) deepest() *Event {
+	for w.Below != nil && (len(w.Below.Causes) > 0 || w.Below.Own) {
+		w = w.Below
+	}
+	if len(w.Causes) == 0 {
+		return nil
+	}
+	return &w.Causes[len(w.Causes)-1]
+}
+
 // Empty reports whether nothing is known.
 func (w *Why) Empty() bool {
 	return len(w.Events) == 0
