--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -147,11 +147,9 @@
 
 // exchange hands a call to the endpoint. whole says that it ran to its end.
 func (s *endpointServer) exchange(ctx context.Context, call *calllink.Call, deadline time.Duration) (reply *calllink.Reply, whole bool) {
-	sent := s.send(call)
-	if sent == nil {
-		return refusal(calllink.RefusedBroken, "the endpoint breaks off all calls, or answers none"), false
+	if !s.sends(call) {
+		return refusal(calllink.RefusedBroken, "the endpoint breaks off all calls"), false
 	}
-	defer s.takeBack(sent)
 	remaining := deadline - s.config.Now()
 	if !call.Idempotent {
 		ctx = context.WithoutCancel(ctx)
@@ -188,22 +186,11 @@
 	}
 }
 
-// send returns a call that may go to the endpoint, which may break off all calls or
-// answer none, or nil.
-func (s *endpointServer) send(call *calllink.Call) *breaker.Sent {
+// sends reports whether a call may go to the endpoint, which may break off all calls.
+func (s *endpointServer) sends(call *calllink.Call) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.config.Now()
-	if s.breaker.FellSilent(now) {
-		s.config.Log.Emit(event.EndpointBroken, "", event.F("error", "no answer for longer than calls usually take"))
-	}
-	return s.breaker.Admit(now, call.Idempotent, s.usualTime(call.Route))
-}
-
-func (s *endpointServer) takeBack(sent *breaker.Sent) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.breaker.End(sent)
+	return s.breaker.Admit(s.config.Now(), call.Idempotent)
 }
 
 // heard takes in what an exchange told of the endpoint. One whose time ended tells
@@ -213,7 +200,7 @@
 	defer s.mu.Unlock()
 	switch {
 	case fate == endpointlink.Answered, errors.Is(err, endpointlink.ErrRefused), errors.Is(err, endpointlink.ErrMisdirected):
-		if s.breaker.Answered(s.config.Now()) {
+		if s.breaker.Answered() {
 			s.config.Log.Emit(event.EndpointBack, "")
 		}
 	case timeOver, errors.Is(err, endpointlink.ErrForgotten):
