--- a/cmd/galenacart-ctl/losses.go
+++ b/cmd/galenacart-ctl/losses.go
@@ -9,7 +9,6 @@
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
-	"github.com/galenacart/galenacart/internal/load/chart"
 	"github.com/galenacart/galenacart/internal/timeline"
 )
 
@@ -66,7 +65,7 @@
 		return subcommands.ExitSuccess
 	}
 	err = writeFile(c.plot, func(w io.Writer) error {
-		return chart.WriteLosses(w, c.plot, c.step, losses)
+		return timeline.DrawLosses(w, c.plot, c.step, losses)
 	})
 	if err != nil {
 		return c.fail(err)
--- a/internal/load/chart/chart.go
+++ b/internal/load/chart/chart.go
@@ -2,7 +2,6 @@
 package chart
 
 import (
-	"io"
 	"os"
 	"path/filepath"
 
@@ -11,20 +10,13 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgimg"
-	"gonum.org/v1/plot/vg/vgsvg"
 
 	"github.com/galenacart/galenacart/internal/load/report"
+	"github.com/galenacart/galenacart/internal/picture"
 )
 
-// Size of the picture.
-const (
-	width  = 10 * vg.Inch
-	height = 8 * vg.Inch
-	margin = vg.Inch / 6
-	dash   = vg.Inch / 12
-)
+// dash is the length of a dash, and of the gap behind it.
+const dash = vg.Inch / 12
 
 // WriteFile draws reports of one experiment into a .svg or .png file.
 func WriteFile(file string, reports []*report.Report) error {
@@ -43,48 +35,15 @@
 	if err != nil {
 		return errors.Wrap(err, "write chart")
 	}
-	if err := write(f, filepath.Ext(file), goodput, latency); err != nil {
+	if err := picture.Write(f, filepath.Ext(file), goodput, latency); err != nil {
 		_ = f.Close() // the first error says more
 		return errors.Wrapf(err, "write %s", file)
 	}
 	return errors.Wrap(f.Close(), "write chart")
 }
 
-func write(f io.Writer, extension string, plots ...*plot.Plot) error {
-	switch extension {
-	case ".svg":
-		c := vgsvg.New(width, height)
-		tile(draw.New(c), plots)
-		_, err := c.WriteTo(f)
-		return err
-	case ".png":
-		c := vgimg.New(width, height)
-		tile(draw.New(c), plots)
-		_, err := vgimg.PngCanvas{Canvas: c}.WriteTo(f)
-		return err
-	default:
-		return errors.Errorf("want .svg or .png, have %q", extension)
-	}
-}
-
-// tile draws plots one below the other, on a common time axis.
-func tile(c draw.Canvas, plots []*plot.Plot) {
-	tiles := draw.Tiles{
-		Rows: len(plots), Cols: 1,
-		PadTop: margin, PadBottom: margin, PadLeft: margin, PadRight: margin, PadY: margin,
-	}
-	rows := make([][]*plot.Plot, len(plots))
-	for i, p := range plots {
-		rows[i] = []*plot.Plot{p}
-	}
-	canvases := plot.Align(rows, tiles, c)
-	for i, p := range plots {
-		p.Draw(canvases[i][0])
-	}
-}
-
 func newGoodput(reports []*report.Report) (*plot.Plot, error) {
-	p := newPlot("Goodput of whole requests: "+reports[0].Name, "requests/s")
+	p := picture.NewPlot("Goodput of whole requests: "+reports[0].Name, "requests/s")
 	perStep := 1 / report.SeriesStep.Seconds()
 	good := func(pt report.Point) (float64, bool) { return float64(pt.Good) * perStep, true }
 	if err := addLines(p, reports, good); err != nil {
@@ -94,7 +53,7 @@
 }
 
 func newLatency(reports []*report.Report) (*plot.Plot, error) {
-	p := newPlot("Latency of good requests, 0.99 quantile", "ms")
+	p := picture.NewPlot("Latency of good requests, 0.99 quantile", "ms")
 	p99 := func(pt report.Point) (float64, bool) { return pt.P99Ms, pt.Good > 0 }
 	if err := addLines(p, reports, p99); err != nil {
 		return nil, err
@@ -102,16 +61,6 @@
 	return p, addPhases(p, reports[0])
 }
 
-func newPlot(title, unit string) *plot.Plot {
-	p := plot.New()
-	p.Title.Text = title
-	p.X.Label.Text = "arrival, s"
-	p.Y.Label.Text = unit
-	p.Y.Min = 0
-	p.Legend.Top = true
-	return p
-}
-
 // addLines adds a line for each class of each report.
 func addLines(p *plot.Plot, reports []*report.Report, value func(report.Point) (float64, bool)) error {
 	var named []any // names and points in turn
--- a/internal/load/chart/losses.go
+++ b/internal/timeline/plot.go
@@ -1,4 +1,4 @@
-package chart
+package timeline
 
 import (
 	"io"
@@ -11,12 +11,12 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 
-	"github.com/galenacart/galenacart/internal/timeline"
+	"github.com/galenacart/galenacart/internal/picture"
 )
 
-// WriteLosses draws losses over time, a line for each reason, as the extension of a
+// DrawLosses draws losses over time, a line for each reason, as the extension of a
 // file's name says. step is the time of one group.
-func WriteLosses(w io.Writer, file string, step time.Duration, losses []timeline.Loss) error {
+func DrawLosses(w io.Writer, file string, step time.Duration, losses []Loss) error {
 	byReason := make(map[string]map[time.Duration]int)
 	last := time.Duration(0)
 	for _, l := range losses {
@@ -26,7 +26,7 @@
 		byReason[l.Reason][l.After] += l.Count
 		last = max(last, l.After)
 	}
-	p := newPlot("Requests lost", "requests/s")
+	p := picture.NewPlot("Requests lost", "requests/s")
 	var named []any // names and points in turn
 	for _, reason := range slices.Sorted(maps.Keys(byReason)) {
 		var points plotter.XYs
@@ -38,5 +38,5 @@
 	if err := plotutil.AddLines(p, named...); err != nil {
 		return errors.Wrap(err, "draw lines")
 	}
-	return write(w, filepath.Ext(file), p)
+	return picture.Write(w, filepath.Ext(file), p)
 }
