Take the bytes of a call out of placement again

Change: an endpoint of another zone costs the same whatever the call's size. What is large was held in its zone until that was full, and answers of 6 KB are what fills it there.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -1,9 +1,9 @@
 // Package placement picks the endpoint for a call by how full each one is. It
 // answers endpoints of unequal speed: the one that is faster is less full, so it
 // gets more. Its own availability zone is preferred while it has room, because
-// bytes between zones are dear and zones may be cut off; what is large leaves it last.
-// It also answers machines and chains that are slow, and endpoints that lose answers, in
-// one zone: requests leave it before too many miss their time or are lost.
+// bytes between zones are dear and zones may be cut off. It also answers machines and
+// chains that are slow, and endpoints that lose answers, in one zone: requests leave it
+// before too many miss their time or are lost.
 package placement
 
 import (
@@ -15,11 +15,6 @@
 	// farPenalty is the share of its slots by which an endpoint of another zone
 	// has to be less full than one of the own zone.
 	farPenalty = 0.6
-	// farBytePenalty is what each byte of a call and its answer adds to farPenalty, up to
-	// farBytesMax of them, which doubles it: where something must cross, it is what is
-	// small.
-	farBytePenalty = 0.15 / 1024
-	farBytesMax    = 4 << 10
 	// fullFrom is the share of the slots, with the calls that wait, from which on
 	// the own zone is no longer preferred. Around 1 the wait for a slot is short,
 	// and a small endpoint is that full for moments at any usual load.
@@ -69,14 +64,6 @@
 	State *State
 }
 
-// Call is a call for which an endpoint is picked.
-type Call struct {
-	// Left is the time in which its answer is due.
-	Left time.Duration
-	// Bytes is the size of the call and of its usual answer.
-	Bytes int
-}
-
 // State is what a node knows of one endpoint. It is not safe for concurrent use.
 type State struct {
 	busy     int           // told with the last reply
@@ -180,14 +167,14 @@
 // Pick returns the index of the endpoint for a call with some time left, or -1.
 // random breaks ties. An endpoint that is left out is taken only when there is no
 // other.
-func Pick(now time.Duration, call Call, candidates []Candidate, random uint64) int {
-	if at := pick(now, call, candidates, random, false); at >= 0 {
+func Pick(now, left time.Duration, candidates []Candidate, random uint64) int {
+	if at := pick(now, left, candidates, random, false); at >= 0 {
 		return at
 	}
-	return pick(now, call, candidates, random, true)
+	return pick(now, left, candidates, random, true)
 }
 
-func pick(now time.Duration, call Call, candidates []Candidate, random uint64, aside bool) int {
+func pick(now, left time.Duration, candidates []Candidate, random uint64, aside bool) int {
 	best, bestScore := -1, 0.0
 	fastest := fastestOf(candidates)
 	for i := range candidates {
@@ -196,7 +183,7 @@
 		if c.Barred || !aside && c.State != nil && c.State.Aside(now) {
 			continue
 		}
-		if score := c.score(now, call, fastest); best < 0 || score < bestScore {
+		if score := c.score(now, left, fastest); best < 0 || score < bestScore {
 			best, bestScore = at, score
 		}
 	}
@@ -214,17 +201,17 @@
 	return fastest
 }
 
-func (c *Candidate) score(now time.Duration, call Call, fastest time.Duration) float64 {
+func (c *Candidate) score(now, left, fastest time.Duration) float64 {
 	score := c.load()
 	if slow := c.slowness(fastest); slow > 1 {
 		score *= slow * slow
 	} else if !c.Near && score < fullFrom {
-		score = min(score+farPenalty+farBytePenalty*float64(min(call.Bytes, farBytesMax)), fullFrom)
+		score = min(score+farPenalty, fullFrom)
 	}
 	if c.State != nil {
 		score += c.State.penalty(now)
 	}
-	return score + missPenalty*c.missShare(call.Left)
+	return score + missPenalty*c.missShare(left)
 }
 
 // missShare returns the share of calls that would take more than the time left, as
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -39,10 +39,10 @@
 	defer cancel()
 	e.targets.first(p.service, e.config.Repeats().Window)
 	for range refusalsMax {
-		member := e.targets.pick(p.view.ByService[p.service], p.route.Name, p.call(), p.tried)
+		member := e.targets.pick(p.view.ByService[p.service], p.route.Name, p.due(), p.tried)
 		if member == nil && p.turned {
 			p.tried, p.turned = p.tried[:0], false // what was refused once may be taken now
-			member = e.targets.pick(p.view.ByService[p.service], p.route.Name, p.call(), nil)
+			member = e.targets.pick(p.view.ByService[p.service], p.route.Name, p.due(), nil)
 		}
 		if member == nil {
 			break
@@ -68,11 +68,6 @@
 	return p.deadline - now
 }
 
-// call describes the request for the choice of an endpoint.
-func (p *passage) call() placement.Call {
-	return placement.Call{Left: p.due(), Bytes: len(p.request.Body)}
-}
-
 // giveUp answers a request that no endpoint answered.
 func (p *passage) giveUp(ctx context.Context) *message.Answer {
 	if !p.ran && (p.reason == nil || p.reason.Kind == problem.KindUnreachable) {
@@ -109,7 +104,7 @@
 	e.pressures.take(p.route.Name, m.VM, &reply.Load)
 	a = p.answerOf(reply)
 	p.answered = p.answered || a != nil
-	e.targets.done(m, p.route.Name, outcome{load: &reply.Load, end: endOf(a), bytes: len(reply.Body)})
+	e.targets.done(m, p.route.Name, outcome{load: &reply.Load, end: endOf(a)})
 	p.ran = true
 	p.sent++
 	if a == nil {
--- a/internal/mesh/targets.go
+++ b/internal/mesh/targets.go
@@ -26,7 +26,6 @@
 	zones      map[string]*zoneWays
 	candidates []placement.Candidate
 	budgets    map[string]*retry.Window
-	answers    map[string]int // usual bytes of an answer, by route
 }
 
 // leaverPause is the time after which an endpoint that said it leaves is asked
@@ -68,13 +67,12 @@
 		links:   make(map[string]*way),
 		zones:   make(map[string]*zoneWays),
 		budgets: make(map[string]*retry.Window),
-		answers: make(map[string]int),
 	}
 }
 
 // pick chooses the endpoint for a call and counts the call. tried holds the runs
 // of endpoints that had it before.
-func (t *targets) pick(members []*view.Member, route string, call placement.Call, tried []string) *view.Member {
+func (t *targets) pick(members []*view.Member, route string, due time.Duration, tried []string) *view.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.candidates = t.candidates[:0]
@@ -90,8 +88,7 @@
 		}
 		t.candidates = append(t.candidates, c)
 	}
-	call.Bytes += t.answers[route]
-	at := placement.Pick(t.now(), call, t.candidates, rand.Uint64())
+	at := placement.Pick(t.now(), due, t.candidates, rand.Uint64())
 	if at < 0 {
 		return nil
 	}
@@ -117,7 +114,6 @@
 	load        *calllink.Load // nil without a reply
 	end         placement.End
 	unreachable bool // no call gets there
-	bytes       int  // of the answer, if there is one
 }
 
 // done takes a call back and learns from its end.
@@ -129,9 +125,6 @@
 	if o.unreachable {
 		s.load.Missed(t.now())
 	}
-	if o.bytes > 0 {
-		t.answers[route] += (o.bytes - t.answers[route]) / 16
-	}
 	if o.load == nil {
 		return
 	}
