--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -90,7 +90,7 @@
 	Fine End = iota
 	// Failed means that the endpoint failed or refused the call.
 	Failed
-	// Lost means that it may have run the call and gave no whole answer.
+	// Lost means that it may have run the call and gave no whole answer in time.
 	Lost
 )
 
--- a/decision/storeera/storeera.go
+++ b/decision/storeera/storeera.go
@@ -4,8 +4,6 @@
 // a revision says something only within its era.
 package storeera
 
-import "cmp"
-
 // Position is a point in the history of the store. Nodes tell each other positions
 // without the names of the fields.
 type Position struct {
@@ -17,14 +15,10 @@
 	Revision uint64
 }
 
-// Compare orders positions: by era, then by revision.
-func (p Position) Compare(other Position) int {
-	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
-}
-
-// Before reports whether p lies before other, whatever their revisions are.
+// Before reports whether p lies before other: in an earlier era, whatever the
+// revisions are, or at an earlier revision of the same one.
 func (p Position) Before(other Position) bool {
-	return p.Compare(other) < 0
+	return p.Era < other.Era || p.Era == other.Era && p.Revision < other.Revision
 }
 
 // Verdict is what the era of an answer says.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -41,14 +41,14 @@
 	now      func() time.Duration
 	peerPort uint16
 
-	mu      sync.Mutex
-	book    *registry.Book
-	current *Configuration
-	index   *catalogue.Index
-	away    bool
-	at      storeera.Position         // up to which everything is known
-	told    map[string]registry.Entry // the endpoints that listeners know
-	heard   map[*Listener]struct{}
+	mu        sync.Mutex
+	book      *registry.Book
+	current   *Configuration
+	index     *catalogue.Index
+	away      bool
+	at        storeera.Position         // up to which everything is known
+	told      map[string]registry.Entry // the endpoints that listeners know
+	listeners map[*Listener]struct{}
 }
 
 // NewBoard returns an empty board. peerPort is the port at which each node
@@ -56,7 +56,7 @@
 func NewBoard(holder *view.Holder, log *event.Log, now func() time.Duration, peerPort uint16) *Board {
 	return &Board{
 		holder: holder, log: log, now: now, peerPort: peerPort, book: registry.New(),
-		told: make(map[string]registry.Entry), heard: make(map[*Listener]struct{}),
+		told: make(map[string]registry.Entry), listeners: make(map[*Listener]struct{}),
 	}
 }
 
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -55,7 +55,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := &Listener{C: make(chan *News, newsMax)}
-	b.heard[l] = struct{}{}
+	b.listeners[l] = struct{}{}
 	return b.everything(b.at), l
 }
 
@@ -79,8 +79,8 @@
 }
 
 func (b *Board) end(l *Listener) {
-	if _, listens := b.heard[l]; listens {
-		delete(b.heard, l)
+	if _, listens := b.listeners[l]; listens {
+		delete(b.listeners, l)
 		close(l.C)
 	}
 }
@@ -88,7 +88,7 @@
 // tell hands news to every listener, with the era that they belong to.
 func (b *Board) tell(n *News) {
 	n.At.Era = b.at.Era
-	for l := range b.heard {
+	for l := range b.listeners {
 		select {
 		case l.C <- n:
 		default:
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -176,13 +176,14 @@
 	c.linger = time.AfterFunc(lingerTime, func() { _ = c.raw.Close() }) // it may be closed already
 }
 
-// leave takes no further request, and ends an idle connection.
+// leave takes no further request, and ends an idle connection. One whose last answer is
+// just written is the client's to end.
 func (c *conn) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
 	c.room.Broadcast()
-	if len(c.waiting) == 0 {
+	if len(c.waiting) == 0 && !c.ended {
 		_ = c.raw.Close() // its loop ends and removes it
 	}
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -281,6 +281,10 @@
 		require.NoError(t, err, "the server reads on")
 		time.Sleep(time.Millisecond)
 	}
+	go s.Close()
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.closed }, time.Second, time.Millisecond)
+	_, err := io.WriteString(c.conn, "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err, "the server reads on also while it closes")
 	_, body := c.receive()
 	require.Equal(t, "GET /1 ", body)
 	c.closed()
--- a/internal/mesh/carry.go
+++ b/internal/mesh/carry.go
@@ -118,7 +118,8 @@
 	return a, false
 }
 
-// endOf returns how a call that was run ended, by its answer.
+// endOf returns how a call that was run ended, by its answer. An endpoint's own 504 came
+// too late as well.
 func endOf(a *message.Answer) placement.End {
 	switch {
 	case a == nil, a.Status == http.StatusGatewayTimeout:
