Wait for last answers only where a stop has time left

A stop that used all of its time waited 0.1 s more for connections with requests in line. Change: connections are cut at once where the stop's time is over; otherwise the wait stays.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -45,7 +45,7 @@
 	go func() { served <- s.Serve(l) }()
 	t.Cleanup(func() {
 		require.NoError(t, l.Close())
-		s.Close()
+		s.Close(0)
 		require.NoError(t, <-served)
 	})
 	return s, func() *client {
@@ -258,7 +258,7 @@
 	idle.receive()
 	busy.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.Eventually(t, func() bool { return s.Busy() == 2 }, time.Second, time.Millisecond)
-	s.Close()
+	s.Close(time.Second)
 	for _, want := range []string{"/1", "/2"} {
 		_, body := busy.receive()
 		require.Equal(t, "GET "+want+" ", body)
@@ -281,7 +281,7 @@
 		require.NoError(t, err, "the server reads on")
 		time.Sleep(time.Millisecond)
 	}
-	go s.Close()
+	go s.Close(time.Second)
 	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.closed }, time.Second, time.Millisecond)
 	_, err := io.WriteString(c.conn, "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err, "the server reads on also while it closes")
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -115,20 +115,16 @@
 	return busy
 }
 
-// closeTimeout is the time in which requests that were just taken get their answer
-// when the server closes. It is what is left of a stop whose time is over.
-const closeTimeout = 100 * time.Millisecond
-
-// Close closes every connection, those with requests in line once these are
-// answered or closeTimeout has passed.
-func (s *Server) Close() {
+// Close closes every connection: idle ones at once, those with requests in line once
+// these are answered or patience is over.
+func (s *Server) Close(patience time.Duration) {
 	s.mu.Lock()
 	s.closed = true
 	for c := range s.conns {
 		c.leave()
 	}
 	s.mu.Unlock()
-	late := time.AfterFunc(closeTimeout, s.cut)
+	late := time.AfterFunc(patience, s.cut)
 	defer late.Stop()
 	s.group.Wait()
 }
--- a/internal/meshnode/stop.go
+++ b/internal/meshnode/stop.go
@@ -12,6 +12,10 @@
 // stopPoll is the time between two looks at what is in flight.
 const stopPoll = 20 * time.Millisecond
 
+// closePatience is the time in which requests that were taken at the very end get their
+// answer: these are refused, which takes no time.
+const closePatience = 100 * time.Millisecond
+
 // leave ends the node as planned: it is no longer ready, finishes what is in
 // flight, and closes. It reports whether nothing was cut off.
 func (n *Node) leave(ctx context.Context) (clean bool) {
@@ -27,7 +31,11 @@
 	}
 	clean = n.outstanding() == 0
 	_ = n.door.Close() // no further client comes
-	n.clients.Close()
+	if clean {
+		n.clients.Close(closePatience)
+	} else {
+		n.clients.Close(0) // the time for the stop is over
+	}
 	n.mesh.Close()
 	for _, one := range n.pages {
 		_ = one.server.Close() // what was in flight has ended or had its time
