Tell which requests ran when an endpoint crashed

Cause: events 1006 (answer_broken) and 1002 (call_retried) name an attempt by its ID, which each client attempt has anew, and nothing told a crash from a single connection that broke.

Change: after a call that the endpoint broke off without an answer its node tries to connect once. If that fails the endpoint has crashed, and each call that broke within half a second gets an event 1003 (endpoint_crashed) with the fingerprint of its content and an ID of the crash. A connection that opens is kept for the next request. The dial is the only cost, and only after a call that broke.

Ruled out: a new `born` in the store (seconds later, and not while the store is away); a count of calls that break together (an endpoint that closes all its connections at once has not ended).

--- a/internal/endpointlink/pool.go
+++ b/internal/endpointlink/pool.go
@@ -19,6 +19,9 @@
 const (
 	// dialTimeout bounds the opening of a connection on the same machine.
 	dialTimeout = 300 * time.Millisecond
+	// downTimeout bounds the opening of a connection that finds out whether the endpoint
+	// is there. On the same machine it is accepted or refused at once.
+	downTimeout = 50 * time.Millisecond
 	// idleBefore is the idle time of a connection whose endpoint names none.
 	idleBefore = 8 * time.Second
 	// idleMargin is kept to the idle time that the endpoint names.
@@ -143,6 +146,19 @@
 	}
 }
 
+// Down reports whether the endpoint takes no connections. One that it takes is kept for
+// the next request.
+func (p *Pool) Down() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), downTimeout)
+	defer cancel()
+	raw, err := p.dial(ctx, p.address)
+	if err != nil {
+		return true
+	}
+	p.put(newConn(raw))
+	return false
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -42,7 +42,7 @@
 var trafficEvents = []Definition{
 	{Number: CallRefused, Name: "call_refused", Level: zerolog.InfoLevel, Meaning: "A caller got an answer in place of the endpoint's own. The fields route, kind, ran and detail say why."},
 	{Number: CallRetried, Name: "call_retried", Level: zerolog.DebugLevel, Meaning: "A failed attempt is followed by another one at another endpoint."},
-	{Number: EndpointCrashed, Name: "endpoint_crashed", Level: zerolog.WarnLevel, Meaning: "The local endpoint broke down while it ran the request with this fingerprint. Look at the endpoint's own log."},
+	{Number: EndpointCrashed, Name: "endpoint_crashed", Level: zerolog.WarnLevel, Meaning: "The local endpoint broke down while it ran the request with this fingerprint, as did others that ran then. A fingerprint that comes with several crashes is the likely cause; on the platform the field crash tells them apart. Look at the endpoint's own log."},
 	{Number: ConnectionSilent, Name: "connection_silent", Level: zerolog.WarnLevel, Meaning: "A connection to another node, or to the local endpoint, showed no progress; it and its idle kin were dropped."},
 	{Number: SuspectRefused, Name: "suspect_refused", Level: zerolog.WarnLevel, Meaning: "A request that broke endpoints was held back."},
 	{Number: AnswerBroken, Name: "answer_broken", Level: zerolog.WarnLevel, Meaning: "An answer was truncated or not the answer to its call; it was not passed on as whole."},
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -32,6 +32,7 @@
 type endpointServer struct {
 	config    Config
 	pool      *endpointlink.Pool
+	crashes   *crashes
 	pressures *chainPressures
 	origins   *origins
 	stopped   func() stopping.Phase
@@ -55,6 +56,7 @@
 	s := &endpointServer{
 		config:    c,
 		pool:      pool,
+		crashes:   newCrashes(c.Now, pool.Down),
 		pressures: e.pressures,
 		origins:   newOrigins(),
 		stopped:   stopped,
@@ -181,7 +183,9 @@
 	case ctx.Err() != nil:
 		return &calllink.Reply{Detail: context.Cause(ctx).Error()}, false
 	default:
-		s.config.Log.Emit(event.AnswerBroken, call.Request().Header.Get(s.config.Headers.RequestID), event.F("error", err))
+		id := call.Request().Header.Get(s.config.Headers.RequestID)
+		s.config.Log.Emit(event.AnswerBroken, id, event.F("error", err))
+		s.lookForCrash(call, id)
 		return &calllink.Reply{Detail: err.Error()}, false
 	}
 }
@@ -209,6 +213,16 @@
 	}
 }
 
+// lookForCrash tells of a call that the endpoint broke off because it crashed.
+func (s *endpointServer) lookForCrash(call *calllink.Call, id string) {
+	crash, crashed := s.crashes.broke()
+	if !crashed {
+		return
+	}
+	s.config.Log.Emit(event.EndpointCrashed, id, event.F("fingerprint", fingerprint(call)), event.F("crash", crash),
+		event.F("route", call.Route))
+}
+
 // describe adds to a reply what the node says of itself.
 func (s *endpointServer) describe(call *calllink.Call, inner bool, reply *calllink.Reply) {
 	s.mu.Lock()
--- a/internal/meshnode/fleet_test.go
+++ b/internal/meshnode/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,6 +56,9 @@
 	id       string
 	service  string
 	out      *bytes.Buffer
+	handler  http.Handler // of the endpoint
+	address  string       // of the endpoint
+	mu       sync.Mutex
 	endpoint *http.Server
 	stop     context.CancelFunc
 	done     chan error
@@ -93,10 +97,37 @@
 	}
 	v.stop()
 	require.NoError(f.t, <-v.done)
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	require.NoError(f.t, v.endpoint.Close())
 	v.stop = nil
 }
 
+// listen starts the endpoint of a VM.
+func (v *vm) listen() error {
+	l, err := net.Listen("tcp", v.address)
+	if err != nil {
+		return err
+	}
+	v.endpoint = &http.Server{Handler: v.handler}
+	go func(s *http.Server) { _ = s.Serve(l) }(v.endpoint) // ends with Close
+	return nil
+}
+
+// crash ends the endpoint of a VM with all its connections. It is back after a time.
+func (v *vm) crash(down time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_ = v.endpoint.Close() // the connections are gone in any case
+	time.AfterFunc(down, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if v.stop != nil {
+			_ = v.listen() // without it the test finds no endpoint
+		}
+	})
+}
+
 // address returns an address of the i-th VM.
 func (f *fleet) address(i, port int) string {
 	base := netip.MustParseAddrPort(testaddress.New()).Addr().As4()
@@ -120,10 +151,8 @@
 	v := &vm{id: fmt.Sprintf("e-%d", i), service: service, ip: f.address(i, 0), out: &bytes.Buffer{}, done: make(chan error, 1)}
 	v.node, err = Start(Config{Settings: live, Headers: testHeaders(), Source: s, ReadinessPath: "/ready", Out: f.output})
 	require.NoError(f.t, err)
-	l, err := net.Listen("tcp", f.address(i, 3))
-	require.NoError(f.t, err)
-	v.endpoint = &http.Server{Handler: sealed(v.id, handler)}
-	go func() { _ = v.endpoint.Serve(l) }() // ends with Close
+	v.address, v.handler = f.address(i, 3), sealed(v.id, handler)
+	require.NoError(f.t, v.listen())
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
 	go func() { v.done <- v.node.Run(ctx) }()
