Reproduce the incident: a request that crashes endpoints reaches them without end

Cause: reproduced, not yet mended. Eight requests with one content, sent one after the other through four nodes of a service, crash an endpoint with every send.

Its bound is what the product promises on its other path, two endpoints for one request (docs/PROOF.md); the platform's rule is wider.

--- a/internal/meshnode/crash_test.go
+++ b/internal/meshnode/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,3 +84,52 @@
 	prints := out.fields("endpoint_crashed", "fingerprint")
 	require.Equal(t, prints[0], prints[1])
 }
+
+// crashFleet is a fleet of one service whose endpoints crash on a path, with the
+// number of these crashes.
+func crashFleet(t *testing.T, idempotent bool, size int) (f *fleet, crashed *atomic.Int32) {
+	t.Helper()
+	f = newFleet(t, route("stock", idempotent))
+	crashed = &atomic.Int32{}
+	for i := range size {
+		f.add("stock", func(_ http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/crash") {
+				crashed.Add(1)
+				f.vms[i].crash(downtime)
+				panic(http.ErrAbortHandler)
+			}
+		})
+	}
+	f.publish()
+	return f, crashed
+}
+
+// crashesMax is the number of endpoints that one request may crash.
+const crashesMax = 2
+
+func TestRequestThatCrashesEndpointsStopsReachingThem(t *testing.T) {
+	for _, one := range []struct {
+		desc       string
+		idempotent bool
+	}{
+		{"idempotent, which nodes repeat", true},
+		{"non-idempotent, which only its client sends again", false},
+	} {
+		t.Run(one.desc, func(t *testing.T) {
+			f, crashed := crashFleet(t, one.idempotent, 4)
+			for i := range 8 {
+				r, _ := f.ask(f.vms[i%len(f.vms)], "POST", "/stock/crash", "x")
+				require.GreaterOrEqual(t, r.StatusCode, 500)
+				for _, v := range f.vms {
+					v.awaitEndpoint(t)
+				}
+				r, _ = f.ask(f.vms[i%len(f.vms)], "POST", "/stock/sound", "x")
+				require.Equal(t, http.StatusOK, r.StatusCode, "other requests are served")
+			}
+			require.LessOrEqual(t, crashed.Load(), int32(crashesMax))
+			r, _ := f.ask(f.vms[0], "POST", "/stock/crash", "x")
+			require.Equal(t, http.StatusServiceUnavailable, r.StatusCode, "it has not run and will not")
+			require.NotEmpty(t, r.Header.Get("Retry-After"))
+		})
+	}
+}
