Suspect requests whose clients left before the endpoint crashed

What callers saw: nothing new; found while looking for the same cause. A request that was given up, by its client or its deadline, had no call in flight any more when the endpoint crashed under it, and so was blamed for nothing. With impatient clients it could crash endpoints without end.

Cause: only calls that broke off were blamed.

Change: a request that was given up stays a suspect until the endpoint was heard after its deadline, when it has stopped work on it. A crash that no call in flight tells of is found by the next call, whose connection is refused. A connection that can't be opened for other reasons (descriptors of this process) is no crash.

Conclusion: such requests are excused by their next good run like all others.

--- a/internal/endpointlink/pool.go
+++ b/internal/endpointlink/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -156,7 +157,7 @@
 	defer cancel()
 	raw, err := p.dial(ctx, p.address)
 	if err != nil {
-		return true
+		return IsGone(err) || ctx.Err() != nil
 	}
 	c := newConn(raw)
 	if !c.stays(downPatience) {
@@ -167,6 +168,11 @@
 	return false
 }
 
+// IsGone reports whether an error says that nothing listens at the endpoint's address.
+func IsGone(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -192,14 +192,20 @@
 	case fate == endpointlink.NotRun && answer == nil && errors.Is(err, endpointlink.ErrRefused):
 		return refusal(calllink.RefusedByEndpoint, err.Error()), false
 	case fate == endpointlink.NotRun:
+		if endpointlink.IsGone(err) {
+			s.crashed(s.crashes.gone())
+		}
 		return refusal(calllink.RefusedUnreachable, err.Error()), false
 	case ctx.Err() != nil:
+		s.crashes.leave(request, call.Route, deadline)
 		return &calllink.Reply{Detail: context.Cause(ctx).Error()}, false
 	default:
 		s.config.Log.Emit(event.AnswerBroken, request.Header.Get(s.config.Headers.RequestID), event.F("error", err))
-		if crash, crashed := s.crashes.broke(); crashed {
+		crash, crashed := s.crashes.broke()
+		if crashed {
 			s.suspects.blame(request, call.Route, crash)
 		}
+		s.crashed(crash, crashed)
 		return &calllink.Reply{Detail: err.Error()}, false
 	}
 }
@@ -218,6 +224,7 @@
 	defer s.mu.Unlock()
 	switch {
 	case fate == endpointlink.Answered, errors.Is(err, endpointlink.ErrRefused), errors.Is(err, endpointlink.ErrMisdirected):
+		s.crashes.answered()
 		if s.breaker.Answered() {
 			s.config.Log.Emit(event.EndpointBack, "")
 		}
@@ -227,6 +234,17 @@
 	}
 }
 
+// crashed blames the requests that the endpoint may have run without a client when it
+// crashed.
+func (s *endpointServer) crashed(crash uint64, crashed bool) {
+	if !crashed {
+		return
+	}
+	for _, one := range s.crashes.takeLeft() {
+		s.suspects.blame(one.request, one.route, crash)
+	}
+}
+
 // describe adds to a reply what the node says of itself.
 func (s *endpointServer) describe(call *calllink.Call, inner bool, reply *calllink.Reply) {
 	s.mu.Lock()
--- a/internal/meshnode/crash_test.go
+++ b/internal/meshnode/crash_test.go
@@ -177,3 +177,40 @@
 	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
 	require.Equal(t, before, crashed.Load())
 }
+
+// TestRequestWhoseClientLeftBeforeTheCrashIsASuspect plays clients that leave before the
+// endpoint crashes under their request, with nothing else in flight there. What finds the
+// endpoint down is the next request.
+func TestRequestWhoseClientLeftBeforeTheCrashIsASuspect(t *testing.T) {
+	f := newFleet(t, route("stock", true))
+	out := &lines{}
+	f.output = out
+	ended := make(chan struct{}, 1)
+	for i := range 3 {
+		f.add("stock", func(_ http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/crash") {
+				time.Sleep(meanwhile) // its client has left by then
+				f.vms[i].crash(4 * downtime) // until other requests come to it
+				ended <- struct{}{}
+			}
+		})
+	}
+	f.publish()
+	impatient := &http.Client{Timeout: meanwhile / 2, Transport: f.client.Transport}
+	for i := range crashesMax {
+		_, err := impatient.Do(f.request(f.vms[0], "POST", "/stock/crash", "x"))
+		require.Error(t, err)
+		<-ended
+		require.Eventually(t, func() bool {
+			for _, v := range f.vms {
+				f.ask(v, "POST", "/stock/sound", "x")
+			}
+			return len(out.fields("endpoint_crashed", "fingerprint")) == i+1
+		}, 4*downtime, time.Millisecond)
+		for _, v := range f.vms {
+			v.awaitEndpoint(t)
+		}
+	}
+	r, _ := f.ask(f.vms[0], "POST", "/stock/crash", "x")
+	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode, "held back")
+}
--- a/internal/meshnode/fleet_test.go
+++ b/internal/meshnode/fleet_test.go
@@ -226,15 +226,21 @@
 	Header     http.Header
 }
 
-// ask sends a request to the node of a VM.
-func (f *fleet) ask(v *vm, method, path string, body string) (received, string) {
+// request returns a request for the node of a VM.
+func (f *fleet) request(v *vm, method, path string, body string) *http.Request {
 	f.t.Helper()
 	r, err := http.NewRequest(method, "http://"+v.ip+path, bytes.NewBufferString(body))
 	require.NoError(f.t, err)
 	r.Host = "door.example"
 	r.Header.Set("Request-Id", "id-1")
 	r.Header.Set("Remaining-Ms", "5000")
-	response, err := f.client.Do(r)
+	return r
+}
+
+// ask sends a request to the node of a VM.
+func (f *fleet) ask(v *vm, method, path string, body string) (received, string) {
+	f.t.Helper()
+	response, err := f.client.Do(f.request(v, method, path, body))
 	require.NoError(f.t, err)
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
