Bound the head of an endpoint's answer

What callers saw: an endpoint that sends bytes without end as the head of an answer held each call until its route's timeout (504), and the node beside it grew until the platform killed it, with all work in flight there.

Cause: http.ReadResponse read over a reader without a bound. The bytes of a status line, of headers, or of what is no answer at all were kept until the request's time was over.

Change: a connection to the endpoint reads heads through a reader that ends after answerHeadBytes (a setting, 64 KB unless set), for one exchange as a whole: informational answers and heads of answers to other requests count too. The connection is closed at once, the fate is unknown, decision/breaker counts a call that was broken off, event 1016 (answer_oversized) names the part and the bound, galenacart_oversized_answers_total counts. Bodies of answers to other requests are passed over without being held.

Bodies, frames of links and slow readers still have no bound for the whole process.

--- a/internal/endpointlink/conn.go
+++ b/internal/endpointlink/conn.go
@@ -21,6 +21,7 @@
 // conn is one connection to the endpoint. It carries one request at a time.
 type conn struct {
 	raw       net.Conn
+	head      *headReader // what in reads from
 	in        *bufio.Reader
 	idleMax   time.Duration
 	idleSince time.Time
@@ -31,8 +32,10 @@
 // answer comes before the next answer or not at all.
 const carriedMax = 8
 
-func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, in: bufio.NewReaderSize(raw, readBufferBytes), idleMax: idleBefore}
+func newConn(raw net.Conn, headBytesMax int) *conn {
+	head := &headReader{from: raw, max: headBytesMax}
+	head.begin()
+	return &conn{raw: raw, head: head, in: bufio.NewReaderSize(head, readBufferBytes), idleMax: idleBefore}
 }
 
 func (c *conn) close() {
--- a/internal/endpointlink/exchange.go
+++ b/internal/endpointlink/exchange.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return nil, Unknown, false, p.broke(c, sent, err)
 	}
+	c.head.pass()
 	body, err := readBody(response)
 	if err != nil {
 		return nil, Unknown, false, errors.Wrap(err, "read the endpoint's answer")
@@ -97,6 +98,7 @@
 func (p *Pool) readOwn(c *conn, call *Call) (*http.Response, error) {
 	asked := &http.Request{Method: call.Request.Method}
 	id := call.Request.Header.Get(p.headers.RequestID)
+	c.head.begin()
 	for range foreignMax {
 		response, err := http.ReadResponse(c.in, asked)
 		if err != nil {
@@ -108,20 +110,32 @@
 		if response.Header.Get(p.headers.RequestID) == id || p.provesNotRun(response) && response.Header.Get(p.headers.RequestID) == "" {
 			return response, nil
 		}
-		if _, err := readBody(response); err != nil || response.Close {
+		if err := c.skip(response); err != nil || response.Close {
 			return nil, ErrNotOurs
 		}
 	}
 	return nil, ErrNotOurs
 }
 
+// skip passes over the body of an answer to another request.
+func (c *conn) skip(r *http.Response) error {
+	again := c.head.pass()
+	defer again()
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, answerBytesMax+1))
+	if err == nil && n > answerBytesMax {
+		err = &TooLargeError{Part: "body", Max: answerBytesMax}
+	}
+	return err
+}
+
+// readBody reads the body of an answer whole.
 func readBody(r *http.Response) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, answerBytesMax+1))
 	if err == nil && len(body) > answerBytesMax {
-		err = errors.Errorf("the answer has more than %d bytes", answerBytesMax)
+		err = &TooLargeError{Part: "body", Max: answerBytesMax}
 	}
 	return body, err
 }
--- a/internal/endpointlink/pool.go
+++ b/internal/endpointlink/pool.go
@@ -40,7 +40,9 @@
 type Pool struct {
 	address string
 	headers message.Headers
-	dial    func(ctx context.Context, address string) (net.Conn, error)
+	// headBytesMax bounds what comes ahead of the body of an answer.
+	headBytesMax int
+	dial         func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	idle  []*conn // the one used last at the end
@@ -48,14 +50,16 @@
 	began time.Time
 }
 
-// New returns a pool for an IP address and port.
-func New(address string, headers message.Headers) *Pool {
+// New returns a pool for an IP address and port. headBytesMax bounds the head of an
+// answer.
+func New(address string, headers message.Headers, headBytesMax int) *Pool {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &Pool{
-		address: address,
-		headers: headers,
-		limit:   idlelimit.New(idleBefore),
-		began:   time.Now(),
+		address:      address,
+		headers:      headers,
+		headBytesMax: headBytesMax,
+		limit:        idlelimit.New(idleBefore),
+		began:        time.Now(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -94,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(raw)
+	c := newConn(raw, p.headBytesMax)
 	c.carry(id)
 	return c, nil
 }
@@ -159,7 +163,7 @@
 	if err != nil {
 		return IsGone(err) || ctx.Err() != nil
 	}
-	c := newConn(raw)
+	c := newConn(raw, p.headBytesMax)
 	if !c.stays(downPatience) {
 		c.close()
 		return true
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -36,6 +36,9 @@
 	EndpointBroken Number = 1014
 	// WorkPanicked means that the node's own code failed.
 	WorkPanicked Number = 1015
+	// AnswerOversized means that an answer of the local endpoint had more bytes than
+	// allowed.
+	AnswerOversized Number = 1016
 )
 
 // trafficEvents holds the definitions numbered from 1000.
@@ -54,5 +57,6 @@
 	{Number: OwnCallRefused, Name: "own_call_refused", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint got an answer in place of the called endpoint's own. The fields route, kind, ran and detail say why. The request that the endpoint made it for has probably failed."},
 	{Number: OwnCallFailed, Name: "own_call_failed", Level: zerolog.InfoLevel, Meaning: "A call of the local endpoint was answered by a failure of the called endpoint, which has event 1011 under the same correlation. The request that the endpoint made it for has probably failed."},
 	{Number: EndpointBroken, Name: "endpoint_broken", Level: zerolog.WarnLevel, Exact: true, Meaning: "The local endpoint broke off three calls in a row, or can't be connected to. The node refuses calls for it but single ones, until one of these is answered (1010). The field error is that of the last call."},
+	{Number: AnswerOversized, Name: "answer_oversized", Level: zerolog.WarnLevel, Meaning: "The local endpoint sent more than max_bytes as the head or the body of an answer, as the field part says. The connection was closed at once; the fate of the call is unknown. If the answer was sound, raise answerHeadBytes."},
 	{Number: WorkPanicked, Name: "work_panicked", Level: zerolog.ErrorLevel, Meaning: "The node's own code failed, which is a fault of the program: report it with the fields cause and stack. A call that it handled ends with an unknown fate; a background task starts anew after a second. The process goes on."},
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -6,6 +6,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -75,7 +76,7 @@
 // New returns the traffic side of a node.
 func New(c Config) *Mesh {
 	m := &Mesh{config: c}
-	pool := endpointlink.New(c.Settings.EndpointAddress, c.Headers)
+	pool := endpointlink.New(c.Settings.EndpointAddress, c.Headers, cmp.Or(c.Settings.AnswerHeadBytes, endpointlink.HeadBytesUsual))
 	m.entrance = newEntrance(c, m.stopped)
 	m.server = newEndpointServer(c, pool, m.entrance, m.stopped)
 	m.entrance.local = m.server.handle
--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -16,6 +16,7 @@
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/endpointlink"
 	"github.com/galenacart/galenacart/internal/event"
+	"github.com/galenacart/galenacart/internal/message"
 	"github.com/galenacart/galenacart/internal/metrics"
 	"github.com/galenacart/galenacart/internal/view"
 )
@@ -200,7 +201,7 @@
 		s.crashes.leave(request, call.Route, deadline)
 		return &calllink.Reply{Detail: context.Cause(ctx).Error()}, false
 	default:
-		s.config.Log.Emit(event.AnswerBroken, request.Header.Get(s.config.Headers.RequestID), event.F("error", err))
+		s.tellBroken(request, err)
 		crash, crashed := s.crashes.broke()
 		if crashed {
 			s.suspects.blame(request, call.Route, crash)
@@ -234,6 +235,19 @@
 	}
 }
 
+// tellBroken tells of an answer that was not whole, or had no end.
+func (s *endpointServer) tellBroken(r *message.Request, err error) {
+	id := r.Header.Get(s.config.Headers.RequestID)
+	var large *endpointlink.TooLargeError
+	if !errors.As(err, &large) {
+		s.config.Log.Emit(event.AnswerBroken, id, event.F("error", err))
+		return
+	}
+	s.config.Metrics.Oversized()
+	s.config.Log.Emit(event.AnswerOversized, id, event.F("part", large.Part), event.F("max_bytes", large.Max),
+		event.F("endpoint", s.config.Settings.EndpointAddress))
+}
+
 // crashed blames the requests that the endpoint may have run without a client when it
 // crashed.
 func (s *endpointServer) crashed(crash uint64, crashed bool) {
--- a/internal/metrics/set.go
+++ b/internal/metrics/set.go
@@ -35,11 +35,12 @@
 // Set holds the instruments of one node. Its methods are safe for concurrent
 // use and cost no allocation.
 type Set struct {
-	registry gometrics.Registry
-	calls    [roleCount]gometrics.Counter
-	times    [roleCount]gometrics.Histogram
-	refusals map[problem.Kind]gometrics.Counter
-	retries  gometrics.Counter
+	registry  gometrics.Registry
+	calls     [roleCount]gometrics.Counter
+	times     [roleCount]gometrics.Histogram
+	refusals  map[problem.Kind]gometrics.Counter
+	retries   gometrics.Counter
+	oversized gometrics.Counter
 
 	routes    *family
 	endpoints *family
@@ -61,6 +62,7 @@
 		s.refusals[kind] = gometrics.GetOrRegisterCounter(Label(NameRefusals, "kind", kind.String()), s.registry)
 	}
 	s.retries = gometrics.GetOrRegisterCounter(NameRetries, s.registry)
+	s.oversized = gometrics.GetOrRegisterCounter(NameOversized, s.registry)
 	s.routes = newFamily(s.registry, NameRequests, NameRequestSeconds, "route")
 	s.endpoints = newFamily(s.registry, NameAttempts, NameAttemptSeconds, "endpoint")
 	s.GaugeFunc(NameGoroutines, func() int64 { return int64(runtime.NumGoroutine()) })
@@ -97,6 +99,11 @@
 	s.retries.Inc(1)
 }
 
+// Oversized counts one answer that had more bytes than allowed.
+func (s *Set) Oversized() {
+	s.oversized.Inc(1)
+}
+
 // GaugeFunc registers a gauge whose value is read when it is exposed. Only the
 // first gauge of a name counts.
 func (s *Set) GaugeFunc(name string, read func() int64) {
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -41,6 +41,9 @@
 	RetryAllowance float64 `json:"retryAllowance" validate:"gte=0,lte=1000000"`
 	// RetryWindow is the time over which repeats are counted, such as "10s".
 	RetryWindow string `json:"retryWindow" validate:"required"`
+	// AnswerHeadBytes bounds the head of an answer of the local endpoint, with what comes
+	// ahead of it, in bytes. Default 65536, which common proxies allow.
+	AnswerHeadBytes int `json:"answerHeadBytes,omitempty" validate:"omitempty,gte=1024,lte=1048576"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
 }
