Bound the bodies of answers that are being read, all together

What callers saw: an endpoint that sends a body without end filled the memory of the node beside it, up to 64 MB for each call, until the platform killed the process with all work in flight.

Cause: each body had a bound of its own and grew by copying; nothing bounded them together.

Change: decision/membudget, pure: a reader may hold as much as is left free, so one without end gets half of the budget, n of them n/(n+1), and small bodies still come through. The budget is a quarter of the process's memory, a new setting (memoryMb, from the platform's limits), 128 MB without it. Bodies are read in pieces that are used again; what fits into the first piece (most do) takes no room in the budget.

Ways weighed: a bound for each answer (80 slots of 64 MB are 5 GB; 80 of a bound that fits would cut sound answers); waiting for room (endless bodies would make sound ones wait).

TestSmallBodiesPassBesideReadersWithoutEnd plays up to 64 endless readers.

--- /dev/null
+++ b/decision/membudget/membudget_test.go
@@ -0,0 +1,46 @@
+package membudget
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// The load: readers without end beside readers of small bodies that come and go. The
+// budget always holds, and small bodies are read whole while there are fewer endless
+// readers than the budget has small bodies.
+func TestSmallBodiesPassBesideReadersWithoutEnd(t *testing.T) {
+	const budget, small, piece = 1 << 20, 8 << 10, 1 << 10
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(budget)
+		endless := make([]int, rapid.IntRange(1, 64).Draw(t, "endless"))
+		for range 100 {
+			for i := range endless {
+				for b.Grow(endless[i], piece) {
+					endless[i] += piece
+				}
+			}
+			require.LessOrEqual(t, b.Used(), budget)
+			held := 0
+			for held < small {
+				require.True(t, b.Grow(held, piece), "after %d bytes", held)
+				held += piece
+			}
+			b.Release(held)
+			i := rapid.IntRange(0, len(endless)-1).Draw(t, "gone")
+			b.Release(endless[i])
+			endless[i] = 0
+		}
+	})
+}
+
+func TestOneReaderGetsHalf(t *testing.T) {
+	b, held := New(100), 0
+	for b.Grow(held, 1) {
+		held++
+	}
+	require.Equal(t, 50, held)
+	b.Release(held)
+	require.Zero(t, b.Used())
+}
--- /dev/null
+++ b/internal/endpointlink/body.go
@@ -0,0 +1,123 @@
+package endpointlink
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/decision/membudget"
+)
+
+const (
+	// pieceBytes is the unit in which bodies are read. A body of one piece needs no room
+	// in the budget: an endpoint's slots bound these.
+	pieceBytes = 32 << 10
+	// BodyBytesUsual bounds the bodies that are being read, where no bound is set: one
+	// answer may have 64 MB.
+	BodyBytesUsual = 128 << 20
+)
+
+// bodies reads bodies of answers, within one budget for all connections.
+type bodies struct {
+	mu     sync.Mutex
+	budget *membudget.Budget
+	pieces sync.Pool // of *[pieceBytes]byte
+}
+
+func newBodies(budgetBytes int) *bodies {
+	return &bodies{budget: membudget.New(budgetBytes)}
+}
+
+// read reads the body of an answer whole. What doesn't fit into its first piece takes
+// room in the budget.
+func (b *bodies) read(r *http.Response) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	first := make([]byte, firstPiece(r))
+	n, err := fill(first, r.Body)
+	if err == nil {
+		return b.readOn(r, first)
+	}
+	return first[:n], unlessEnd(err)
+}
+
+// readOn reads the rest of a long body.
+func (b *bodies) readOn(r *http.Response, first []byte) ([]byte, error) {
+	var pieces []*[pieceBytes]byte
+	defer func() { b.release(pieces) }()
+	for last := 0; ; {
+		piece := b.grow(len(pieces))
+		if piece == nil {
+			return nil, &TooLargeError{Part: "body", Max: len(first) + len(pieces)*pieceBytes}
+		}
+		pieces = append(pieces, piece)
+		var err error
+		if last, err = fill(piece[:], r.Body); err != nil {
+			return join(first, pieces, last), unlessEnd(err)
+		}
+	}
+}
+
+// unlessEnd returns an error other than the end of a body.
+func unlessEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// firstPiece returns the size in which most bodies come to their end.
+func firstPiece(r *http.Response) int {
+	if r.ContentLength > 0 && r.ContentLength < pieceBytes {
+		return int(r.ContentLength) + 1 // the end is found in the same piece
+	}
+	return readBufferBytes
+}
+
+// fill reads until a piece is full or an error comes, which is io.EOF at the end.
+func fill(piece []byte, from io.Reader) (n int, err error) {
+	for n < len(piece) && err == nil {
+		var more int
+		more, err = from.Read(piece[n:])
+		n += more
+	}
+	return n, err
+}
+
+// join returns a body in one. last is the number of bytes in the last piece.
+func join(first []byte, pieces []*[pieceBytes]byte, last int) []byte {
+	end := len(pieces) - 1
+	body := make([]byte, 0, len(first)+end*pieceBytes+last)
+	body = append(body, first...)
+	for _, piece := range pieces[:end] {
+		body = append(body, piece[:]...)
+	}
+	return append(body, pieces[end][:last]...)
+}
+
+// grow returns one more piece for a reader that holds some, or nil.
+func (b *bodies) grow(held int) *[pieceBytes]byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.budget.Grow(held*pieceBytes, pieceBytes) {
+		return nil
+	}
+	piece, ok := b.pieces.Get().(*[pieceBytes]byte)
+	if !ok {
+		piece = new([pieceBytes]byte)
+	}
+	return piece
+}
+
+// release takes pieces back, so that the next readers take no more memory.
+func (b *bodies) release(pieces []*[pieceBytes]byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Release(len(pieces) * pieceBytes)
+	for _, piece := range pieces {
+		b.pieces.Put(piece)
+	}
+}
--- a/internal/endpointlink/copies_test.go
+++ b/internal/endpointlink/copies_test.go
@@ -57,7 +57,7 @@
 				}
 				return say(w, own)
 			})
-			p := New(e.address, testHeaders(), HeadBytesUsual)
+			p := New(e.address, testHeaders(), Bounds{})
 			defer p.Close()
 			_, _, _ = p.Do(t.Context(), callOf("a"))
 			a, fate, err := p.Do(t.Context(), callOf(test.next))
@@ -78,7 +78,7 @@
 		time.Sleep(5 * time.Millisecond)
 		return say(w, ofA)
 	})
-	p := New(e.address, testHeaders(), HeadBytesUsual)
+	p := New(e.address, testHeaders(), Bounds{})
 	defer p.Close()
 	_, fate, err := p.Do(t.Context(), callOf("a"))
 	require.Equal(t, Answered, fate, "%v", err)
@@ -106,7 +106,7 @@
 			_, _ = far.Write(data)
 			_ = far.Close()
 		}()
-		p := New("", testHeaders(), HeadBytesUsual)
+		p := New("", testHeaders(), Bounds{})
 		p.dial = func(context.Context, string) (net.Conn, error) { return near, nil }
 		defer p.Close()
 		a, fate, err := p.Do(t.Context(), callOf("a"))
--- a/internal/endpointlink/down_test.go
+++ b/internal/endpointlink/down_test.go
@@ -10,7 +10,7 @@
 
 func TestDown(t *testing.T) {
 	up := serve(t, func(io.Writer, int) bool { return true })
-	p := New(up.address, testHeaders(), HeadBytesUsual)
+	p := New(up.address, testHeaders(), Bounds{})
 	t.Cleanup(p.Close)
 	require.False(t, p.Down())
 	require.Len(t, p.idle, 1, "the connection serves the next request")
@@ -28,7 +28,7 @@
 			_ = c.Close() // as a port forwarder does whose target is gone
 		}
 	}()
-	forwarded := New(l.Addr().String(), testHeaders(), HeadBytesUsual)
+	forwarded := New(l.Addr().String(), testHeaders(), Bounds{})
 	t.Cleanup(forwarded.Close)
 	require.True(t, forwarded.Down())
 	require.NoError(t, l.Close())
--- a/internal/endpointlink/endpointlink_test.go
+++ b/internal/endpointlink/endpointlink_test.go
@@ -134,7 +134,7 @@
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			e := serve(t, func(w io.Writer, _ int) bool { return say(w, test.reply) && !test.close })
-			p := New(e.address, testHeaders(), HeadBytesUsual)
+			p := New(e.address, testHeaders(), Bounds{})
 			defer p.Close()
 			a, fate, err := p.Do(t.Context(), callOf("1"))
 			require.Equal(t, test.fate, fate, "%v", err)
@@ -153,7 +153,7 @@
 	e := serve(t, func(w io.Writer, _ int) bool {
 		return say(w, "HTTP/1.1 503 X\r\nRequest-Id: 1\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
 	})
-	p := New(e.address, testHeaders(), HeadBytesUsual)
+	p := New(e.address, testHeaders(), Bounds{})
 	defer p.Close()
 	_, fate, err := p.Do(t.Context(), callOf("1"))
 	require.Equal(t, NotRun, fate)
@@ -162,7 +162,7 @@
 
 func TestRequestIsHandedOverUnchanged(t *testing.T) {
 	e := serve(t, func(w io.Writer, _ int) bool { return say(w, whole) })
-	p := New(e.address, testHeaders(), HeadBytesUsual)
+	p := New(e.address, testHeaders(), Bounds{})
 	defer p.Close()
 	_, _, err := p.Do(t.Context(), callOf("1"))
 	require.NoError(t, err)
@@ -190,7 +190,7 @@
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			e := serve(t, func(w io.Writer, _ int) bool { return answer(w, test.reply) })
-			p := New(e.address, testHeaders(), HeadBytesUsual)
+			p := New(e.address, testHeaders(), Bounds{})
 			defer p.Close()
 			for _, id := range []string{"1", "2"} {
 				_, fate, err := p.Do(t.Context(), callOf(id))
@@ -203,7 +203,7 @@
 
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	e := serve(t, func(w io.Writer, _ int) bool { return answer(w, whole) && false })
-	p := New(e.address, testHeaders(), HeadBytesUsual)
+	p := New(e.address, testHeaders(), Bounds{})
 	defer p.Close()
 	for _, id := range []string{"1", "2", "3"} {
 		_, fate, err := p.Do(t.Context(), callOf(id))
@@ -222,7 +222,7 @@
 	require.NoError(t, err)
 	address := l.Addr().String()
 	require.NoError(t, l.Close())
-	p := New(address, testHeaders(), HeadBytesUsual)
+	p := New(address, testHeaders(), Bounds{})
 	_, fate, err := p.Do(t.Context(), callOf("1"))
 	require.Equal(t, NotRun, fate)
 	require.Error(t, err)
@@ -239,7 +239,7 @@
 		close(hungUp)
 		return false
 	})
-	p := New(e.address, testHeaders(), HeadBytesUsual)
+	p := New(e.address, testHeaders(), Bounds{})
 	defer p.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
@@ -259,7 +259,7 @@
 		}
 		return say(w, whole)
 	})
-	p := New(e.address, testHeaders(), HeadBytesUsual)
+	p := New(e.address, testHeaders(), Bounds{})
 	defer p.Close()
 	_, fate, _ := p.Do(t.Context(), callOf("1"))
 	require.Equal(t, Answered, fate)
--- a/internal/endpointlink/exchange.go
+++ b/internal/endpointlink/exchange.go
@@ -13,8 +13,8 @@
 	"github.com/galenacart/galenacart/internal/message"
 )
 
-// answerBytesMax bounds an answer that is read whole.
-const answerBytesMax = 64 << 20
+// skippedBytesMax bounds the body of an answer to another request that is passed over.
+const skippedBytesMax = 64 << 20
 
 // foreignMax bounds the answers to other requests that are passed over.
 const foreignMax = 4
@@ -69,12 +69,12 @@
 	if _, err := c.raw.Write(p.encode(call)); err != nil {
 		return nil, Unknown, false, errors.Wrap(p.broke(c, sent, err), "send to the endpoint")
 	}
-	response, err := p.readOwn(c, call) //nolint:bodyclose // readBody reads it whole; the connection is the pool's
+	response, err := p.readOwn(c, call) //nolint:bodyclose // it is read whole; the connection is the pool's
 	if err != nil {
 		return nil, Unknown, false, p.broke(c, sent, err)
 	}
 	c.head.pass()
-	body, err := readBody(response)
+	body, err := p.bodies.read(response)
 	if err != nil {
 		return nil, Unknown, false, errors.Wrap(err, "read the endpoint's answer")
 	}
@@ -121,25 +121,13 @@
 func (c *conn) skip(r *http.Response) error {
 	again := c.head.pass()
 	defer again()
-	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, answerBytesMax+1))
-	if err == nil && n > answerBytesMax {
-		err = &TooLargeError{Part: "body", Max: answerBytesMax}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, skippedBytesMax+1))
+	if err == nil && n > skippedBytesMax {
+		err = &TooLargeError{Part: "body", Max: skippedBytesMax}
 	}
 	return err
 }
 
-// readBody reads the body of an answer whole.
-func readBody(r *http.Response) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, answerBytesMax+1))
-	if err == nil && len(body) > answerBytesMax {
-		err = &TooLargeError{Part: "body", Max: answerBytesMax}
-	}
-	return body, err
-}
-
 // provesNotRun reports whether an answer states that the request was not run.
 func (p *Pool) provesNotRun(r *http.Response) bool {
 	return r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(p.headers.NotStarted) != ""
--- a/internal/endpointlink/pool.go
+++ b/internal/endpointlink/pool.go
@@ -4,6 +4,7 @@
 package endpointlink
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -42,6 +43,7 @@
 	headers message.Headers
 	// headBytesMax bounds what comes ahead of the body of an answer.
 	headBytesMax int
+	bodies       *bodies
 	dial         func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
@@ -50,14 +52,22 @@
 	began time.Time
 }
 
-// New returns a pool for an IP address and port. headBytesMax bounds the head of an
-// answer.
-func New(address string, headers message.Headers, headBytesMax int) *Pool {
+// Bounds are what answers may take.
+type Bounds struct {
+	// HeadBytes bounds the head of an answer. 0 stands for HeadBytesUsual.
+	HeadBytes int
+	// BodyBytes bounds the bodies that are being read. 0 stands for BodyBytesUsual.
+	BodyBytes int
+}
+
+// New returns a pool for an IP address and port.
+func New(address string, headers message.Headers, bounds Bounds) *Pool {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &Pool{
 		address:      address,
 		headers:      headers,
-		headBytesMax: headBytesMax,
+		headBytesMax: cmp.Or(bounds.HeadBytes, HeadBytesUsual),
+		bodies:       newBodies(cmp.Or(bounds.BodyBytes, BodyBytesUsual)),
 		limit:        idlelimit.New(idleBefore),
 		began:        time.Now(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -6,7 +6,6 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -76,7 +75,7 @@
 // New returns the traffic side of a node.
 func New(c Config) *Mesh {
 	m := &Mesh{config: c}
-	pool := endpointlink.New(c.Settings.EndpointAddress, c.Headers, cmp.Or(c.Settings.AnswerHeadBytes, endpointlink.HeadBytesUsual))
+	pool := endpointlink.New(c.Settings.EndpointAddress, c.Headers, bounds(c.Settings))
 	m.entrance = newEntrance(c, m.stopped)
 	m.server = newEndpointServer(c, pool, m.entrance, m.stopped)
 	m.entrance.local = m.server.handle
@@ -85,6 +84,15 @@
 	return m
 }
 
+// bodyShare is the part of the process's memory, one in bodyShare, that bodies of answers
+// may take while they are read. As much again holds those that are passed on.
+const bodyShare = 4
+
+// bounds returns what answers of the local endpoint may take.
+func bounds(s *settings.Mesh) endpointlink.Bounds {
+	return endpointlink.Bounds{HeadBytes: s.AnswerHeadBytes, BodyBytes: s.MemoryMB << 20 / bodyShare}
+}
+
 // watchInterval is the time between two looks at links and queues.
 const watchInterval = 50 * time.Millisecond
 
--- a/internal/meshnode/endless_test.go
+++ b/internal/meshnode/endless_test.go
@@ -41,21 +41,43 @@
 	}
 }
 
-// TestHeadOfAnAnswerWithoutEndTakesNoMemory plays an endpoint that writes until its
-// connection is closed, beside a sound one, with many requests at once.
+// endlessCase is an answer without end.
+type endlessCase struct{ desc, beginning, text string }
+
+const (
+	statusOK = "HTTP/1.1 200 OK\r\n"
+	ownHead  = statusOK + "Request-Id: $ID\r\nSeal: s\r\n"
+)
+
 func TestHeadOfAnAnswerWithoutEndTakesNoMemory(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK\r\n"
-	for _, one := range []struct{ desc, beginning, text string }{
+	askEndless(t, heapMax, []endlessCase{
 		{"status line", "HTTP/1.1 200 ", "O"},
 		{"no answer at all", "", "\x16\x03\x01\x00"},
-		{"one header", ok + "X-Long: ", "a"},
-		{"headers", ok, "X-Next: a\r\n"},
+		{"one header", statusOK + "X-Long: ", "a"},
+		{"headers", statusOK, "X-Next: a\r\n"},
 		{"informational answers", "", "HTTP/1.1 102 Processing\r\nX-Next: a\r\n\r\n"},
 		{"answers to other requests", "", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"},
-		{"size of a chunk", ok + "Request-Id: $ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
-		{"extension of a chunk", ok + "Request-Id: $ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a"},
-		{"trailers", ok + "Request-Id: $ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Next: a\r\n"},
-	} {
+		{"size of a chunk", ownHead + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		{"extension of a chunk", ownHead + "Transfer-Encoding: chunked\r\n\r\n1;", "a"},
+		{"trailers", ownHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Next: a\r\n"},
+	})
+}
+
+// TestBodyOfAnAnswerWithoutEndStaysInItsBudget bounds the growth by what the settings
+// of the fleet's nodes leave for bodies.
+func TestBodyOfAnAnswerWithoutEndStaysInItsBudget(t *testing.T) {
+	askEndless(t, testMemoryMB<<20/4, []endlessCase{
+		{"chunks", ownHead + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
+		{"until the end of the connection", ownHead + "Connection: close\r\n\r\n", "a"},
+		{"a length beyond all bounds", ownHead + "Content-Length: 1000000000000\r\n\r\n", "a"},
+	})
+}
+
+// askEndless plays an endpoint that writes until its connection is closed, beside a sound
+// one, with many requests at once.
+func askEndless(t *testing.T, growthMax uint64, cases []endlessCase) {
+	t.Helper()
+	for _, one := range cases {
 		for _, idempotent := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, idempotent %t", one.desc, idempotent), func(t *testing.T) {
 				f := newFleet(t, route("stock", idempotent))
@@ -75,13 +97,13 @@
 					asked.Wait()
 				})
 				t.Logf("heap: %d KB more", growth>>10)
-				require.Less(t, growth, uint64(heapMax))
+				require.Less(t, growth, growthMax)
 			})
 		}
 	}
 }
 
-// heapGrowth returns the highest growth of the heap while something is done.
+// heapGrowth returns the highest growth of what the heap holds while something is done.
 func heapGrowth(do func()) uint64 {
 	runtime.GC()
 	var m runtime.MemStats
@@ -97,6 +119,7 @@
 				return
 			case <-time.After(time.Millisecond):
 			}
+			runtime.GC() // garbage takes no room for long
 			runtime.ReadMemStats(&m)
 			highest.Store(max(highest.Load(), m.HeapAlloc))
 		}
--- a/internal/meshnode/fleet_test.go
+++ b/internal/meshnode/fleet_test.go
@@ -152,6 +152,9 @@
 	return v
 }
 
+// testMemoryMB is the memory of each node by its settings, in MB.
+const testMemoryMB = 284
+
 // startNode starts the node of the i-th VM.
 func (f *fleet) startNode(i int) {
 	f.t.Helper()
@@ -159,8 +162,8 @@
 	file := filepath.Join(f.t.TempDir(), "node.json")
 	text := fmt.Sprintf(`{"vm":"vm-%d","availabilityZone":"a","region":"r","service":%q,"clientAddress":%q,"peerAddress":%q,
 		"readinessAddress":%q,"endpointAddress":%q,"statusAddress":%q,"platformAddress":"127.0.0.1:1","stopTimeout":%q,
-		"retryRatio":0.5,"retryAllowance":50,"retryWindow":"10s"}`, i, v.service, f.address(i, 0), f.address(i, 1),
-		f.address(i, 2), f.address(i, 3), f.address(i, 4), f.stopTime)
+		"retryRatio":0.5,"retryAllowance":50,"retryWindow":"10s","memoryMb":%d}`, i, v.service, f.address(i, 0), f.address(i, 1),
+		f.address(i, 2), f.address(i, 3), f.address(i, 4), f.stopTime, testMemoryMB)
 	require.NoError(f.t, os.WriteFile(file, []byte(text), 0o600))
 	live, err := settings.NewLive(file)
 	require.NoError(f.t, err)
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -44,6 +44,9 @@
 	// AnswerHeadBytes bounds the head of an answer of the local endpoint, with what comes
 	// ahead of it, in bytes. Default 65536, which common proxies allow.
 	AnswerHeadBytes int `json:"answerHeadBytes,omitempty" validate:"omitempty,gte=1024,lte=1048576"`
+	// MemoryMB is the memory that the process may use, in MB. A quarter of it bounds the
+	// bodies of answers that are being read. Default: 128 MB for these.
+	MemoryMB int `json:"memoryMb,omitempty" validate:"omitempty,gte=16,lte=1048576"`
 	// LogLevel is one of debug, info, warn, error. Default info.
 	LogLevel string `json:"logLevel,omitempty" validate:"omitempty,oneof=debug info warn error"`
 }
