--- a/internal/mesh/serving.go
+++ b/internal/mesh/serving.go
@@ -16,7 +16,6 @@
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/endpointlink"
 	"github.com/galenacart/galenacart/internal/event"
-	"github.com/galenacart/galenacart/internal/message"
 	"github.com/galenacart/galenacart/internal/metrics"
 	"github.com/galenacart/galenacart/internal/view"
 )
@@ -105,7 +104,7 @@
 	reply = s.admit(ctx, call, inner)
 	s.config.Metrics.Call(metrics.RolePeer, s.config.Now()-started)
 	s.describe(call, inner, reply)
-	if s.suspects.any.Load() {
+	if s.suspects.nonEmpty.Load() {
 		reply.Losses = s.suspects.losses(call.Request())
 	}
 	return reply
@@ -211,54 +210,6 @@
 	}
 }
 
-// sends reports whether a call may go to the endpoint, which may break off all calls.
-func (s *endpointServer) sends(call *calllink.Call) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.breaker.Admit(s.config.Now(), call.Idempotent)
-}
-
-// heard takes in what an exchange told of the endpoint. One whose time ended tells
-// nothing, nor does a connection that the endpoint had forgotten.
-func (s *endpointServer) heard(fate endpointlink.Fate, err error, timeOver bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case fate == endpointlink.Answered, errors.Is(err, endpointlink.ErrRefused), errors.Is(err, endpointlink.ErrMisdirected):
-		s.crashes.answered()
-		if s.breaker.Answered() {
-			s.config.Log.Emit(event.EndpointBack, "")
-		}
-	case timeOver, errors.Is(err, endpointlink.ErrForgotten):
-	case s.breaker.Broke():
-		s.config.Log.Emit(event.EndpointBroken, "", event.F("error", err))
-	}
-}
-
-// tellBroken tells of an answer that was not whole, or had no end.
-func (s *endpointServer) tellBroken(r *message.Request, err error) {
-	id := r.Header.Get(s.config.Headers.RequestID)
-	var large *endpointlink.TooLargeError
-	if !errors.As(err, &large) {
-		s.config.Log.Emit(event.AnswerBroken, id, event.F("error", err))
-		return
-	}
-	s.config.Metrics.Oversized()
-	s.config.Log.Emit(event.AnswerOversized, id, event.F("part", large.Part), event.F("max_bytes", large.Max),
-		event.F("endpoint", s.config.Settings.EndpointAddress))
-}
-
-// crashed blames the requests that the endpoint may have run without a client when it
-// crashed.
-func (s *endpointServer) crashed(crash uint64, crashed bool) {
-	if !crashed {
-		return
-	}
-	for _, one := range s.crashes.takeLeft() {
-		s.suspects.blame(one.request, one.route, crash)
-	}
-}
-
 // describe adds to a reply what the node says of itself.
 func (s *endpointServer) describe(call *calllink.Call, inner bool, reply *calllink.Reply) {
 	s.mu.Lock()
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -28,9 +28,9 @@
 // suspects knows the requests that ran when endpoints crashed, and shares that with the
 // nodes of all services to which such a request may be sent.
 type suspects struct {
-	config Config
-	link   func(*view.Member) *calllink.Link
-	any    atomic.Bool // the ledger holds something
+	config   Config
+	link     func(*view.Member) *calllink.Link
+	nonEmpty atomic.Bool // the ledger holds something
 
 	mu      sync.Mutex
 	ledger  *quarantine.Ledger
@@ -63,7 +63,7 @@
 
 // held returns the time for which a request is held back, or 0.
 func (s *suspects) held(r *message.Request) time.Duration {
-	if !s.any.Load() {
+	if !s.nonEmpty.Load() {
 		return 0
 	}
 	s.mu.Lock()
@@ -73,7 +73,7 @@
 
 // losses returns the crashes that are known of a request.
 func (s *suspects) losses(r *message.Request) []quarantine.Loss {
-	if !s.any.Load() {
+	if !s.nonEmpty.Load() {
 		return nil
 	}
 	s.mu.Lock()
@@ -87,7 +87,7 @@
 	s.mu.Lock()
 	s.ledger.Blame(s.config.Now(), content, crash)
 	lost := s.ledger.Count(content)
-	s.any.Store(true)
+	s.nonEmpty.Store(true)
 	s.mu.Unlock()
 	s.config.Log.Emit(event.EndpointCrashed, r.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", content),
 		event.F("crash", crash), event.F("lost", lost), event.F("route", route))
@@ -95,7 +95,7 @@
 
 // excuse takes in that the local endpoint ran a request to its end.
 func (s *suspects) excuse(r *message.Request) {
-	if !s.any.Load() {
+	if !s.nonEmpty.Load() {
 		return
 	}
 	s.mu.Lock()
@@ -110,12 +110,12 @@
 	for _, content := range s.ledger.Learn(s.config.Now(), losses) {
 		s.config.Log.Emit(event.SuspectKnown, "", event.F("fingerprint", content), event.F("lost", s.ledger.Count(content)))
 	}
-	s.any.Store(true)
+	s.nonEmpty.Store(true)
 }
 
 // tick forgets what is too old, and tells other nodes what they don't know yet.
 func (s *suspects) tick() {
-	if !s.any.Load() {
+	if !s.nonEmpty.Load() {
 		return
 	}
 	audience := s.audience(s.config.View.Load())
@@ -123,7 +123,7 @@
 	defer s.mu.Unlock()
 	if now := s.config.Now(); now-s.expired >= expireInterval {
 		s.expired = now
-		s.any.Store(s.ledger.Expire(now))
+		s.nonEmpty.Store(s.ledger.Expire(now))
 	}
 	maps.DeleteFunc(s.peers, func(address string, p *informed) bool { return !p.telling && audience[address] == nil })
 	for address, m := range audience {
