--- a/internal/meshnode/crash_test.go
+++ b/internal/meshnode/crash_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -129,11 +130,20 @@
 			require.LessOrEqual(t, crashed.Load(), int32(crashesMax))
 			r, _ := f.ask(f.vms[0], "POST", "/stock/crash", "x")
 			require.Equal(t, http.StatusServiceUnavailable, r.StatusCode, "it has not run and will not")
-			require.NotEmpty(t, r.Header.Get("Retry-After"))
+			requireNextTry(t, r)
 		})
 	}
 }
 
+// requireNextTry checks that a client is told when its request will be tried again: ten
+// minutes after the second crash.
+func requireNextTry(t *testing.T, r received) {
+	t.Helper()
+	wait, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.InDelta(t, 570, wait, 30, "seconds")
+}
+
 // TestReplacedNodeKnowsCrashesOfBefore plays a node that is replaced after a request has
 // crashed endpoints: what it knew is gone with its process.
 func TestReplacedNodeKnowsCrashesOfBefore(t *testing.T) {
@@ -275,5 +285,6 @@
 	r, body := f.ask(entry, "POST", "/stock/crash", "x")
 	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
 	require.Contains(t, body, "endpoints that ran this request crashed")
+	requireNextTry(t, r)
 	require.Equal(t, int32(crashesMax), crashed.Load())
 }
