Tell nodes of crashes only what is new, and only where a link answers

What callers saw: nothing; found by reading. While a crash was remembered, ten minutes, a node worked out 20 times a second who is to be told, over all routes, and what each of them lacks, over the whole ledger, also for nodes that can't be reached. With 5,000 routes, a full ledger and a zone cut off that is a good part of a core, under the lock that calls take.

Cause: the look had no memory but of what was acknowledged.

Change: the audience is kept for a view, an unchanged ledger and a doubtful link are passed over, and what holds nothing for a node counts as told.

--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -36,6 +36,8 @@
 	ledger  *quarantine.Ledger
 	expired time.Duration
 	peers   map[string]*informed // by the node's address
+	applied *view.View
+	members map[string]*view.Member // the audience in that view, by the node's address
 }
 
 // informed is what a node was told.
@@ -118,19 +120,27 @@
 	if !s.nonEmpty.Load() {
 		return
 	}
-	audience := s.audience(s.config.View.Load())
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.follow(s.config.View.Load())
 	if now := s.config.Now(); now-s.expired >= expireInterval {
 		s.expired = now
 		s.nonEmpty.Store(s.ledger.Expire(now))
 	}
-	maps.DeleteFunc(s.peers, func(address string, p *informed) bool { return !p.telling && audience[address] == nil })
-	for address, m := range audience {
+	for address, m := range s.members {
 		s.inform(address, s.link(m))
 	}
 }
 
+// follow takes the audience from a view.
+func (s *suspects) follow(v *view.View) {
+	if s.applied == v {
+		return
+	}
+	s.applied, s.members = v, s.audience(v)
+	maps.DeleteFunc(s.peers, func(address string, p *informed) bool { return !p.telling && s.members[address] == nil })
+}
+
 // inform begins to tell a node what it doesn't know yet. It is called under the lock.
 func (s *suspects) inform(address string, l *calllink.Link) {
 	p := s.peers[address]
@@ -138,18 +148,23 @@
 		p = &informed{}
 		s.peers[address] = p
 	}
-	if p.telling {
+	if p.telling || l.Doubtful() {
 		return
 	}
 	if session := l.Session(); session != p.session {
 		p.session, p.revision = session, 0
 	}
+	revision := s.ledger.Revision()
+	if p.revision == revision {
+		return
+	}
 	losses := s.ledger.Since(s.config.Now(), p.revision)
 	if len(losses) == 0 {
+		p.revision = revision
 		return
 	}
 	p.telling = true
-	go s.tell(p, l, losses, s.ledger.Revision())
+	go s.tell(p, l, losses, revision)
 }
 
 func (s *suspects) tell(p *informed, l *calllink.Link, losses []quarantine.Loss, revision uint64) {
