Add galenacart-ctl crashes: which requests ran when endpoints crashed

Cause: events 1003 name every request in flight at a crash, dozens each. On call, the one that comes with several crashes has to be found among them by hand.

Change: galenacart-ctl crashes groups events 1003 and 1005 of captured output by fingerprint, those with the most crashes first, with the number of requests and of times held back, and the ID of one.

Conclusion: nothing changes in the nodes.

--- /dev/null
+++ b/cmd/galenacart-ctl/crashes.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/internal/timeline"
+)
+
+// defaultSuspectRows bounds the rows of the table.
+const defaultSuspectRows = 10
+
+// crashesCommand tells which requests ran when endpoints crashed.
+type crashesCommand struct {
+	terminal
+	rows int
+}
+
+func (*crashesCommand) Name() string     { return "crashes" }
+func (*crashesCommand) Synopsis() string { return "list requests that ran when endpoints crashed" }
+func (*crashesCommand) Usage() string {
+	return `galenacart-ctl crashes [-rows N] CAPTURED
+Reads the captured output of all nodes of the platform and lists the contents of
+requests that ran when endpoints crashed, those with the most crashes first. One
+with several crashes is the likely cause of them.
+Exit codes: 0 done, also without a crash, 1 failed or no event found, 2 bad usage.
+`
+}
+
+func (c *crashesCommand) SetFlags(f *flag.FlagSet) {
+	f.IntVar(&c.rows, "rows", defaultSuspectRows, "`number` of rows")
+}
+
+// Execute reads the events and prints the table.
+func (c *crashesCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 || c.rows < 1 {
+		return c.misuse("crashes: want one CAPTURED file and at least one row")
+	}
+	l, err := timeline.ReadFile(f.Arg(0))
+	if err != nil {
+		return c.fail(err)
+	}
+	events := timeline.Merge(l)
+	if len(events) == 0 {
+		return c.fail(errors.New("no event found"))
+	}
+	if err := timeline.WriteSuspects(c.out, timeline.SuspectsOf(events), c.rows); err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- a/cmd/galenacart-ctl/main.go
+++ b/cmd/galenacart-ctl/main.go
@@ -34,6 +34,7 @@
 	c.Register(&whyCommand{terminal: t}, "nodes")
 	c.Register(&timelineCommand{terminal: t}, "nodes")
 	c.Register(&lossesCommand{terminal: t}, "nodes")
+	c.Register(&crashesCommand{terminal: t}, "nodes")
 }
 
 // terminal is where a command writes.
