Hold no second copy of a body that breaks off

What callers saw: nothing yet. A body that broke off, or whose time was over, was put together in one piece before it was thrown away, so that bodies without end took twice their budget for a moment.

Cause: the pieces were joined at any end of the body, not only at its own.

Change: only a whole body is joined; pieces are kept for the next bodies, so that what was read before and what is read now stay within the budget together (a pool of the runtime gave them up at any time).

--- a/internal/endpointlink/body.go
+++ b/internal/endpointlink/body.go
@@ -23,7 +23,7 @@
 type bodies struct {
 	mu     sync.Mutex
 	budget *membudget.Budget
-	pieces sync.Pool // of *[pieceBytes]byte
+	free   []*[pieceBytes]byte // to be used again
 }
 
 func newBodies(budgetBytes int) *bodies {
@@ -38,37 +38,37 @@
 	}
 	first := make([]byte, firstPiece(r))
 	n, err := fill(first, r.Body)
-	if err == nil {
+	switch {
+	case err == nil:
 		return b.readOn(r, first)
+	case errors.Is(err, io.EOF):
+		return first[:n], nil
+	default:
+		return nil, err
 	}
-	return first[:n], unlessEnd(err)
 }
 
 // readOn reads the rest of a long body.
 func (b *bodies) readOn(r *http.Response, first []byte) ([]byte, error) {
 	var pieces []*[pieceBytes]byte
 	defer func() { b.release(pieces) }()
-	for last := 0; ; {
+	for {
 		piece := b.grow(len(pieces))
 		if piece == nil {
 			return nil, &TooLargeError{Part: "body", Max: len(first) + len(pieces)*pieceBytes}
 		}
 		pieces = append(pieces, piece)
-		var err error
-		if last, err = fill(piece[:], r.Body); err != nil {
-			return join(first, pieces, last), unlessEnd(err)
+		last, err := fill(piece[:], r.Body)
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			return join(first, pieces, last), nil
+		default:
+			return nil, err
 		}
 	}
 }
 
-// unlessEnd returns an error other than the end of a body.
-func unlessEnd(err error) error {
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	return err
-}
-
 // firstPiece returns the size in which most bodies come to their end.
 func firstPiece(r *http.Response) int {
 	if r.ContentLength > 0 && r.ContentLength < pieceBytes {
@@ -105,19 +105,20 @@
 	if !b.budget.Grow(held*pieceBytes, pieceBytes) {
 		return nil
 	}
-	piece, ok := b.pieces.Get().(*[pieceBytes]byte)
-	if !ok {
-		piece = new([pieceBytes]byte)
+	last := len(b.free) - 1
+	if last < 0 {
+		return new([pieceBytes]byte)
 	}
+	piece := b.free[last]
+	b.free = b.free[:last]
 	return piece
 }
 
-// release takes pieces back, so that the next readers take no more memory.
+// release takes pieces back. They are kept, so that what was read before and what is
+// read now never take more than the budget together.
 func (b *bodies) release(pieces []*[pieceBytes]byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.budget.Release(len(pieces) * pieceBytes)
-	for _, piece := range pieces {
-		b.pieces.Put(piece)
-	}
+	b.free = append(b.free, pieces...)
 }
