Give each body a reserve beside the budget that all share

What callers saw: nothing yet. Readers that came one after the other and then held what they had left a share to the next ones that fell by half each time; after seven of them a body of 8 KB was cut off.

Cause: the page of decision/membudget said n readers get n/(n+1) of the budget. That is so only if they grow side by side.

Change: each body has 64 KB of its own, bounded by the endpoint's slots, and only what goes beyond counts in the shared budget.

Ruled out: an eighth of what is left for each reader (244 slots leave nothing either, and one sound body of 10 MB would be cut).

--- a/decision/membudget/membudget.go
+++ b/decision/membudget/membudget.go
@@ -1,37 +1,43 @@
 // Package membudget decides how many bytes each of several readers may hold in memory.
-// It answers peers that send without end: what they send never takes more than a
-// budget, and the reader that holds the most is the one that gets no more, so that
-// small bodies still come through beside it.
+// It answers peers that send without end, or stop in the middle: what they send never
+// takes more than a budget, and small bodies come through beside them.
 package membudget
 
-// Budget is shared by readers. A reader may hold as much as is left free, so that one
-// reader gets half of the budget at most and n readers without end an equal part of
-// n/(n+1) of it. It is not safe for concurrent use.
+// Budget is shared by readers. Each reader has a reserve of its own; beyond it a reader
+// may hold as much of the budget as is left free. So one reader gets half of the
+// budget at most, and each further one half of what the others left. It is not
+// safe for concurrent use.
 type Budget struct {
-	max  int
-	used int
+	max     int
+	reserve int
+	used    int
 }
 
-// New returns a budget of a number of bytes.
-func New(max int) *Budget {
-	return &Budget{max: max}
+// New returns a budget of max bytes for what readers hold beyond their reserves.
+func New(max, reserve int) *Budget {
+	return &Budget{max: max, reserve: reserve}
 }
 
 // Grow reports whether a reader that holds some bytes may hold n more, and counts them.
 func (b *Budget) Grow(held, n int) bool {
-	if held+n > b.max-b.used {
+	more := b.beyond(held+n) - b.beyond(held)
+	if more > 0 && b.beyond(held+n) > b.max-b.used {
 		return false
 	}
-	b.used += n
+	b.used += more
 	return true
 }
 
 // Release takes back the bytes that a reader held.
 func (b *Budget) Release(held int) {
-	b.used -= held
+	b.used -= b.beyond(held)
 }
 
-// Used returns the bytes that all readers hold.
+// Used returns the bytes that all readers hold beyond their reserves.
 func (b *Budget) Used() int {
 	return b.used
 }
+
+func (b *Budget) beyond(held int) int {
+	return max(held-b.reserve, 0)
+}
--- a/internal/endpointlink/body.go
+++ b/internal/endpointlink/body.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// pieceBytes is the unit in which bodies are read. A body of one piece needs no room
-	// in the budget: an endpoint's slots bound these.
+	// pieceBytes is the unit in which bodies are read.
 	pieceBytes = 32 << 10
+	// reserveBytes is what each body may take beside the budget. An endpoint's slots bound
+	// the bodies that are read at once: 80 of them take 5 MB.
+	reserveBytes = 2 * pieceBytes
 	// BodyBytesUsual bounds the bodies that are being read, where no bound is set: one
 	// answer may have 64 MB.
 	BodyBytesUsual = 128 << 20
@@ -27,11 +29,11 @@
 }
 
 func newBodies(budgetBytes int) *bodies {
-	return &bodies{budget: membudget.New(budgetBytes)}
+	return &bodies{budget: membudget.New(budgetBytes, reserveBytes)}
 }
 
-// read reads the body of an answer whole. What doesn't fit into its first piece takes
-// room in the budget.
+// read reads the body of an answer whole. What goes beyond its first piece and its
+// reserve takes room in the budget.
 func (b *bodies) read(r *http.Response) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
