Read captured output in one place

Cause: galenacart-ctl crashes repeated how losses reads and checks its file.

Change: both call readCaptured.

Conclusion: behaviour stays as it is.

--- a/cmd/galenacart-ctl/crashes.go
+++ b/cmd/galenacart-ctl/crashes.go
@@ -5,7 +5,6 @@
 	"flag"
 
 	"github.com/google/subcommands"
-	"github.com/pkg/errors"
 
 	"github.com/galenacart/galenacart/internal/timeline"
 )
@@ -39,14 +38,10 @@
 	if f.NArg() != 1 || c.rows < 1 {
 		return c.misuse("crashes: want one CAPTURED file and at least one row")
 	}
-	l, err := timeline.ReadFile(f.Arg(0))
+	events, err := readCaptured(f.Arg(0))
 	if err != nil {
 		return c.fail(err)
 	}
-	events := timeline.Merge(l)
-	if len(events) == 0 {
-		return c.fail(errors.New("no event found"))
-	}
 	if err := timeline.WriteSuspects(c.out, timeline.SuspectsOf(events), c.rows); err != nil {
 		return c.fail(err)
 	}
--- a/cmd/galenacart-ctl/losses.go
+++ b/cmd/galenacart-ctl/losses.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/google/subcommands"
-	"github.com/pkg/errors"
 
 	"github.com/galenacart/galenacart/internal/timeline"
 )
@@ -49,14 +48,10 @@
 	if f.NArg() != 1 || c.step < 0 || c.rows < 1 || c.plot != "" && c.step == 0 {
 		return c.misuse("losses: want one CAPTURED file, a step that is not negative, at least one row, and a step for a plot")
 	}
-	l, err := timeline.ReadFile(f.Arg(0))
+	events, err := readCaptured(f.Arg(0))
 	if err != nil {
 		return c.fail(err)
 	}
-	events := timeline.Merge(l)
-	if len(events) == 0 {
-		return c.fail(errors.New("no event found"))
-	}
 	losses := timeline.LossesOf(events, c.step)
 	if err := timeline.WriteLosses(c.out, losses, c.rows); err != nil {
 		return c.fail(err)
