Have a new process learn crashes before its endpoint's first call

Cause: a process that has just started knew no crashes until other nodes opened their links to it again and told it, up to 0.35 s after its start.

Change: once the view names other nodes, the process asks two of its zone and two of other zones for all losses they know, and once more four others if none of them can tell. Calls at its own endpoint wait for the end of that, at most 0.3 s after it begins and 1 s after the process starts. A node that is learning itself says so, so that nodes that start together don't take each other's empty ledgers for an answer. Weighed: losses ahead of the first call of each new link (a caller of another service knows none), and asking over the links that others open (they come too late, and mostly from other services). On the links this is one new kind of frame; a node of an earlier version ignores it, which costs the 0.3 s.

Not covered: none of the eight nodes asked answers in time (all power lost at once, or all of them cut off).

--- a/internal/calllink/accept.go
+++ b/internal/calllink/accept.go
@@ -19,6 +19,7 @@
 	handler       Handler
 	importState   func(state []byte)
 	recordCrashes func([]quarantine.Loss)
+	exportCrashes func() (crashes []quarantine.Loss, complete bool)
 	now           func() time.Duration
 
 	mu      sync.Mutex
@@ -32,6 +33,13 @@
 	return &Acceptor{handler: handler, importState: importState, recordCrashes: recordCrashes, now: now, streams: make(map[*stream]struct{})}
 }
 
+// SetCrashExport sets the function that returns the crashes known to this node, for nodes
+// that have just started. complete is false while this node has not yet learned the crashes
+// that others know. It must be called before the acceptor serves links.
+func (a *Acceptor) SetCrashExport(export func() (crashes []quarantine.Loss, complete bool)) {
+	a.exportCrashes = export
+}
+
 // RequestState requests the deployment state from one of the nodes with a link to this one.
 // It returns false if the request could not be sent.
 func (a *Acceptor) RequestState() bool {
@@ -107,6 +115,8 @@
 		if handleCrashes(l.stream, f, l.acceptor.recordCrashes) {
 			_ = l.stream.send(&frame{Kind: kindReply, ID: f.ID, Reply: &Reply{}}) // a failed send closes the link
 		}
+	case kindCrashRequest:
+		l.sendKnownCrashes(f.ID)
 	case kindPing:
 		_ = l.stream.send(&frame{Kind: kindPong}) // a failed send closes the link
 	}
@@ -128,6 +138,19 @@
 	}()
 }
 
+// sendKnownCrashes answers a request for all known crashes.
+func (l *inboundLink) sendKnownCrashes(id uint64) {
+	reply := &Reply{}
+	if export := l.acceptor.exportCrashes; export != nil {
+		crashes, complete := export()
+		l.sendCrashes(crashes)
+		if !complete {
+			reply.Refused = RefusedStarting
+		}
+	}
+	_ = l.stream.send(&frame{Kind: kindReply, ID: id, Reply: reply}) // a failed send closes the link
+}
+
 // sendCrashes reports crashes to the calling node before the reply that they belong to.
 func (l *inboundLink) sendCrashes(crashes []quarantine.Loss) {
 	if len(crashes) == 0 {
--- a/internal/calllink/crashes.go
+++ b/internal/calllink/crashes.go
@@ -59,6 +59,21 @@
 	return err
 }
 
+// FetchCrashes requests all crashes that the other node knows and passes them to
+// recordCrashes. complete is false if that node has just started and may lack some. The
+// errors are those of Do.
+func (l *Link) FetchCrashes(ctx context.Context) (complete bool, err error) {
+	s, err := l.session(ctx)
+	if err != nil {
+		return false, err
+	}
+	reply, err := s.request(ctx, &frame{Kind: kindCrashRequest})
+	if err != nil {
+		return false, err
+	}
+	return reply.Refused == NotRefused, nil
+}
+
 // SessionNumber returns the number of sessions opened so far. Crashes reported in an earlier
 // session may be lost: the other node's process may have been replaced since.
 func (l *Link) SessionNumber() uint64 {
--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -22,6 +22,7 @@
 	kindStateRequest
 	kindState
 	kindCrashes
+	kindCrashRequest
 )
 
 // frame is one protocol unit of a link. One WebSocket message can contain several.
@@ -90,6 +91,9 @@
 	RefusedCircuitOpen
 	// RefusedQuarantined means that endpoints crashed earlier while running this request.
 	RefusedQuarantined
+	// RefusedStarting means that a node has just started and has not yet learned what the
+	// reply should contain.
+	RefusedStarting
 )
 
 // Reply is the outcome of a call.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -80,6 +80,7 @@
 	p.server = newEndpointServer(c, pool, p.requestRouter, p.stopPhase)
 	p.requestRouter.localHandler = p.server.handle
 	p.acceptor = calllink.NewAcceptor(p.server.handle, c.SharedState.ImportState, p.requestRouter.suspectTracker.merge, c.Now)
+	p.acceptor.SetCrashExport(p.requestRouter.suspectTracker.export)
 	p.registerGauges()
 	return p
 }
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -31,6 +31,7 @@
 	config   Config
 	link     func(*fleetview.Member) *calllink.Link
 	nonEmpty atomic.Bool // the ledger holds at least one loss
+	startup  *crashLearner
 
 	mu          sync.Mutex
 	ledger      *quarantine.Ledger
@@ -48,7 +49,7 @@
 }
 
 func newSuspectTracker(c Config) *suspectTracker {
-	return &suspectTracker{config: c, ledger: quarantine.New(), peers: make(map[string]*peerProgress)}
+	return &suspectTracker{config: c, ledger: quarantine.New(), peers: make(map[string]*peerProgress), startup: newCrashLearner(c)}
 }
 
 // fingerprint identifies a request by its content. It omits the headers, since the
@@ -115,8 +116,24 @@
 	s.nonEmpty.Store(true)
 }
 
-// tick removes expired losses and sends new ones to other nodes.
+// export returns all known losses. complete is false while a node that has just started may
+// lack some that others know.
+func (s *suspectTracker) export() (losses []quarantine.Loss, complete bool) {
+	complete = s.startup.ended()
+	if !s.nonEmpty.Load() {
+		return nil, complete
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.ChangesSince(s.config.Now(), 0), complete
+}
+
+// tick removes expired losses and sends new ones to other nodes. In a process that has just
+// started, it has the losses fetched that other nodes know.
 func (s *suspectTracker) tick() {
+	if v := s.config.View.Load(); s.startup.mayBegin(v) {
+		go s.startup.learn(slices.Collect(maps.Values(s.lossRecipients(v))), s.link)
+	}
 	if !s.nonEmpty.Load() {
 		return
 	}
--- a/internal/proxynode/crash_test.go
+++ b/internal/proxynode/crash_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/decision/quarantine"
+	"github.com/galenacart/galenacart/internal/calllink"
 )
 
 // downtime is the time until a crashed endpoint is up again. It is longer than the time
@@ -289,3 +292,42 @@
 	requireRetryAfter(t, r)
 	require.Equal(t, int32(crashesMax), crashed.Load())
 }
+
+// TestNewProcessKnowsCrashesBeforeItsFirstCall replaces a node and calls it at once, as a
+// node does that knows nothing of the crashes, such as one of another service.
+func TestNewProcessKnowsCrashesBeforeItsFirstCall(t *testing.T) {
+	f, crashed := newCrashFleet(t, true, 3)
+	f.send(f.vms[0], "POST", "/stock/crash", "x")
+	require.Equal(t, int32(crashesMax), crashed.Load())
+	for i, v := range f.vms {
+		for _, one := range f.vms {
+			one.awaitEndpoint(t)
+		}
+		require.Eventually(t, func() bool { return f.knowsSuspects(i) }, 10*time.Second, settleTime/10)
+		f.replaceNode(i)
+		reply := f.callNode(i, &calllink.Call{
+			Service: v.service, Endpoint: v.id, Route: "r-stock", Idempotent: true, RemainingMs: 5000,
+			Method: "POST", Target: "/stock/crash", Host: "door.example", Body: []byte("x"),
+			Fields: []string{"Request-Id", "id-1"},
+		})
+		require.Equal(t, calllink.RefusedQuarantined, reply.Refused, "node %d: %s", i, reply.Detail)
+	}
+	require.Equal(t, int32(crashesMax), crashed.Load())
+}
+
+// knowsSuspects reports whether the node of a VM refuses the request that crashes endpoints.
+func (f *fleet) knowsSuspects(i int) bool {
+	r, _ := f.send(f.vms[i], "POST", "/stock/crash", "x")
+	return r.StatusCode == http.StatusServiceUnavailable
+}
+
+// callNode sends a call to the node of the i-th VM over a link of its own.
+func (f *fleet) callNode(i int, call *calllink.Call) *calllink.Reply {
+	f.t.Helper()
+	start := time.Now()
+	l := calllink.New(f.address(i, 1), func() time.Duration { return time.Since(start) }, func() []byte { return nil }, func([]quarantine.Loss) {})
+	defer l.Close()
+	reply, err := l.Do(f.t.Context(), call)
+	require.NoError(f.t, err)
+	return reply
+}
