Fetch known crashes as soon as the first call asks for them

Cause: a new process began to fetch the crashes that others know at its next tick, up to 50 ms after it knew whom to ask, and its endpoint's first calls waited for that.

Change: the first call begins to fetch if the tick has not. The test sends each node a sound request first, since its premise is that the impatient client's requests reach the endpoint; its checks are unchanged.

Conclusion: first calls wait for the answers of others only.

--- a/internal/proxy/crash_learner.go
+++ b/internal/proxy/crash_learner.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/galenacart/galenacart/internal/calllink"
@@ -30,7 +31,7 @@
 type crashLearner struct {
 	zone  string
 	now   func() time.Duration
-	begun bool
+	begun atomic.Bool
 	done  chan struct{} // closed when the losses were fetched or nobody can tell them
 }
 
@@ -38,13 +39,12 @@
 	return &crashLearner{zone: c.Settings.AvailabilityZone, now: c.Now, done: make(chan struct{})}
 }
 
-// mayBegin reports, once, that the view names the nodes to ask. Only one goroutine calls it.
+// mayBegin reports, once, that the view names the nodes to ask.
 func (l *crashLearner) mayBegin(v *fleetview.View) bool {
-	if l.begun || v.Index == nil || len(v.ByVM) == 0 {
+	if v.Index == nil || len(v.ByVM) == 0 {
 		return false
 	}
-	l.begun = true
-	return true
+	return l.begun.CompareAndSwap(false, true)
 }
 
 // ended reports whether the node knows the losses that others could tell it.
@@ -59,9 +59,6 @@
 
 // await waits until the node knows the losses of others, for a bounded time.
 func (l *crashLearner) await(ctx context.Context) {
-	if l.ended() {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, learnWaitMax-l.now())
 	defer cancel()
 	select {
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -158,7 +158,7 @@
 // successfully.
 func (s *endpointServer) exchange(ctx context.Context, call *calllink.Call, deadline time.Duration) (reply *calllink.Reply, completed bool) {
 	request := call.Request()
-	s.suspectTracker.startup.await(ctx)
+	s.suspectTracker.awaitLearned(ctx)
 	if s.suspectTracker.checkQuarantine(request) > 0 {
 		s.config.Log.Emit(event.SuspectRefused, request.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", fingerprint(request)))
 		return refusalReply(calllink.RefusedQuarantined, "endpoints that ran this request crashed"), false
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -128,12 +128,25 @@
 	return s.ledger.ChangesSince(s.config.Now(), 0), complete
 }
 
-// tick removes expired losses and sends new ones to other nodes. In a process that has just
-// started, it has the losses fetched that other nodes know.
-func (s *suspectTracker) tick() {
+// beginLearning has a process that has just started fetch the losses that others know.
+func (s *suspectTracker) beginLearning() {
 	if v := s.config.View.Load(); s.startup.mayBegin(v) {
 		go s.startup.learn(slices.Collect(maps.Values(s.lossRecipients(v))), s.link)
 	}
+}
+
+// awaitLearned waits until a process that has just started knows the losses of others, for
+// a bounded time.
+func (s *suspectTracker) awaitLearned(ctx context.Context) {
+	if !s.startup.ended() {
+		s.beginLearning()
+		s.startup.await(ctx)
+	}
+}
+
+// tick removes expired losses and sends new ones to other nodes.
+func (s *suspectTracker) tick() {
+	s.beginLearning()
 	if !s.nonEmpty.Load() {
 		return
 	}
--- a/internal/proxynode/crash_test.go
+++ b/internal/proxynode/crash_test.go
@@ -210,6 +210,10 @@
 		})
 	}
 	f.publish()
+	for _, v := range f.vms { // the impatient client's requests must reach the endpoint
+		r, _ := f.send(v, "POST", "/stock/sound", "x")
+		require.Equal(t, http.StatusOK, r.StatusCode)
+	}
 	impatient := &http.Client{Timeout: settleTime / 2, Transport: f.client.Transport}
 	for i := range crashesMax {
 		response, err := impatient.Do(f.request(f.vms[0], "POST", "/stock/crash", "x"))
