Have starting nodes subscribe to readers instead of reading the store

Change: a node that has just started lists the endpoints by reads that may be seconds old, takes from the list only whom to ask, and subscribes to a reader of its zone. It reads for itself if it is a reader or the store doesn't answer.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -32,6 +32,10 @@
 // Source updates a Directory until ctx is done.
 type Source interface {
 	Run(ctx context.Context, d *Directory)
+	// ListEndpoints returns the endpoints that were published some seconds ago, at a low
+	// cost. They show which nodes can be asked for the current state and are no state of
+	// their own. The eras of the answers are recorded in the directory.
+	ListEndpoints(ctx context.Context, d *Directory) ([]registry.Entry, error)
 }
 
 // Directory holds what a source reads. It is safe for concurrent use.
@@ -209,18 +213,28 @@
 // member returns the VM of an endpoint, or nil if its address is invalid. The platform names
 // only endpoints, so the endpoint's name is used for its VM.
 func (d *Directory) member(e *registry.Entry) *fleetview.Member {
-	address, err := netip.ParseAddrPort(e.Address)
-	if err != nil {
+	peerAddress := d.PeerAddress(e.Address)
+	if peerAddress == "" {
 		return nil
 	}
 	return &fleetview.Member{
 		VM:               e.ID,
 		AvailabilityZone: e.AvailabilityZone,
 		Service:          e.Service,
-		PeerAddress:      netip.AddrPortFrom(address.Addr(), d.peerPort).String(),
+		PeerAddress:      peerAddress,
 		Leaving:          e.Leaving,
 		EndpointInstance: e.ID,
 		EndpointAddress:  e.Address,
 		Slots:            e.Slots,
 	}
 }
+
+// PeerAddress returns the address at which the node of an endpoint listens for other nodes,
+// or an empty string if the endpoint's address is invalid.
+func (d *Directory) PeerAddress(endpointAddress string) string {
+	address, err := netip.ParseAddrPort(endpointAddress)
+	if err != nil {
+		return ""
+	}
+	return netip.AddrPortFrom(address.Addr(), d.peerPort).String()
+}
--- a/internal/proxynode/fleet_test.go
+++ b/internal/proxynode/fleet_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -75,6 +76,10 @@
 	<-ctx.Done()
 }
 
+func (s *source) ListEndpoints(context.Context, *discovery.Directory) ([]registry.Entry, error) {
+	return nil, errors.New("no platform in this test")
+}
+
 func newFleet(t *testing.T, routes ...catalogue.Route) *fleet {
 	t.Helper()
 	f := &fleet{t: t, routes: routes, client: &http.Client{Transport: &http.Transport{}}, stopTime: "1s", output: io.Discard}
--- a/internal/updatefeed/feed.go
+++ b/internal/updatefeed/feed.go
@@ -67,9 +67,11 @@
 
 // Run updates the directory until ctx is done.
 func (f *Feed) Run(ctx context.Context) {
-	minReadTime := startupReadTime
+	link, minReadTime := f.findReader(ctx), startupReadTime
 	for ctx.Err() == nil {
-		link := f.readUntilLinked(ctx, minReadTime)
+		if link == nil {
+			link = f.readUntilLinked(ctx, minReadTime)
+		}
 		if link == nil {
 			return
 		}
@@ -78,6 +80,7 @@
 			minReadTime = 0 // the reader did not fail
 		}
 		link.close()
+		link = nil
 	}
 }
 
@@ -121,20 +124,38 @@
 
 func (f *Feed) assignmentOf(v *fleetview.View) *assignment {
 	a := &assignment{view: v}
-	var zone []*fleetview.Member
-	var hashes []uint64
+	var zone []zoneNode
 	for _, m := range v.ByVM {
 		if m.AvailabilityZone == f.config.AvailabilityZone && !m.Leaving {
-			zone = append(zone, m)
-			hashes = append(hashes, xxhash.Sum64String(m.VM))
+			zone = append(zone, zoneNode{vm: m.VM, endpointAddress: m.EndpointAddress, peerAddress: m.PeerAddress})
 		}
 	}
-	for _, i := range readers.Top(hashes, 0, readers.RelayCount(len(hashes))) {
-		if zone[i].EndpointAddress == f.config.EndpointAddress {
+	for _, n := range rankNodes(zone, readers.RelayCount(len(zone))) {
+		if n.endpointAddress == f.config.EndpointAddress {
 			a.isReader = true
 			continue
 		}
-		a.otherReaders = append(a.otherReaders, zone[i].PeerAddress)
+		a.otherReaders = append(a.otherReaders, n.peerAddress)
 	}
 	return a
 }
+
+// zoneNode is a node of this node's zone.
+type zoneNode struct {
+	vm              string
+	endpointAddress string
+	peerAddress     string
+}
+
+// rankNodes returns the first count nodes in the order in which they become readers.
+func rankNodes(zone []zoneNode, count int) []zoneNode {
+	hashes := make([]uint64, 0, len(zone))
+	for _, n := range zone {
+		hashes = append(hashes, xxhash.Sum64String(n.vm))
+	}
+	ranked := make([]zoneNode, 0, count)
+	for _, i := range readers.Top(hashes, 0, count) {
+		ranked = append(ranked, zone[i])
+	}
+	return ranked
+}
--- a/internal/updatefeed/feed_test.go
+++ b/internal/updatefeed/feed_test.go
@@ -60,11 +60,14 @@
 type source struct {
 	platform *platform
 	running  atomic.Bool
+	runs     atomic.Int32 // calls of Run
+	lists    atomic.Int32
 	failing  atomic.Bool
 	stalled  atomic.Bool // reads nothing without an error
 }
 
 func (s *source) Run(ctx context.Context, b *discovery.Directory) {
+	s.runs.Add(1)
 	s.running.Store(true)
 	defer s.running.Store(false)
 	for ctx.Err() == nil {
@@ -78,6 +81,21 @@
 	}
 }
 
+// ListEndpoints counts as a read only in lists.
+func (s *source) ListEndpoints(_ context.Context, _ *discovery.Directory) ([]registry.Entry, error) {
+	s.lists.Add(1)
+	if s.failing.Load() {
+		return nil, context.DeadlineExceeded
+	}
+	s.platform.mu.Lock()
+	defer s.platform.mu.Unlock()
+	var all []registry.Entry
+	for _, e := range s.platform.entries {
+		all = append(all, e)
+	}
+	return all, nil
+}
+
 func (s *source) read(b *discovery.Directory) {
 	s.platform.mu.Lock()
 	defer s.platform.mu.Unlock()
@@ -113,6 +131,16 @@
 // peer address from its endpoint's IP address and the common peer port, so that each node
 // needs its own IP address.
 func startNodes(t *testing.T, p *platform, ids ...string) map[string]*node {
+	t.Helper()
+	nodes := publishNodes(t, p, ids...)
+	for _, n := range nodes {
+		n.start()
+	}
+	return nodes
+}
+
+// publishNodes publishes nodes that have not started yet.
+func publishNodes(t *testing.T, p *platform, ids ...string) map[string]*node {
 	t.Helper()
 	nodes := make(map[string]*node)
 	addresses := testaddress.NewSharedPort(len(ids))
@@ -127,18 +155,12 @@
 		n.feed = New(Config{Directory: directory, Source: n.source, View: n.view, AvailabilityZone: "a", EndpointAddress: address, Log: log})
 		nodes[id] = n
 	}
-	for _, n := range nodes {
-		ctx, cancel := context.WithCancel(context.Background())
-		n.cancel = cancel
-		go func() {
-			defer close(n.ended)
-			n.feed.Run(ctx)
-		}()
-	}
 	t.Cleanup(func() {
 		for _, n := range nodes {
-			n.cancel()
-			<-n.ended
+			if n.cancel != nil {
+				n.cancel()
+				<-n.ended
+			}
 			n.server.CloseClientConnections()
 			n.server.Close()
 		}
@@ -146,6 +168,15 @@
 	return nodes
 }
 
+func (n *node) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.ended)
+		n.feed.Run(ctx)
+	}()
+}
+
 // Write receives the node's events.
 func (n *node) Write(line []byte) (int, error) {
 	switch {
