Read the store after 1 s where only another node's state is known

Cause: found by reading the change of starting nodes. A node that gets its state from another node serves by it, and while it looked for a reader that serves it heard of no change: for up to 6 s if its zone has no listed node, and up to 4.8 s if no list names it. A configuration must be in force within 2 s.

Change: readers.NextStartAction reads after 1 s if the node serves already. The field of suspectTracker is called learner after its type.

Conclusion: nobody serves without changes for longer than before by more than 1 s.

--- a/decision/readers/start.go
+++ b/decision/readers/start.go
@@ -9,9 +9,12 @@
 	// emptyListMax is the time for which a node reads lists that name no node of its zone.
 	// Fleets that start together register within about two heartbeats.
 	emptyListMax = 3 * time.Second
-	// unlistedSpread is the time over which nodes start to read that no list names, so that
+	// unlistedSpread is the time over which nodes that no list names start to read, so that
 	// a large fleet stays within the platform's rate limit.
 	unlistedSpread = 3 * time.Second
+	// servingMax is the time for which a node may serve by a state that gets no changes. It
+	// is below the 2 s within which a configuration must be in force.
+	servingMax = time.Second
 )
 
 // StartAction is what a node that has just started does next.
@@ -27,12 +30,15 @@
 	StartRead
 )
 
-// StartConditions holds what a node knows that has just started and has no state yet.
+// StartConditions holds what a node knows that has just started and follows no reader yet.
 type StartConditions struct {
 	// Elapsed is the time since the first list.
 	Elapsed time.Duration
 	// ListedFor is the time since a list first named a node of the own zone.
 	ListedFor time.Duration
+	// Serving says that another node has sent its state, by which this node serves already
+	// although it hears of no changes.
+	Serving bool
 	// Random is in [0, 1) and stays the same for one start.
 	Random float64
 	// ZoneSize is the number of nodes of the own zone in the list.
@@ -46,6 +52,9 @@
 // order of Top; while none of them serves, their number doubles with each step. So few
 // nodes read when a fleet starts together, and none waits long when the readers are gone.
 func NextStartAction(c StartConditions) StartAction {
+	if c.Serving && c.Elapsed >= servingMax {
+		return StartRead
+	}
 	if c.ZoneSize == 0 {
 		if c.Elapsed >= emptyListMax+time.Duration(c.Random*float64(unlistedSpread)) {
 			return StartRead
--- a/decision/readers/start_test.go
+++ b/decision/readers/start_test.go
@@ -25,6 +25,8 @@
 		{"not in the list, readers may serve", StartConditions{ZoneSize: 30, Rank: 30, ListedFor: 4 * StartStep}, StartSubscribe},
 		{"not in the list, none serves", StartConditions{ZoneSize: 30, Rank: 30, ListedFor: 5 * StartStep}, StartRead},
 		{"not in the list, none serves, later than others", StartConditions{ZoneSize: 30, Rank: 30, Random: 0.5, ListedFor: 5 * StartStep}, StartSubscribe},
+		{"serves by the state of another node", StartConditions{Serving: true, Elapsed: servingMax}, StartRead},
+		{"has just received the state of another node", StartConditions{Serving: true, ZoneSize: 30, Rank: 2}, StartSubscribe},
 		{"alone in the zone", StartConditions{ZoneSize: 1, Rank: 0}, StartRead},
 	}
 	for _, test := range tests {
--- a/internal/proxy/crash_learner.go
+++ b/internal/proxy/crash_learner.go
@@ -26,8 +26,8 @@
 	learnPerZone = 2
 )
 
-// crashLearner fetches, when the process starts, the losses that other nodes know. The
-// previous process of the VM has received them, but nothing outlasts a process.
+// crashLearner fetches, when the process starts, the losses that other nodes know. They were
+// reported to the VM's previous process, which kept them in memory only.
 type crashLearner struct {
 	zone  string
 	now   func() time.Duration
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -31,7 +31,7 @@
 	config   Config
 	link     func(*fleetview.Member) *calllink.Link
 	nonEmpty atomic.Bool // the ledger holds at least one loss
-	startup  *crashLearner
+	learner  *crashLearner
 
 	mu          sync.Mutex
 	ledger      *quarantine.Ledger
@@ -49,7 +49,7 @@
 }
 
 func newSuspectTracker(c Config) *suspectTracker {
-	return &suspectTracker{config: c, ledger: quarantine.New(), peers: make(map[string]*peerProgress), startup: newCrashLearner(c)}
+	return &suspectTracker{config: c, ledger: quarantine.New(), peers: make(map[string]*peerProgress), learner: newCrashLearner(c)}
 }
 
 // fingerprint identifies a request by its content. It omits the headers, since the
@@ -119,7 +119,7 @@
 // export returns all known losses. complete is false while a node that has just started may
 // lack some that others know.
 func (s *suspectTracker) export() (losses []quarantine.Loss, complete bool) {
-	complete = s.startup.ended()
+	complete = s.learner.ended()
 	if !s.nonEmpty.Load() {
 		return nil, complete
 	}
@@ -130,17 +130,17 @@
 
 // beginLearning has a process that has just started fetch the losses that others know.
 func (s *suspectTracker) beginLearning() {
-	if v := s.config.View.Load(); s.startup.mayBegin(v) {
-		go s.startup.learn(slices.Collect(maps.Values(s.lossRecipients(v))), s.link)
+	if v := s.config.View.Load(); s.learner.mayBegin(v) {
+		go s.learner.learn(slices.Collect(maps.Values(s.lossRecipients(v))), s.link)
 	}
 }
 
 // awaitLearned waits until a process that has just started knows the losses of others, for
 // a bounded time.
 func (s *suspectTracker) awaitLearned(ctx context.Context) {
-	if !s.startup.ended() {
+	if !s.learner.ended() {
 		s.beginLearning()
-		s.startup.await(ctx)
+		s.learner.await(ctx)
 	}
 }
 
--- a/internal/updatefeed/start.go
+++ b/internal/updatefeed/start.go
@@ -12,8 +12,7 @@
 const (
 	// startPoll is the time between two tries to subscribe of a node that has just started.
 	startPoll = 100 * time.Millisecond
-	// startListTimeout limits one list of the endpoints. Reading the platform takes as long
-	// when it responds slowly.
+	// startListTimeout limits one list of the endpoints.
 	startListTimeout = 500 * time.Millisecond
 	// startDialTimeout limits the time to open a link to a reader that may be down.
 	startDialTimeout = 200 * time.Millisecond
@@ -55,6 +54,7 @@
 
 func (s *startup) conditions() readers.StartConditions {
 	c := readers.StartConditions{Elapsed: time.Since(s.startedAt), Random: s.random, ZoneSize: len(s.ranked), Rank: s.rank}
+	c.Serving = !s.feed.config.Directory.NeedsState()
 	if len(s.ranked) > 0 {
 		c.ListedFor = time.Since(s.listedSince)
 	}
--- a/internal/updatefeed/start_test.go
+++ b/internal/updatefeed/start_test.go
@@ -7,6 +7,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/galenacart/galenacart/decision/registry"
+	"github.com/galenacart/galenacart/internal/catalogue"
+	"github.com/galenacart/galenacart/internal/discovery"
 )
 
 // TestStartingNodeReadsOnlyAsReader starts a node of each kind in a zone that is served.
@@ -77,3 +79,17 @@
 		})
 	}
 }
+
+// TestStartingNodeWithStateOfAnotherNodeFollowsChanges starts a node that no list names, and
+// whose zone has no node that serves, with a state from another node.
+func TestStartingNodeWithStateOfAnotherNodeFollowsChanges(t *testing.T) {
+	p := &platform{version: 1, entries: make(map[string]registry.Entry)}
+	n := publishNodes(t, p, "e1")["e1"]
+	p.change(func(p *platform) { delete(p.entries, n.id) })
+	n.feed.config.Directory.ApplyConfiguration(&discovery.Configuration{Version: 1, Catalogue: &catalogue.Catalogue{
+		Classes: []catalogue.Class{{Name: "0"}},
+	}})
+	n.start()
+	p.configure(2)
+	require.Eventually(t, func() bool { return n.view.Load().Revision == 2 }, 2*time.Second, time.Millisecond)
+}
