Publish a copy of the routes in the tests of a fleet

A real configuration is decoded anew and never changed.

Change: the test's fleet publishes a copy.

Conclusion: a fault of the test's fleet, not of the node.

--- a/internal/proxynode/fleet_test.go
+++ b/internal/proxynode/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -215,7 +216,7 @@
 func (f *fleet) publishTo(sources ...*source) {
 	f.t.Helper()
 	f.version++
-	c := &catalogue.Catalogue{Routes: f.routes, Classes: []catalogue.Class{{Name: "high"}, {Name: "low"}}}
+	c := &catalogue.Catalogue{Routes: slices.Clone(f.routes), Classes: []catalogue.Class{{Name: "high"}, {Name: "low"}}}
 	for _, s := range sources {
 		b := <-s.directory
 		s.directory <- b
