Have subscribers leave a reader whose state is too old

Cause: a subscriber took its reader's heartbeats for fresh content. A reader that is cut off from the store in silence sends them until its own watch is lost: a pause of 0.8 s, a wait of 2.3 s and a slack of 0.4 s, over the 2 s within which a configuration must be in force. Class: a live connection taken for fresh content.

Change: each message of a reader carries the time since the store last answered it, and echoes the subscriber's clock, so that the delay of the message itself can't hide age. A subscriber whose state is older than AgeMax (1.6 s) reads the store itself, as after any other loss of its reader. readers.UpdateTimes divides the bound, which the new setting updateBound names (default 2s), into the parts of the reader and of the subscriber, so that their sum holds whatever the bound. A reader's watch waits 0.4 s for events (2.3 before) and is given up 1.5 s later. A reader of an earlier version, whose messages have no age, is followed as before.

Evidence: TestSubscriberOfReaderThatLostThePlatformFollowsChanges fails on (not in force after 2 s) and passes. TestTimeoutsKeepTheUpdateBound left out the age that the state had before; it counts now. TestFeedDelayBounds keeps its bounds.

Figures: a heartbeat has 29 B (55 before). go test -race of the changed packages passes, platform and proxynode included.

Conclusion: this closes the path that the traces show. What a node does whose own reads the store rejects is looked at next.

--- a/cmd/galenacart-node/serve.go
+++ b/cmd/galenacart-node/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/galenacart/galenacart/decision/readers"
 	"github.com/galenacart/galenacart/internal/proxynode"
 	"github.com/galenacart/galenacart/internal/settings"
 	"github.com/galenacart/galenacart/internal/version"
@@ -56,7 +57,7 @@
 	n, err := proxynode.Start(proxynode.Config{
 		Settings:      s,
 		Headers:       platform.Headers(),
-		Source:        platform.NewFeed(s.Load().PlatformAddress),
+		Source:        platform.NewFeed(s.Load().PlatformAddress, readers.NewUpdateTimes(s.Load().UpdateBoundDuration())),
 		ReadinessPath: platform.ReadinessPath,
 		Version:       version.Number(),
 		EventOutput:   os.Stderr,
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -51,6 +51,7 @@
 	index         *catalogue.Index
 	sourceFailed  bool
 	position      storeera.Position         // up to which all changes are applied
+	confirmedAt   time.Duration             // when the source last confirmed that they are
 	published     map[string]registry.Entry // the endpoints last sent to subscribers
 	subscribers   map[*Subscriber]struct{}
 }
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -1,9 +1,12 @@
 package discovery
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/galenacart/galenacart/decision/readers"
 	"github.com/galenacart/galenacart/decision/registry"
 	"github.com/galenacart/galenacart/decision/storeera"
 )
@@ -19,16 +22,19 @@
 	// after this update. Its revision is 0 if that is unchanged.
 	At storeera.Position
 	// Configuration is a new configuration, or nil.
-	Configuration *Configuration
+	Configuration *Configuration `cbor:",omitempty"`
 	// Whole is true for a snapshot: Endpoints contains all endpoints.
-	Whole bool
+	Whole bool `cbor:",omitempty"`
 	// Endpoints contains new or changed endpoints.
-	Endpoints []registry.Entry
+	Endpoints []registry.Entry `cbor:",omitempty"`
 	// Removed contains the IDs of removed endpoints.
-	Removed []string
+	Removed []string `cbor:",omitempty"`
 	// Gone contains, in a snapshot, the removed endpoints: the receiver may still get older
 	// entries of them.
-	Gone []registry.Entry
+	Gone []registry.Entry `cbor:",omitempty"`
+	// Freshness says when the source confirmed the state that the receiver has after this
+	// update. It is nil if further updates are queued.
+	Freshness *readers.Freshness `cbor:",omitempty"`
 }
 
 // DecodeUpdate decodes an update from another node.
@@ -117,10 +123,12 @@
 	}
 }
 
-// AdvanceRevision records that all changes up to a revision of the current era are applied.
-func (d *Directory) AdvanceRevision(revision uint64) {
+// AdvanceRevision records that all changes up to a revision of the current era are applied,
+// and that the source had no others at the time asOf.
+func (d *Directory) AdvanceRevision(revision uint64, asOf time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.confirmedAt = max(d.confirmedAt, asOf)
 	if revision > d.position.Revision {
 		d.position.Revision = revision
 		d.broadcast(&Update{At: d.position})
@@ -134,6 +142,38 @@
 	return d.position
 }
 
+// Now returns the time since the start of the process.
+func (d *Directory) Now() time.Duration {
+	return d.now()
+}
+
+// StateAge returns the time since the source confirmed that this directory has all changes.
+func (d *Directory) StateAge() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now() - d.confirmedAt
+}
+
+// FreshnessFor returns the freshness of the next message to a subscriber whose time echo
+// was received at echoAt, or nil if further updates are queued for it.
+func (d *Directory) FreshnessFor(s *Subscriber, echo, echoAt time.Duration) *readers.Freshness {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(s.C) > 0 {
+		return nil
+	}
+	f := readers.NewFreshness(d.now()-d.confirmedAt, echo, d.now()-echoAt)
+	return &f
+}
+
+// ConfirmedBySender records that the sender of updates is assumed to have all changes. It is
+// for nodes of an earlier version, whose updates have no Freshness.
+func (d *Directory) ConfirmedBySender() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.confirmedAt = d.now()
+}
+
 // SourceAvailable reports whether the source responds.
 func (d *Directory) SourceAvailable() bool {
 	d.mu.Lock()
@@ -161,6 +201,9 @@
 	if d.position.Before(u.At) {
 		d.position = u.At
 	}
+	if u.Freshness != nil {
+		d.confirmedAt = max(d.confirmedAt, min(u.Freshness.ConfirmedAt(), d.now()))
+	}
 	return true
 }
 
--- a/internal/discovery/update_test.go
+++ b/internal/discovery/update_test.go
@@ -34,7 +34,7 @@
 	from, fromView := newTestDirectory()
 	from.ApplyConfiguration(newConfiguration(7, "s1"))
 	from.PutEndpoint(newEntry("e1", "10.0.0.1:80", false))
-	from.AdvanceRevision(10)
+	from.AdvanceRevision(10, 0)
 	snapshot, subscriber := from.Subscribe()
 	defer from.Unsubscribe(subscriber)
 	to, toView := newTestDirectory()
@@ -63,8 +63,8 @@
 			from.PutEndpoint(e)
 		}, 1},
 		{"a full list with another endpoint", func() { from.ReplaceEndpoints([]registry.Entry{newEntry("e4", "10.0.0.4:80", false)}) }, 1},
-		{"a newer revision", func() { from.AdvanceRevision(20) }, 1},
-		{"the same revision", func() { from.AdvanceRevision(20) }, 0},
+		{"a newer revision", func() { from.AdvanceRevision(20, 0) }, 1},
+		{"the same revision", func() { from.AdvanceRevision(20, 0) }, 0},
 	}
 	for _, step := range steps {
 		step.do()
@@ -96,12 +96,12 @@
 func TestOutdatedSnapshotIsRejected(t *testing.T) {
 	from, _ := newTestDirectory()
 	from.PutEndpoint(newEntry("gone", "10.0.0.1:80", false))
-	from.AdvanceRevision(10)
+	from.AdvanceRevision(10, 0)
 	snapshot, subscriber := from.Subscribe()
 	from.Unsubscribe(subscriber)
 	to, toView := newTestDirectory()
 	to.ApplyConfiguration(newConfiguration(7, "s1"))
-	to.AdvanceRevision(11)
+	to.AdvanceRevision(11, 0)
 	require.False(t, to.ApplyUpdate(snapshot))
 	require.Nil(t, toView.Load().ByVM["gone"])
 	require.Equal(t, storeera.Position{Revision: 11}, to.Position())
@@ -111,7 +111,7 @@
 	d, _ := newTestDirectory()
 	_, slow := d.Subscribe()
 	for revision := range uint64(pendingUpdatesMax + 2) {
-		d.AdvanceRevision(revision + 1)
+		d.AdvanceRevision(revision+1, 0)
 	}
 	for range pendingUpdatesMax {
 		require.NotNil(t, <-slow.C)
--- a/internal/proxynode/node.go
+++ b/internal/proxynode/node.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/galenacart/galenacart/decision/readers"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/discovery"
 	"github.com/galenacart/galenacart/internal/event"
@@ -107,7 +108,7 @@
 	n.directory = discovery.NewDirectory(n.holder, n.log, n.now, peer.Port())
 	n.feed = updatefeed.New(updatefeed.Config{
 		Directory: n.directory, Source: c.Source, View: n.holder, AvailabilityZone: s.AvailabilityZone,
-		EndpointAddress: s.EndpointAddress, Log: n.log,
+		EndpointAddress: s.EndpointAddress, Log: n.log, Times: readers.NewUpdateTimes(s.UpdateBoundDuration()),
 	})
 	n.requestProxy = proxy.New(proxy.Config{
 		Settings: s, RetryBudget: n.retryBudget, Headers: c.Headers, View: n.holder, SharedState: n.directory,
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -42,6 +42,9 @@
 	RetryAllowance float64 `json:"retryAllowance" validate:"gte=0,lte=1000000"`
 	// RetryWindow is the time over which repeats are counted, such as "10s".
 	RetryWindow string `json:"retryWindow" validate:"required"`
+	// UpdateBound is the time within which a change of the configuration must be in force at
+	// every node, such as "2s". Default 2s.
+	UpdateBound string `json:"updateBound,omitempty"`
 	// AnswerHeadBytes bounds the head of an answer of the local endpoint, including all
 	// bytes before it, in bytes. Default 65536, which common proxies allow.
 	AnswerHeadBytes int `json:"answerHeadBytes,omitempty" validate:"omitempty,gte=1024,lte=1048576"`
@@ -75,6 +78,7 @@
 	c.address("/platformAddress", m.PlatformAddress)
 	c.duration("/stopTimeout", m.StopTimeout)
 	c.duration("/retryWindow", m.RetryWindow)
+	c.duration("/updateBound", m.UpdateBound)
 	return c.faults
 }
 
@@ -91,6 +95,17 @@
 	return parseDuration(m.StopTimeout)
 }
 
+// defaultUpdateBound is short for any platform whose store answers within 100 ms.
+const defaultUpdateBound = 2 * time.Second
+
+// UpdateBoundDuration is the time within which a change must be in force at every node.
+func (m *Mesh) UpdateBoundDuration() time.Duration {
+	if m.UpdateBound == "" {
+		return defaultUpdateBound
+	}
+	return parseDuration(m.UpdateBound)
+}
+
 // RetryWindowDuration is the time over which repeats are counted.
 func (m *Mesh) RetryWindowDuration() time.Duration {
 	return parseDuration(m.RetryWindow)
--- a/internal/updatefeed/feed.go
+++ b/internal/updatefeed/feed.go
@@ -40,6 +40,8 @@
 	View *fleetview.Holder
 	// AvailabilityZone is the node's availability zone.
 	AvailabilityZone string
+	// Times divides the time within which changes must be in force.
+	Times readers.UpdateTimes
 	// EndpointAddress is the IP address and port of the node's endpoint.
 	EndpointAddress string
 	// Log receives events.
--- a/internal/updatefeed/feed_test.go
+++ b/internal/updatefeed/feed_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/galenacart/galenacart/decision/readers"
 	"github.com/galenacart/galenacart/decision/registry"
 	"github.com/galenacart/galenacart/decision/storeera"
 	"github.com/galenacart/galenacart/internal/catalogue"
@@ -111,7 +112,7 @@
 		all = append(all, e)
 	}
 	b.ReplaceEndpoints(all)
-	b.AdvanceRevision(s.platform.revision)
+	b.AdvanceRevision(s.platform.revision, b.Now())
 }
 
 // node is one node of a test, with its own peer address.
@@ -152,7 +153,7 @@
 		log := event.NewLog(n, "node", id, zerolog.InfoLevel)
 		start := time.Now()
 		directory := discovery.NewDirectory(n.view, log, func() time.Duration { return time.Since(start) }, addresses[i].Port())
-		n.feed = New(Config{Directory: directory, Source: n.source, View: n.view, AvailabilityZone: "a", EndpointAddress: address, Log: log})
+		n.feed = New(Config{Directory: directory, Source: n.source, View: n.view, AvailabilityZone: "a", EndpointAddress: address, Log: log, Times: readers.NewUpdateTimes(updateBound)})
 		nodes[id] = n
 	}
 	t.Cleanup(func() {
@@ -256,15 +257,35 @@
 	}
 }
 
-// A change has to be in force 2 s after the platform accepted it, also if a reader fails.
-// The platform's response time is part of that.
+// updateBound is the time within which a change has to be in force, also if a reader fails.
+const updateBound = 2 * time.Second
+
+// The platform's response time is part of the bound, and so is the age of the state that a
+// reader or the node itself had before.
 func TestTimeoutsKeepTheUpdateBound(t *testing.T) {
-	const bound, responseTime = 2 * time.Second, 500 * time.Millisecond
-	require.Less(t, silenceMax+responseTime, bound, "a reader becomes silent")
-	require.Less(t, snapshotTimeout+responseTime, bound, "a reader accepts a subscriber and sends nothing")
+	times := readers.NewUpdateTimes(updateBound)
+	healthy := times.BatchPause + times.WatchWait + times.ReadTime
+	require.LessOrEqual(t, times.AgeMax+times.ReadTime, updateBound, "a reader becomes silent or no longer hears the platform")
+	for _, age := range []time.Duration{0, times.BatchPause, healthy - times.ReadTime} {
+		require.LessOrEqual(t, age+times.SnapshotWait(age, snapshotTimeout)+times.ReadTime, updateBound, "a reader accepts a subscriber and sends nothing")
+	}
+	require.LessOrEqual(t, healthy, times.AgeMax, "a reader without news is not abandoned")
 	require.Less(t, 2*heartbeatInterval, silenceMax, "one late heartbeat does not count as silence")
 }
 
+func TestSubscriberOfReaderThatLostThePlatformFollowsChanges(t *testing.T) {
+	p := &platform{version: 1, entries: make(map[string]registry.Entry)}
+	nodes := startNodes(t, p, "e1", "e2", "e3", "e4", "e5")
+	reading, listening := awaitRoles(t, nodes)
+	for _, n := range reading {
+		n.source.stalled.Store(true) // its connection to the platform is silent, those to subscribers work
+	}
+	p.configure(2)
+	for _, n := range listening {
+		require.Eventually(t, func() bool { return n.view.Load().Revision == 2 }, updateBound, time.Millisecond)
+	}
+}
+
 func TestReaderThatFailsIsReplaced(t *testing.T) {
 	tests := []struct {
 		desc string
--- a/internal/updatefeed/serve.go
+++ b/internal/updatefeed/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -39,10 +40,28 @@
 		return // Accept has written the error response
 	}
 	defer func() { _ = socket.CloseNow() }() // the subscriber detects the closed link itself
-	if f.catchUp(socket) != nil {
+	s := &subscription{directory: f.config.Directory, socket: socket}
+	if s.catchUp() != nil {
 		return // the subscriber no longer waits
 	}
-	f.sendUpdates(socket)
+	s.sendUpdates(f.readerHealthy)
+}
+
+// subscription is a connection to a subscriber, on the side of the reader.
+type subscription struct {
+	directory *discovery.Directory
+	socket    *websocket.Conn
+	ping      atomic.Pointer[receivedPing] // newest
+}
+
+// receivedPing is a time of the subscriber's clock, and when it was received.
+type receivedPing struct {
+	sentAt     time.Duration
+	receivedAt time.Duration
+}
+
+func (s *subscription) recordPing(sentMs uint64) {
+	s.ping.Store(&receivedPing{sentAt: time.Duration(sentMs) * time.Millisecond, receivedAt: s.directory.Now()})
 }
 
 // readerHealthy reports whether this node reads the platform and the platform responds.
@@ -57,10 +76,10 @@
 }
 
 // catchUp reads the subscriber's position and waits until this node has reached it.
-func (f *Feed) catchUp(socket *websocket.Conn) error {
+func (s *subscription) catchUp() error {
 	ctx, cancel := context.WithTimeout(context.Background(), snapshotTimeout)
 	defer cancel()
-	_, data, err := socket.Read(ctx)
+	_, data, err := s.socket.Read(ctx)
 	if err != nil {
 		return errors.Wrap(err, "read a subscribe request")
 	}
@@ -68,7 +87,8 @@
 	if err := cbor.Unmarshal(data, &request); err != nil {
 		return errors.Wrap(err, "decode a subscribe request")
 	}
-	for f.config.Directory.Position().Before(request.After) {
+	s.recordPing(request.SentMs)
+	for s.directory.Position().Before(request.After) {
 		if !wait.For(ctx, catchUpPoll) {
 			return errReaderBehind
 		}
@@ -76,19 +96,36 @@
 	return nil
 }
 
+// receivePings records the subscriber's pings until it disconnects.
+func (s *subscription) receivePings(disconnected context.CancelFunc) {
+	defer disconnected()
+	for {
+		_, data, err := s.socket.Read(context.Background())
+		if err != nil {
+			return // the subscriber has disconnected
+		}
+		var p ping
+		if cbor.Unmarshal(data, &p) != nil {
+			return // a subscriber sends only pings
+		}
+		s.recordPing(p.SentMs)
+	}
+}
+
 // sendUpdates sends updates to a subscriber until it disconnects or this node stops reading
-// the platform.
-func (f *Feed) sendUpdates(socket *websocket.Conn) {
-	connected := socket.CloseRead(context.Background())
-	snapshot, subscriber := f.config.Directory.Subscribe()
-	defer f.config.Directory.Unsubscribe(subscriber)
+// the platform, as healthy reports.
+func (s *subscription) sendUpdates(healthy func() bool) {
+	connected, disconnected := context.WithCancel(context.Background())
+	go s.receivePings(disconnected)
+	snapshot, subscriber := s.directory.Subscribe()
+	defer s.directory.Unsubscribe(subscriber)
 	next := snapshot
-	for f.readerHealthy() && writeUpdate(connected, socket, next) == nil {
+	for healthy() && s.write(connected, subscriber, next) == nil {
 		heartbeatDue, cancel := context.WithTimeout(connected, heartbeatInterval)
 		select {
 		case next = <-subscriber.C:
 		case <-heartbeatDue.Done():
-			next = f.config.Directory.Heartbeat()
+			next = s.directory.Heartbeat()
 		}
 		cancel()
 		if next == nil || connected.Err() != nil {
@@ -97,12 +134,15 @@
 	}
 }
 
-func writeUpdate(ctx context.Context, socket *websocket.Conn, u *discovery.Update) error {
-	data, err := cbor.Marshal(u)
+// write sends an update, which other subscribers get too, with the freshness for this one.
+func (s *subscription) write(ctx context.Context, subscriber *discovery.Subscriber, shared *discovery.Update) error {
+	u, p := *shared, s.ping.Load()
+	u.Freshness = s.directory.FreshnessFor(subscriber, p.sentAt, p.receivedAt)
+	data, err := cbor.Marshal(&u)
 	if err != nil {
 		return errors.Wrap(err, "encode an update")
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	return errors.Wrap(socket.Write(ctx, websocket.MessageBinary, data), "send to a subscriber")
+	return errors.Wrap(s.socket.Write(ctx, websocket.MessageBinary, data), "send to a subscriber")
 }
