Have nodes that the platform rejects follow other readers

What callers saw: a node that the store rejects (503, 429, no answer) while it serves the others kept its configuration of before for as long as that lasted, and a reader did so even with the other reader of its zone beside it. Found by looking for the same class as the stale readers: a node's own silence taken for no news.

Cause: a reader never asked another one, and other nodes asked the readers of their own zone only.

Change: a node whose state is older than AgeMax while it reads the store dials up to three readers of any zone, follows one for 5 s and then tries the store again. A node whose own state is that old takes no subscribers, so that nodes without the store don't follow each other.

In an outage of the whole store each node dials at most three others a second, which refuse at once.

--- a/internal/updatefeed/feed.go
+++ b/internal/updatefeed/feed.go
@@ -28,6 +28,13 @@
 	// startupReadTime is how long a starting node reads the platform itself: nodes that start
 	// together first have to discover each other.
 	startupReadTime = 1500 * time.Millisecond
+	// fallbackDials is the number of readers that a node which can't read the platform dials at
+	// once, and fallbackPause the wait after that: they may be unable too.
+	fallbackDials = 3
+	fallbackPause = time.Second
+	// fallbackTime is how long such a node follows another one before it reads the platform
+	// again.
+	fallbackTime = 5 * time.Second
 )
 
 // Config configures a Feed.
@@ -101,20 +108,58 @@
 		cancel()
 		<-ended
 	}()
-	wait.For(ctx, minReadTime)
+	subscribeAt := f.config.Directory.Now() + minReadTime
 	for wait.For(ctx, assignmentInterval) {
-		a := f.currentAssignment()
-		if a.isReader || len(a.otherReaders) == 0 {
-			continue
+		var link *readerLink
+		switch {
+		case f.config.Directory.StateAge() > f.config.Times.AgeMax:
+			link = f.dialOneOf(ctx, f.readersOfAllZones(), fallbackDials, fallbackPause)
+			if link != nil {
+				link.followUntil = f.config.Directory.Now() + fallbackTime
+			}
+		case f.config.Directory.Now() >= subscribeAt && !f.currentAssignment().isReader:
+			link = f.dialOneOf(ctx, f.currentAssignment().otherReaders, 1, retryPause)
+		}
+		if link != nil {
+			return link
 		}
-		if l, err := dial(ctx, a.otherReaders[rand.N(len(a.otherReaders))]); err == nil {
+	}
+	return nil
+}
+
+// dialOneOf opens a link to one of the addresses, after at most so many dials. It returns nil,
+// after a pause, if all of them fail.
+func (f *Feed) dialOneOf(ctx context.Context, addresses []string, dials int, pause time.Duration) *readerLink {
+	if len(addresses) == 0 {
+		return nil
+	}
+	for _, i := range rand.Perm(len(addresses))[:min(dials, len(addresses))] {
+		if l, err := dial(ctx, addresses[i]); err == nil {
 			return l
 		}
-		wait.For(ctx, retryPause)
 	}
+	wait.For(ctx, pause)
 	return nil
 }
 
+// readersOfAllZones returns the peer addresses of the readers, for a node that can't read the
+// platform: other nodes of its zone may be unable too.
+func (f *Feed) readersOfAllZones() []string {
+	zones := make(map[string][]zoneNode)
+	for _, m := range f.config.View.Load().ByVM {
+		if !m.Leaving && m.EndpointAddress != f.config.EndpointAddress {
+			zones[m.AvailabilityZone] = append(zones[m.AvailabilityZone], zoneNodeOf(m))
+		}
+	}
+	var addresses []string
+	for _, zone := range zones {
+		for _, n := range rankNodes(zone, readers.RelayCount(len(zone))) {
+			addresses = append(addresses, n.peerAddress)
+		}
+	}
+	return addresses
+}
+
 // currentAssignment returns the readers of this node's zone. It computes them once per view.
 func (f *Feed) currentAssignment() *assignment {
 	v := f.config.View.Load()
@@ -129,7 +174,7 @@
 	var zone []zoneNode
 	for _, m := range v.ByVM {
 		if m.AvailabilityZone == f.config.AvailabilityZone && !m.Leaving {
-			zone = append(zone, zoneNode{vm: m.VM, endpointAddress: m.EndpointAddress, peerAddress: m.PeerAddress})
+			zone = append(zone, zoneNodeOf(m))
 		}
 	}
 	for _, n := range rankNodes(zone, readers.RelayCount(len(zone))) {
@@ -142,13 +187,17 @@
 	return a
 }
 
-// zoneNode is a node of this node's zone.
+// zoneNode is a node of an availability zone.
 type zoneNode struct {
 	vm              string
 	endpointAddress string
 	peerAddress     string
 }
 
+func zoneNodeOf(m *fleetview.Member) zoneNode {
+	return zoneNode{vm: m.VM, endpointAddress: m.EndpointAddress, peerAddress: m.PeerAddress}
+}
+
 // rankNodes returns the first count nodes in the order in which they become readers.
 func rankNodes(zone []zoneNode, count int) []zoneNode {
 	hashes := make([]uint64, 0, len(zone))
--- a/internal/updatefeed/feed_test.go
+++ b/internal/updatefeed/feed_test.go
@@ -128,7 +128,7 @@
 	ended     chan struct{}
 }
 
-// startNodes starts nodes that are published on one platform. A directory derives a node's
+// startNodes starts nodes, in the zone that is the first letter of their ID, that are published on one platform. A directory derives a node's
 // peer address from its endpoint's IP address and the common peer port, so that each node
 // needs its own IP address.
 func startNodes(t *testing.T, p *platform, ids ...string) map[string]*node {
@@ -149,11 +149,11 @@
 		n := &node{id: id, source: &source{platform: p}, view: &fleetview.Holder{}, ended: make(chan struct{})}
 		n.server = serveAt(t, addresses[i], n)
 		address := addresses[i].Addr().String() + ":80"
-		p.put(registry.Entry{ID: id, Service: "stock", Address: address, AvailabilityZone: "a", Slots: 5, StartedMs: 1, Sequence: 1})
+		p.put(registry.Entry{ID: id, Service: "stock", Address: address, AvailabilityZone: id[:1], Slots: 5, StartedMs: 1, Sequence: 1})
 		log := event.NewLog(n, "node", id, zerolog.InfoLevel)
 		start := time.Now()
 		directory := discovery.NewDirectory(n.view, log, func() time.Duration { return time.Since(start) }, addresses[i].Port())
-		n.feed = New(Config{Directory: directory, Source: n.source, View: n.view, AvailabilityZone: "a", EndpointAddress: address, Log: log, Times: readers.NewUpdateTimes(updateBound)})
+		n.feed = New(Config{Directory: directory, Source: n.source, View: n.view, AvailabilityZone: id[:1], EndpointAddress: address, Log: log, Times: readers.NewUpdateTimes(updateBound)})
 		nodes[id] = n
 	}
 	t.Cleanup(func() {
@@ -313,6 +313,50 @@
 	}
 }
 
+// TestNodesRejectedByThePlatformFollowOthers has the platform reject some nodes while it serves
+// the others, which is what a node can't find out from its own zone.
+func TestNodesRejectedByThePlatformFollowOthers(t *testing.T) {
+	tests := []struct {
+		desc     string
+		rejected func(n *node, isReader bool) bool
+	}{
+		{"the readers of a zone", func(n *node, isReader bool) bool { return isReader && n.id[:1] == "e" }},
+		{"all nodes of a zone", func(n *node, _ bool) bool { return n.id[:1] == "e" }},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			p := &platform{version: 1, entries: make(map[string]registry.Entry)}
+			nodes := startNodes(t, p, "e1", "e2", "e3", "e4", "e5", "f1", "f2", "f3")
+			require.Eventually(t, func() bool {
+				for _, n := range nodes {
+					if n.source.running.Load() == n.following.Load() || len(n.view.Load().ByVM) < len(nodes) {
+						return false
+					}
+				}
+				return true
+			}, 20*time.Second, 10*time.Millisecond)
+			for _, n := range nodes {
+				n.source.failing.Store(test.rejected(n, n.source.running.Load()))
+			}
+			require.Eventually(t, func() bool {
+				for _, n := range nodes {
+					if n.source.failing.Load() && !n.following.Load() {
+						return false
+					}
+				}
+				return true
+			}, 10*time.Second, time.Millisecond, "rejected nodes follow others")
+			for version := uint64(2); version < 6; version++ {
+				p.configure(version)
+				for _, n := range nodes {
+					require.Eventually(t, func() bool { return n.view.Load().Revision == version }, 2*updateBound, time.Millisecond, n.id)
+				}
+				time.Sleep(updateBound / 2)
+			}
+		})
+	}
+}
+
 func TestNodeKeepsReadingWhileItsReaderSendsNothing(t *testing.T) {
 	p := &platform{version: 1, entries: make(map[string]registry.Entry)}
 	nodes := startNodes(t, p, "e1", "e2", "e3")
--- a/internal/updatefeed/serve.go
+++ b/internal/updatefeed/serve.go
@@ -72,7 +72,8 @@
 // canServe reports whether this node can send a snapshot to a new subscriber. Existing
 // subscribers receive changes also while the platform is read anew.
 func (f *Feed) canServe() bool {
-	return f.readerHealthy() && f.config.Directory.Position().Revision > 0
+	directory := f.config.Directory
+	return f.readerHealthy() && directory.Position().Revision > 0 && directory.StateAge() <= f.config.Times.AgeMax
 }
 
 // catchUp reads the subscriber's position and waits until this node has reached it.
--- a/internal/updatefeed/subscribe.go
+++ b/internal/updatefeed/subscribe.go
@@ -42,6 +42,7 @@
 	conn         *websocket.Conn
 	answersPings bool // false for a reader of an earlier version
 	pingedAt     time.Duration
+	followUntil  time.Duration // 0 unless this node can't read the platform
 }
 
 // subscribeRequest is the first message of a subscriber.
@@ -149,7 +150,7 @@
 }
 
 // follow applies a reader's updates until the reader fails, and then returns false. It
-// returns true if this node becomes a reader or the reader no longer is one.
+// returns true if this node should read the platform itself or follow another reader.
 func (f *Feed) follow(ctx context.Context, l *readerLink) bool {
 	if err := f.subscribe(ctx, l); err != nil {
 		f.config.Log.Emit(event.ReaderLost, l.address, event.F("error", err), event.F("state_age", f.config.Directory.StateAge()))
@@ -157,7 +158,7 @@
 	}
 	f.config.Log.Emit(event.ReaderFound, l.address)
 	for {
-		if a := f.currentAssignment(); a.isReader || !slices.Contains(a.otherReaders, l.address) {
+		if !f.mayFollow(l) {
 			return true
 		}
 		if err := f.followOne(ctx, l); err != nil {
@@ -169,6 +170,16 @@
 	}
 }
 
+// mayFollow reports whether this node does not have to read the platform itself, as far as it
+// knows.
+func (f *Feed) mayFollow(l *readerLink) bool {
+	if l.followUntil > 0 {
+		return f.config.Directory.Now() < l.followUntil
+	}
+	a := f.currentAssignment()
+	return !a.isReader && slices.Contains(a.otherReaders, l.address)
+}
+
 // followOne applies the reader's next update.
 func (f *Feed) followOne(ctx context.Context, l *readerLink) error {
 	u, err := f.receiveNext(ctx, l)
