Bound extra attempts in windows that start within a bucket

Cause: ServiceBudget checked windows that start with one of its buckets. Two bursts of repeats, late in one bucket and early in the one ten buckets on, were in no such window together, and both got the whole budget. Class: a limit that is checked at the resolution of its own bookkeeping.

Change: a window counts the extra attempts of all buckets that it overlaps, and the calls of those that it covers in full, wherever it starts; 20 buckets in place of 10.

--- a/decision/retry/servicebudget.go
+++ b/decision/retry/servicebudget.go
@@ -2,8 +2,17 @@
 
 import "time"
 
-// windowBuckets is the number of buckets of a window.
-const windowBuckets = 10
+// windowBuckets is the number of buckets of a window. A window that starts within a bucket
+// overlaps one bucket more, and covers one less in full.
+const windowBuckets = 20
+
+// Limit bounds the extra attempts of one node to one service in a window of time.
+type Limit struct {
+	// Ratio is the number of extra attempts per call.
+	Ratio float64
+	// Allowance is a number of extra attempts that is granted in addition to Ratio.
+	Allowance float64
+}
 
 // ServiceBudget limits the extra attempts of one node to one service, in any window of
 // time, to a share of the node's recent calls plus a fixed allowance. The calls are the
@@ -12,7 +21,7 @@
 // may still be retried. It is not safe for concurrent use.
 type ServiceBudget struct {
 	calls  [2 * windowBuckets]int
-	extra  [windowBuckets]int
+	extra  [windowBuckets + 1]int
 	bucket int64 // current
 }
 
@@ -23,7 +32,7 @@
 	for range min(bucket-b.bucket, int64(len(b.calls))) {
 		b.bucket++
 		b.calls[b.bucket%int64(len(b.calls))] = 0
-		b.extra[b.bucket%windowBuckets] = 0
+		b.extra[b.bucket%int64(len(b.extra))] = 0
 	}
 	b.bucket = bucket
 }
@@ -35,27 +44,27 @@
 }
 
 // Spend records an extra attempt and returns true if every window that contains it stays
-// within its limit of ratio times the calls plus the allowance.
-func (b *ServiceBudget) Spend(now, span time.Duration, ratio, allowance float64) bool {
+// within its limit, wherever in a bucket the window starts.
+func (b *ServiceBudget) Spend(now, span time.Duration, limit Limit) bool {
 	b.advance(now, span)
 	extra := 0
-	for first := b.bucket; first > b.bucket-windowBuckets && first >= 0; first-- {
-		extra += b.extra[first%windowBuckets]
-		if float64(extra+1) > ratio*float64(b.maxCalls(first))+allowance {
+	for first := b.bucket; first >= b.bucket-windowBuckets && first >= 0; first-- {
+		extra += b.extra[first%int64(len(b.extra))]
+		if float64(extra+1) > limit.Ratio*float64(b.maxCalls(first))+limit.Allowance {
 			return false
 		}
 	}
-	b.extra[b.bucket%windowBuckets]++
+	b.extra[b.bucket%int64(len(b.extra))]++
 	return true
 }
 
-// maxCalls returns the number of calls that determines the limit of the window starting
-// at bucket first.
+// maxCalls returns the number of calls that determines the limit of a window which starts
+// within the bucket first. Only buckets that it covers in full count.
 func (b *ServiceBudget) maxCalls(first int64) int {
 	return max(
-		b.sum(first, first+windowBuckets),
-		b.sum(first-windowBuckets/2, first+windowBuckets/2),
-		b.sum(first-windowBuckets, first),
+		b.sum(first+1, first+windowBuckets),
+		b.sum(first-windowBuckets/2+1, first+windowBuckets/2),
+		b.sum(first-windowBuckets+1, first),
 	)
 }
 
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/galenacart/galenacart/decision/placement"
+	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/fleetview"
@@ -280,11 +281,11 @@
 	router := p.router
 	fleet := router.config.RetryBudget()
 	nodes := float64(max(len(p.view.ByVM), 1))
-	ratio, allowance := fleet.Ratio*retryBudgetShare, fleet.Allowance*retryBudgetShare/nodes
+	limit := retry.Limit{Ratio: fleet.Ratio * retryBudgetShare, Allowance: fleet.Allowance * retryBudgetShare / nodes}
 	if ran && router.pressures.callsDownstream(p.route.Name) {
-		ratio, allowance = fleet.Ratio*downstreamRatioShare, fleet.Allowance*downstreamAllowanceShare/nodes
+		limit = retry.Limit{Ratio: fleet.Ratio * downstreamRatioShare, Allowance: fleet.Allowance * downstreamAllowanceShare / nodes}
 	}
-	if !router.targets.spendRetry(p.service, fleet.Window, ratio, allowance) {
+	if !router.targets.spendRetry(p.service, fleet.Window, limit) {
 		return false
 	}
 	router.config.Metrics.RecordRetry()
--- a/internal/proxy/targets.go
+++ b/internal/proxy/targets.go
@@ -214,8 +214,8 @@
 }
 
 // spendRetry takes one retry out of the budget of a service.
-func (t *targets) spendRetry(service string, span time.Duration, ratio, allowance float64) bool {
+func (t *targets) spendRetry(service string, span time.Duration, limit retry.Limit) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.budget(service).Spend(t.now(), span, ratio, allowance)
+	return t.budget(service).Spend(t.now(), span, limit)
 }
