Give a new process a small part of the retry budget at first

Cause: a new process knows nothing of the extra attempts of the one before it, and got the whole budget again within the same window. Class: a limit over time kept in a process that may end.

Change: retry.FleetBudget gives a node 0.15 of the fleet's budget for its own extra attempts in the first window of its process, and 0.55 later (0.7 before), so that both together are what was used before. It replaces proxy.RetryBudget.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -23,11 +23,8 @@
 	replySlack = 60 * time.Millisecond
 	// refusalsMax bounds the endpoints that may refuse one request.
 	refusalsMax = 8
-	// retryBudgetShare is the part of the fleet's retry budget that is used. The rest is
-	// reserved for retries of other nodes further up the same call chain.
-	retryBudgetShare = 0.7
-	// downstreamRatioShare and downstreamAllowanceShare replace retryBudgetShare for requests that
-	// make calls of their own, since a retry repeats all of these.
+	// downstreamRatioShare and downstreamAllowanceShare are the parts of the fleet's retry budget
+	// for requests that make calls of their own, since a retry repeats all of these.
 	downstreamRatioShare     = 0.1
 	downstreamAllowanceShare = 0.02
 )
@@ -280,10 +277,9 @@
 func (p *routedRequest) takeRetry(m *fleetview.Member, ran bool) bool {
 	router := p.router
 	fleet := router.config.RetryBudget()
-	nodes := float64(max(len(p.view.ByVM), 1))
-	limit := retry.Limit{Ratio: fleet.Ratio * retryBudgetShare, Allowance: fleet.Allowance * retryBudgetShare / nodes}
+	limit := fleet.NodeLimit(router.config.Now(), len(p.view.ByVM))
 	if ran && router.pressures.callsDownstream(p.route.Name) {
-		limit = retry.Limit{Ratio: fleet.Ratio * downstreamRatioShare, Allowance: fleet.Allowance * downstreamAllowanceShare / nodes}
+		limit = retry.Limit{Ratio: fleet.Ratio * downstreamRatioShare, Allowance: fleet.Allowance * downstreamAllowanceShare / float64(max(len(p.view.ByVM), 1))}
 	}
 	if !router.targets.spendRetry(p.service, fleet.Window, limit) {
 		return false
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/decision/stopping"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/endpointlink"
@@ -27,7 +28,7 @@
 	// Settings are the node's settings.
 	Settings *settings.Mesh
 	// RetryBudget returns the fleet's current retry budget.
-	RetryBudget func() RetryBudget
+	RetryBudget func() retry.FleetBudget
 	// Headers names the deployment's headers.
 	Headers message.Headers
 	// View holds the current configuration and endpoints.
@@ -52,16 +53,6 @@
 	ImportState(state []byte)
 }
 
-// RetryBudget bounds the retries of the whole fleet towards one service.
-type RetryBudget struct {
-	// Ratio is the number of retries per request to the service.
-	Ratio float64
-	// Allowance is a number of retries that is granted in addition to Ratio.
-	Allowance float64
-	// Window is the time over which requests and retries are counted.
-	Window time.Duration
-}
-
 // Proxy routes and serves the requests of one node.
 type Proxy struct {
 	config           Config
--- a/internal/proxynode/node.go
+++ b/internal/proxynode/node.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/galenacart/galenacart/decision/readers"
+	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/internal/calllink"
 	"github.com/galenacart/galenacart/internal/discovery"
 	"github.com/galenacart/galenacart/internal/event"
@@ -210,9 +211,9 @@
 }
 
 // retryBudget returns the fleet's current retry budget.
-func (n *Node) retryBudget() proxy.RetryBudget {
+func (n *Node) retryBudget() retry.FleetBudget {
 	s := n.config.Settings.Load()
-	return proxy.RetryBudget{Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindowDuration()}
+	return retry.FleetBudget{Ratio: s.RetryRatio, Allowance: s.RetryAllowance, Window: s.RetryWindowDuration()}
 }
 
 // serveReadiness reports whether clients may send requests to this node.
