Bound extra attempts by the depth of what they repeat

Cause: each service above another used 0.1 of the ratio, so that the parts of a chain of more than four services exceeded the whole, and a part of the fixed allowance, which its fan-out multiplies. And whether a route makes calls was taken from the last reply of any node: one whose process has just started says no, and repeats of a deep route were then charged as those of a leaf. Class: a bound on a sum that is divided without knowing the number of parts.

Change: replies carry the depth of the route, the levels of calls below it, which each node derives from its learned callees and their depth; it takes free bits of the load's flags. A service at depth d uses 0.2/2^d of the ratio and no allowance, so that all services above one use at most 0.2. A node keeps the largest depth that was reported in the last 5 s; unknown is a report of its own and replaces nothing. Nodes of earlier versions count as depth 3 if they say that the route makes calls. Weighed: the depth from the root, which requests don't carry, and a fixed part for the 12 levels that are planned, which leaves 0.02 to each.

TestDepthSurvivesReportsOfNewProcesses fails where the last reply counts.

--- a/decision/callgraph/callgraph.go
+++ b/decision/callgraph/callgraph.go
@@ -143,12 +143,17 @@
 // first estimate it returns all callees, because an overload may occur within the first
 // second after a restart.
 func (g *Graph) Callees(route string) []string {
-	if g.intervalWeight < intervalsMin {
+	if !g.Learned() {
 		return g.callees
 	}
 	return g.edges[route]
 }
 
+// Learned reports whether the edges were estimated at least once.
+func (g *Graph) Learned() bool {
+	return g.intervalWeight >= intervalsMin
+}
+
 // Tick ends the current interval when its time is over and updates the edges.
 func (g *Graph) Tick(now time.Duration) {
 	if now-g.intervalStart < interval {
@@ -184,7 +189,7 @@
 func (g *Graph) updateEdges() {
 	clear(g.edges)
 	activeRoutes := g.activeRoutes()
-	if g.intervalWeight < intervalsMin || len(activeRoutes) == 0 {
+	if !g.Learned() || len(activeRoutes) == 0 {
 		return
 	}
 	for k, callee := range g.callees {
--- a/decision/retry/fleetbudget_test.go
+++ b/decision/retry/fleetbudget_test.go
@@ -32,7 +32,7 @@
 			for now := time.Duration(0); now < lifetime; now += time.Second / perSecond {
 				b.RecordCall(now, span)
 			}
-			granted += nodes * spendAll(b, lifetime, fleet.NodeLimit(lifetime, nodes))
+			granted += nodes * spendAll(b, lifetime, fleet.NodeLimit(lifetime, nodes, 0))
 		}
 		require.LessOrEqual(t, float64(granted), (ownShare+restartShare)*allowed, "lifetimes %v", lifetimes)
 	}
--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/galenacart/galenacart/decision/quarantine"
+	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/internal/message"
 )
 
@@ -126,6 +127,8 @@
 	InternalOnly bool
 	// CallsDownstream is true if the endpoint itself makes calls for the call's route.
 	CallsDownstream bool
+	// Depth is the number of levels of calls below the route.
+	Depth retry.Depth
 	// Leaving is true if the endpoint accepts no new calls.
 	Leaving bool
 	// RefusalPermille is the share of the calls that the endpoint itself refuses, in
--- a/internal/calllink/wire.go
+++ b/internal/calllink/wire.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/galenacart/galenacart/decision/retry"
 )
 
 // wireFrame is the wire format of a frame: arrays without field names.
@@ -51,11 +53,13 @@
 	Flags    uint8
 }
 
-// The flags of a load.
+// The flags of a load. The bits from depthShift on hold its depth.
 const (
 	flagInternalOnly = 1 << iota
 	flagCallsDownstream
 	flagLeaving
+
+	depthShift = 3
 )
 
 func (e *dictEncoder) frame(f *frame) *wireFrame {
@@ -72,7 +76,8 @@
 			Status: r.Status, Fields: e.dictTexts(r.Fields), Body: r.Body, Refused: r.Refused, Detail: e.dictText(r.Detail),
 			Load: wireLoad{Busy: r.Load.Outstanding, Limit: r.Load.Limit, Pressure: r.Load.PressurePermille, Refuses: r.Load.RefusalPermille, UsualMs: r.Load.TypicalMs},
 		}
-		out.Reply.Load.Flags = flagBit(r.Load.InternalOnly, flagInternalOnly) | flagBit(r.Load.CallsDownstream, flagCallsDownstream) | flagBit(r.Load.Leaving, flagLeaving)
+		out.Reply.Load.Flags = flagBit(r.Load.InternalOnly, flagInternalOnly) | flagBit(r.Load.CallsDownstream, flagCallsDownstream) | flagBit(r.Load.Leaving, flagLeaving) |
+			uint8(r.Load.Depth)<<depthShift
 	}
 	return out
 }
@@ -98,11 +103,22 @@
 		out.Reply.Load = Load{
 			Outstanding: a.Load.Busy, Limit: a.Load.Limit, PressurePermille: a.Load.Pressure, RefusalPermille: a.Load.Refuses, TypicalMs: a.Load.UsualMs,
 			InternalOnly: a.Load.Flags&flagInternalOnly != 0, CallsDownstream: a.Load.Flags&flagCallsDownstream != 0, Leaving: a.Load.Flags&flagLeaving != 0,
+			Depth: decodeDepth(a.Load.Flags),
 		}
 	}
 	return out
 }
 
+// decodeDepth returns the depth in the flags of a load. Nodes of earlier versions send 0 for
+// any depth, and the flag for a route that makes calls.
+func decodeDepth(flags uint8) retry.Depth {
+	depth := retry.Depth(flags >> depthShift)
+	if depth == 0 && flags&flagCallsDownstream != 0 {
+		return retry.AssumedDepth
+	}
+	return depth
+}
+
 // decodeFrames calls handle for each frame of a message.
 func (d *dictDecoder) decodeFrames(data []byte, handle func(*frame)) error {
 	for len(data) > 0 {
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -23,10 +23,6 @@
 	replySlack = 60 * time.Millisecond
 	// refusalsMax bounds the endpoints that may refuse one request.
 	refusalsMax = 8
-	// downstreamRatioShare and downstreamAllowanceShare are the parts of the fleet's retry budget
-	// for requests that make calls of their own, since a retry repeats all of these.
-	downstreamRatioShare     = 0.1
-	downstreamAllowanceShare = 0.02
 )
 
 // sendToEndpoints sends a request to one endpoint after another until one responds or no
@@ -277,10 +273,11 @@
 func (p *routedRequest) takeRetry(m *fleetview.Member, ran bool) bool {
 	router := p.router
 	fleet := router.config.RetryBudget()
-	limit := fleet.NodeLimit(router.config.Now(), len(p.view.ByVM))
-	if ran && router.pressures.callsDownstream(p.route.Name) {
-		limit = retry.Limit{Ratio: fleet.Ratio * downstreamRatioShare, Allowance: fleet.Allowance * downstreamAllowanceShare / float64(max(len(p.view.ByVM), 1))}
+	depth := retry.Depth(0)
+	if ran {
+		depth = router.pressures.depth(p.route.Name)
 	}
+	limit := fleet.NodeLimit(router.config.Now(), len(p.view.ByVM), depth)
 	if !router.targets.spendRetry(p.service, fleet.Window, limit) {
 		return false
 	}
--- a/internal/proxy/pressures.go
+++ b/internal/proxy/pressures.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/galenacart/galenacart/decision/pressure"
+	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/internal/calllink"
 )
 
@@ -32,9 +33,10 @@
 }
 
 type routePressure struct {
-	isInternal      bool
-	callsDownstream bool
-	reported        map[string]reportedPressure // by VM
+	isInternal bool
+	depth      retry.Depth
+	depthAt    time.Duration               // when a node last reported depth
+	reported   map[string]reportedPressure // by VM
 }
 
 type reportedPressure struct {
@@ -57,7 +59,8 @@
 		delete(r.reported, vm)
 		return
 	}
-	r.isInternal, r.callsDownstream = load.InternalOnly, load.CallsDownstream
+	r.isInternal = load.InternalOnly
+	r.recordDepth(load.Depth, c.now())
 	r.reported[vm] = reportedPressure{
 		pressure:     float64(load.PressurePermille) / perMille,
 		refusalShare: float64(load.RefusalPermille) / perMille,
@@ -82,7 +85,7 @@
 func (c *chainPressures) route(name string) *routePressure {
 	r, ok := c.routes[name]
 	if !ok {
-		r = &routePressure{reported: make(map[string]reportedPressure)}
+		r = &routePressure{depth: retry.DepthUnknown, reported: make(map[string]reportedPressure)}
 		c.routes[name] = r
 	}
 	return r
@@ -103,12 +106,31 @@
 	return r != nil && r.isInternal
 }
 
-// callsDownstream reports whether endpoints make calls of their own for a route.
+// callsDownstream reports whether endpoints are known to make calls of their own for a route.
 func (c *chainPressures) callsDownstream(route string) bool {
+	depth := c.depth(route)
+	return depth > 0 && depth != retry.DepthUnknown
+}
+
+// recordDepth keeps the largest depth that nodes have reported lately. A node that has just
+// started knows none.
+func (r *routePressure) recordDepth(depth retry.Depth, now time.Duration) {
+	if depth == retry.DepthUnknown {
+		return
+	}
+	if r.depth == retry.DepthUnknown || depth >= r.depth || now-r.depthAt > pressureMaxAge {
+		r.depth, r.depthAt = depth, now
+	}
+}
+
+// depth returns the number of levels of calls below a route.
+func (c *chainPressures) depth(route string) retry.Depth {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := c.routes[route]
-	return r != nil && r.callsDownstream
+	if r := c.routes[route]; r != nil {
+		return r.depth
+	}
+	return retry.DepthUnknown
 }
 
 // pressure returns the pressure in the call chain of a route.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -136,7 +136,12 @@
 			Log:         event.NewLog(io.Discard, "node", "door-1", zerolog.InfoLevel),
 			Metrics:     metrics.NewSet(),
 		}, func() stopping.Phase { return stopping.Announcing })
-		router.pressures.record("r", "stock-1", &calllink.Load{CallsDownstream: downstream})
+		load := &calllink.Load{CallsDownstream: downstream}
+		if downstream {
+			load.Depth = 1
+		}
+		router.pressures.record("r", "stock-1", load)
+		router.pressures.record("r", "stock-2", &calllink.Load{Depth: retry.DepthUnknown}) // has just started
 		p := &routedRequest{router: router, view: threeServices(), route: &catalogue.Route{Name: "r", Idempotent: true}, service: "stock"}
 		for range 100 {
 			router.targets.countCall("stock", window)
@@ -154,6 +159,24 @@
 	require.Equal(t, leaf, granted(false, true))
 }
 
+// TestDepthSurvivesReportsOfNewProcesses has one node know the depth of a route, one that has
+// just started, and then a release in which the route makes fewer calls.
+func TestDepthSurvivesReportsOfNewProcesses(t *testing.T) {
+	now := time.Duration(0)
+	c := newChainPressures(func() time.Duration { return now })
+	require.Equal(t, retry.DepthUnknown, c.depth("r"))
+	report := func(vm string, depth retry.Depth) { c.record("r", vm, &calllink.Load{Depth: depth}) }
+	report("stock-1", 2)
+	report("stock-2", retry.DepthUnknown)
+	report("stock-3", 0)
+	require.EqualValues(t, 2, c.depth("r"))
+	now += pressureMaxAge + 1
+	report("stock-2", retry.DepthUnknown)
+	require.EqualValues(t, 2, c.depth("r"))
+	report("stock-1", 1)
+	require.EqualValues(t, 1, c.depth("r"))
+}
+
 // TestOneCallProbesSlowEndpoint checks that an endpoint that was too slow for a route gets
 // exactly one call once its typical time has expired: it is neither excluded for good nor
 // flooded.
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -11,6 +11,7 @@
 	"github.com/galenacart/galenacart/decision/breaker"
 	"github.com/galenacart/galenacart/decision/callgraph"
 	"github.com/galenacart/galenacart/decision/pressure"
+	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/decision/slotqueue"
 	"github.com/galenacart/galenacart/decision/stopping"
 	"github.com/galenacart/galenacart/internal/calllink"
@@ -225,11 +226,24 @@
 		RefusalPermille:  int(s.refusals.Share() * perMille),
 		InternalOnly:     internal,
 		CallsDownstream:  len(s.graph.Callees(call.Route)) > 0,
+		Depth:            s.depth(call.Route),
 		TypicalMs:        int(s.estimatedDuration(call.Route).Milliseconds()),
 		Leaving:          s.draining || s.isStopping(),
 	}
 }
 
+// depth returns the number of levels of calls below a route.
+func (s *endpointServer) depth(route string) retry.Depth {
+	if !s.graph.Learned() {
+		return retry.DepthUnknown
+	}
+	depth := retry.Depth(0)
+	for _, callee := range s.graph.Callees(route) {
+		depth = max(depth, s.pressures.depth(callee).Above())
+	}
+	return depth
+}
+
 // tick applies a new view and adapts the admission windows.
 func (s *endpointServer) tick() {
 	s.mu.Lock()
