Charge attempts after a 421 to the retry budget

Cause: an endpoint that has taken over an address answers 421. The node beside it reported the endpoint as unreachable, and attempts after that are free, as no byte has arrived. Here the whole request has. Class: a refusal taken for proof that nothing arrived.

Change: the refusal has a kind of its own on the wire, and the next attempt takes part of the budget. It counts as unreachable otherwise.

Evidence: TestRefusedCallsThatReachedAnEndpointSpendTheRetryBudget fails without the charge.

--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -95,6 +95,9 @@
 	// RefusedStarting means that a node has just started and has not yet learned what the
 	// reply should contain.
 	RefusedStarting
+	// RefusedMisdirected means that another endpoint, which has the address now, got the call
+	// and refused it.
+	RefusedMisdirected
 )
 
 // Reply is the outcome of a call.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -214,7 +214,8 @@
 // recordRefusal records a reply saying that the call was not run. It reports whether
 // another attempt may follow.
 func (p *routedRequest) recordRefusal(m *fleetview.Member, reply *calllink.Reply) bool {
-	o := callOutcome{load: &reply.Load, unreachable: reply.Refused == calllink.RefusedUnreachable}
+	misdirected := reply.Refused == calllink.RefusedMisdirected
+	o := callOutcome{load: &reply.Load, unreachable: misdirected || reply.Refused == calllink.RefusedUnreachable}
 	breakerOpen := reply.Refused == calllink.RefusedCircuitOpen
 	if reply.Refused == calllink.RefusedByEndpoint || o.unreachable || breakerOpen {
 		o.end = placement.OutcomeFailed
@@ -227,7 +228,7 @@
 	switch reply.Refused {
 	case calllink.RefusedLeaving:
 		kind = problem.KindLeaving
-	case calllink.RefusedUnreachable, calllink.RefusedCircuitOpen:
+	case calllink.RefusedUnreachable, calllink.RefusedMisdirected, calllink.RefusedCircuitOpen:
 		kind = problem.KindUnreachable
 	case calllink.RefusedByEndpoint:
 		kind = problem.KindEndpointRefused
@@ -239,6 +240,9 @@
 		p.refusedByEndpoint = true
 		return p.takeRetry(m, false)
 	}
+	if misdirected {
+		return p.takeRetry(m, false) // it reached an endpoint
+	}
 	return true
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -125,17 +125,9 @@
 // TestRetryBudgetIsSmallerForRoutesWithDownstreamCalls guards against load amplification: a retry of a
 // request that makes calls of its own repeats all of them.
 func TestRetryBudgetIsSmallerForRoutesWithDownstreamCalls(t *testing.T) {
-	const window = 10 * time.Second
 	granted := func(downstream, ran bool) (n int) {
-		now := window
-		router := newRequestRouter(Config{
-			SharedState: noSharedState{},
-			Settings:    &settings.Mesh{VM: "door-1"},
-			Now:         func() time.Duration { return now },
-			RetryBudget: func() retry.FleetBudget { return retry.FleetBudget{Ratio: 0.2, Allowance: 60, Window: window} },
-			Log:         event.NewLog(io.Discard, "node", "door-1", zerolog.InfoLevel),
-			Metrics:     metrics.NewSet(),
-		}, func() stopping.Phase { return stopping.Announcing })
+		now := retryWindow
+		router := newTestRouter(func() time.Duration { return now })
 		load := &calllink.Load{CallsDownstream: downstream}
 		if downstream {
 			load.Depth = 1
@@ -144,7 +136,7 @@
 		router.pressures.record("r", "stock-2", &calllink.Load{Depth: retry.DepthUnknown}) // has just started
 		p := &routedRequest{router: router, view: threeServices(), route: &catalogue.Route{Name: "r", Idempotent: true}, service: "stock"}
 		for range 100 {
-			router.targets.countCall("stock", window)
+			router.targets.countCall("stock", retryWindow)
 		}
 		now += time.Second
 		for p.takeRetry(&fleetview.Member{VM: "stock-1"}, ran) {
@@ -159,6 +151,43 @@
 	require.Equal(t, leaf, granted(false, true))
 }
 
+// TestRefusedCallsThatReachedAnEndpointSpendTheRetryBudget has all endpoints refuse one request after another.
+func TestRefusedCallsThatReachedAnEndpointSpendTheRetryBudget(t *testing.T) {
+	tests := []struct {
+		refusal calllink.Refusal
+		spends  bool
+	}{
+		{calllink.RefusedByEndpoint, true},
+		{calllink.RefusedMisdirected, true},
+		{calllink.RefusedUnreachable, false},
+		{calllink.RefusedCircuitOpen, false},
+		{calllink.RefusedNoCapacity, false},
+	}
+	for _, test := range tests {
+		router := newTestRouter(func() time.Duration { return 0 })
+		p := &routedRequest{router: router, view: threeServices(), route: &catalogue.Route{Name: "r"}, service: "stock"}
+		again := 0
+		for again < 100 && p.recordRefusal(&fleetview.Member{VM: "stock-1"}, &calllink.Reply{Refused: test.refusal}) {
+			again++
+		}
+		require.Equal(t, test.spends, again < 100, "refusal %d", test.refusal)
+	}
+}
+
+// newTestRouter returns a router of a fleet with a retry budget.
+func newTestRouter(now func() time.Duration) *requestRouter {
+	return newRequestRouter(Config{
+		SharedState: noSharedState{},
+		Settings:    &settings.Mesh{VM: "door-1"},
+		Now:         now,
+		RetryBudget: func() retry.FleetBudget { return retry.FleetBudget{Ratio: 0.2, Allowance: 60, Window: retryWindow} },
+		Log:         event.NewLog(io.Discard, "node", "door-1", zerolog.InfoLevel),
+		Metrics:     metrics.NewSet(),
+	}, func() stopping.Phase { return stopping.Announcing })
+}
+
+const retryWindow = 10 * time.Second
+
 // TestDepthSurvivesReportsOfNewProcesses has one node know the depth of a route, one that has
 // just started, and then a release in which the route makes fewer calls.
 func TestDepthSurvivesReportsOfNewProcesses(t *testing.T) {
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -196,6 +196,8 @@
 		return reply, response.Status < 300
 	case outcome == endpointlink.NotRun && response == nil && errors.Is(err, endpointlink.ErrRefused):
 		return refusalReply(calllink.RefusedByEndpoint, err.Error()), false
+	case errors.Is(err, endpointlink.ErrMisdirected):
+		return refusalReply(calllink.RefusedMisdirected, err.Error()), false
 	case outcome == endpointlink.NotRun:
 		if endpointlink.IsConnectionRefused(err) {
 			s.handleCrash(s.crashDetector.connectionRefused())
