Keep the rate of calls that an endpoint names

What callers saw: an endpoint in need that named 20.2 requests a second got 174 in 4 s (LIMIT, allowed 126).

Cause: nothing read the header.

Change: the node beside an endpoint sees all calls to it, and passes on no more than the rate that the last answer named (decision/ratelimit, part of the queue for slots): calls wait in the order of importance, and are refused once the wait at that rate exceeds their deadline, so that they go to other endpoints first. The load that the node reports counts a named rate as few slots, so that placement and the refusal at the edge follow it. A process that has just started passes on three calls until the first answer, which names the rate again. Only an answer ends a limit: an endpoint gets a call each 4 s at the least, and each node tests an endpoint that takes few calls each second, in fleets of over 20 nodes less often, so that it is not forgotten while others are less loaded. A value that is no rate is logged and leaves the rate of before. Weighed: shares of the rate for each node of the fleet (needs their number and their need, and fails in a partition) and telling a restarted node by others (they may be cut off).

Evidence: TestEndpointInNeedGetsNoMoreThanItsLimit: 232 calls before, bound 53; passes, with a restart of the node, and the end of the limit is found. TestRateHoldsInEveryWindowAcrossRestarts (rates from 0.001 to 200 a second, restarts at any moment), TestNamedRateServesTheMostImportantFirst without a network.

What clients are told, when to come back, does not yet follow the named rate.

--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -64,6 +64,9 @@
 	EstimatedDuration time.Duration
 	// State is the locally tracked state of the endpoint, or nil if there is none.
 	State *State
+	// Probe makes the endpoint count as idle: its last report is too old to tell whether it
+	// still takes few calls.
+	Probe bool
 }
 
 // State tracks the load and failures of one endpoint as seen by a node. It is not safe
@@ -131,6 +134,12 @@
 	s.ejectedUntil = 0
 }
 
+// TakesFewCalls reports whether the endpoint reported that it takes fewer calls at once than
+// it has slots. Then it may get none from a node while others are less loaded.
+func (s *State) TakesFewCalls(slots int) bool {
+	return s.limit > 0 && 2*s.limit < slots
+}
+
 // RecordUnreachable ejects an endpoint that could not be reached, with exponential
 // backoff.
 func (s *State) RecordUnreachable(now time.Duration) {
@@ -160,7 +169,7 @@
 	if limit == 0 {
 		limit = defaultLimit
 	}
-	if c.State == nil {
+	if c.State == nil || c.Probe {
 		return 1 / float64(limit)
 	}
 	if c.State.limit > 0 {
--- a/decision/slotqueue/slotqueue.go
+++ b/decision/slotqueue/slotqueue.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/galenacart/galenacart/decision/ratelimit"
 )
 
 const (
@@ -60,6 +62,7 @@
 	running  int
 	waiting  []Call        // in dispatch order
 	holdTime time.Duration // mean time that a call holds its slot
+	rate     ratelimit.Limiter
 }
 
 // New returns a queue for an endpoint with the given number of slots.
@@ -67,6 +70,17 @@
 	return &Queue{slots: max(slots, 1)}
 }
 
+// AwaitFirstAnswer bounds the running calls until the endpoint's first answer.
+func (q *Queue) AwaitFirstAnswer() {
+	q.rate.AwaitFirstAnswer()
+}
+
+// RecordAnswer records an answer of the endpoint that names the calls a second that it
+// takes, or 0. It reports whether that has changed.
+func (q *Queue) RecordAnswer(now time.Duration, perSecond float64) (changed bool) {
+	return q.rate.RecordAnswer(now, perSecond)
+}
+
 // SetSlots sets the number of slots of the endpoint.
 func (q *Queue) SetSlots(slots int) {
 	q.slots = max(slots, 1)
@@ -77,6 +91,12 @@
 	return max(q.slots*usableSlotsPercent/100, 1)
 }
 
+// Capacity returns the number of running calls at which the endpoint is fully used: less than
+// Limit if it has named a rate.
+func (q *Queue) Capacity() int {
+	return q.rate.Concurrency(q.Limit(), q.holdTime)
+}
+
 // Busy returns the number of calls that run or wait.
 func (q *Queue) Busy() int {
 	return q.running + len(q.waiting)
@@ -92,12 +112,11 @@
 	if c.Deadline-now < c.EstimatedDuration/2 {
 		return Refuse
 	}
-	if q.running < q.Limit() && len(q.waiting) == 0 {
-		q.running++
+	if len(q.waiting) == 0 && q.start(now) {
 		return Run
 	}
 	callsAhead := q.callsAhead(c.Rank)
-	if len(q.waiting) >= q.slots*queueLimitPercent/100 || q.estimatedWait(callsAhead)+c.EstimatedDuration > c.Deadline-now {
+	if len(q.waiting) >= q.slots*queueLimitPercent/100 || q.estimatedWait(now, callsAhead)+c.EstimatedDuration > c.Deadline-now {
 		return Refuse
 	}
 	q.waiting = slices.Insert(q.waiting, callsAhead, c)
@@ -114,8 +133,18 @@
 }
 
 // estimatedWait returns the expected wait of a call with the given number ahead of it.
-func (q *Queue) estimatedWait(ahead int) time.Duration {
-	return time.Duration(ahead+1) * q.holdTime / time.Duration(q.Limit())
+func (q *Queue) estimatedWait(now time.Duration, ahead int) time.Duration {
+	forSlot := time.Duration(ahead+1) * q.holdTime / time.Duration(q.Limit())
+	return max(forSlot, q.rate.Wait(now, ahead))
+}
+
+// start starts a call if a slot is free and the endpoint takes one more.
+func (q *Queue) start(now time.Duration) bool {
+	if q.running >= q.Limit() || !q.rate.Take(now, q.running) {
+		return false
+	}
+	q.running++
+	return true
 }
 
 // Finish records the end of a running call that held its slot for holdTime, and appends
@@ -131,13 +160,16 @@
 	removed := 0
 	for removed < len(q.waiting) && q.running < q.Limit() {
 		c := q.waiting[removed]
-		removed++
 		if c.Deadline-now < c.EstimatedDuration/2 {
 			out = append(out, Dequeued{ID: c.ID, Decision: Refuse})
+			removed++
 			continue
 		}
-		q.running++
+		if !q.start(now) {
+			break
+		}
 		out = append(out, Dequeued{ID: c.ID, Decision: Run})
+		removed++
 	}
 	q.waiting = slices.Delete(q.waiting, 0, removed)
 	return out
--- a/internal/endpointlink/exchange.go
+++ b/internal/endpointlink/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -83,15 +84,42 @@
 		return nil, NotRun, reusable, ErrMisdirected
 	}
 	if p.provesNotRun(response) {
+		p.notify(call, response.Header)
 		return nil, NotRun, reusable, errors.Wrapf(ErrRefused, "status %d", response.StatusCode)
 	}
 	if err := p.validate(response); err != nil {
 		return nil, Unknown, false, err
 	}
+	p.notify(call, response.Header)
 	message.DropHopByHop(response.Header)
 	return &message.Response{Status: response.StatusCode, Header: response.Header, Body: body}, Answered, reusable, nil
 }
 
+// notify passes on what an answer says of the endpoint.
+func (p *Pool) notify(call *Call, h http.Header) {
+	if call.OnNotice != nil {
+		call.OnNotice(p.decodeNotice(h))
+	}
+}
+
+func (p *Pool) decodeNotice(h http.Header) Notice {
+	n := Notice{Leaving: p.headers.EndpointLeaving != "" && h.Get(p.headers.EndpointLeaving) == "1"}
+	if p.headers.RateLimit == "" || h.Get(p.headers.RateLimit) == "" {
+		return n
+	}
+	text := h.Get(p.headers.RateLimit)
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		n.Err = errors.Errorf("%s is %q, not a number of calls a second", p.headers.RateLimit, text)
+		return n
+	}
+	n.CallsPerSecond = max(rate, lowestRate)
+	return n
+}
+
+// lowestRate stands for a named rate of 0, which differs from none.
+const lowestRate = 1e-9
+
 // readMatchingResponse reads the head of the response to a call. Responses to earlier requests
 // are discarded.
 func (p *Pool) readMatchingResponse(c *conn, call *Call) (*http.Response, error) {
--- a/internal/endpointlink/pool.go
+++ b/internal/endpointlink/pool.go
@@ -88,6 +88,19 @@
 	Remaining time.Duration
 	// Idempotent is true if the request may safely run twice.
 	Idempotent bool
+	// OnNotice receives what an answer of the endpoint says of the endpoint itself, also if
+	// the answer states that the request was not run. It may be nil.
+	OnNotice func(Notice)
+}
+
+// Notice is what an answer says of the endpoint.
+type Notice struct {
+	// CallsPerSecond is the rate of calls that the endpoint takes, or 0 if it names none.
+	CallsPerSecond float64
+	// Leaving is true if the endpoint is leaving.
+	Leaving bool
+	// Err says why a rate can't be used.
+	Err error
 }
 
 // acquire returns an idle connection that is usable for a call, or a new one.
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -40,6 +40,8 @@
 	// AnswerOversized means that an answer of the local endpoint had more bytes than
 	// allowed.
 	AnswerOversized Number = 1016
+	// EndpointLimited means that the local endpoint named another rate of calls.
+	EndpointLimited Number = 1017
 )
 
 // trafficEvents holds the definitions numbered from 1000.
@@ -60,4 +62,5 @@
 	{Number: EndpointAborting, Name: "endpoint_broken", Level: zerolog.WarnLevel, RateLimitExempt: true, Meaning: "The local endpoint aborted three calls in a row, or connections to it fail. The node refuses calls for it, except for single calls, until one of these is answered (1010). The field error is that of the last call. Check the endpoint."},
 	{Number: AnswerOversized, Name: "answer_oversized", Level: zerolog.WarnLevel, Meaning: "The local endpoint sent more than max_bytes as the head or the body of an answer; the field part says which. The connection was closed at once, and it is unknown whether the call ran to its end. If the answer was legitimate, raise answerHeadBytes."},
 	{Number: PanicRecovered, Name: "work_panicked", Level: zerolog.ErrorLevel, Meaning: "The node's own code panicked, which is a fault of the program: report it with the fields cause and stack. The outcome of an affected call is unknown; a background task restarts after one second. The process continues."},
+	{Number: EndpointLimited, Name: "endpoint_limited", Level: zerolog.InfoLevel, Meaning: "The local endpoint has named the calls a second that it takes, another number than before, or none any more (0). The node passes on no more calls than that; others go to other endpoints, wait or are refused. With the field error the endpoint named something else, and the rate of before holds. Check why the endpoint is in need."},
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -70,6 +70,10 @@
 	NotStarted string
 	// CallerService names the service of the VM from which the request originates.
 	CallerService string
+	// RateLimit is set by an endpoint in need to the calls a second that it takes.
+	RateLimit string
+	// EndpointLeaving is set to 1 by an endpoint that is leaving.
+	EndpointLeaving string
 }
 
 // hopByHop lists the headers that apply to a single connection (RFC 9110, 7.6.1).
--- a/internal/proxy/endpoint_health.go
+++ b/internal/proxy/endpoint_health.go
@@ -33,6 +33,19 @@
 	}
 }
 
+// recordNotice applies what an answer says of the endpoint.
+func (s *endpointServer) recordNotice(n endpointlink.Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n.Err != nil {
+		s.config.Log.Emit(event.EndpointLimited, "", event.F("error", n.Err))
+		return // the rate of before holds
+	}
+	if s.gate.RecordAnswer(s.config.Now(), n.CallsPerSecond) {
+		s.config.Log.Emit(event.EndpointLimited, "", event.F("calls_per_second", n.CallsPerSecond))
+	}
+}
+
 // logInvalidResponse logs an exchange that ended without a valid response, or whose response
 // exceeded a size limit.
 func (s *endpointServer) logInvalidResponse(r *message.Request, err error) {
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -69,6 +69,7 @@
 		waiting:            make(map[uint64]chan slotqueue.Decision),
 		windows:            make(map[string]*routeWindow),
 	}
+	s.gate.AwaitFirstAnswer()
 	router.observer = s
 	return s
 }
@@ -179,6 +180,7 @@
 		CallerService: call.CallerService,
 		Remaining:     remaining,
 		Idempotent:    call.Idempotent,
+		OnNotice:      s.recordNotice,
 	})
 	s.observeExchange(outcome, err, ctx.Err() != nil)
 	switch {
@@ -223,7 +225,7 @@
 	defer s.mu.Unlock()
 	reply.Load = calllink.Load{
 		Outstanding:      s.gate.Busy(),
-		Limit:            s.gate.Limit(),
+		Limit:            s.gate.Capacity(),
 		PressurePermille: int(s.chainPressure(call.Route) * perMille),
 		RefusalPermille:  int(s.refusals.Share() * perMille),
 		InternalOnly:     internal,
@@ -252,6 +254,7 @@
 	defer s.mu.Unlock()
 	s.applyView()
 	s.graph.Tick(s.config.Now())
+	s.resumeWaiting(s.gate.Dispatch(s.config.Now(), s.releases[:0]))
 	s.adaptWindows()
 }
 
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -105,15 +105,20 @@
 // releaseSlot frees a slot that was held for a time and resumes waiting calls.
 func (s *endpointServer) releaseSlot(took time.Duration) {
 	now := s.config.Now()
-	s.releases = s.gate.Finish(now, took, s.releases[:0])
-	for _, r := range s.releases {
+	s.resumeWaiting(s.gate.Finish(now, took, s.releases[:0]))
+	s.observePressure(now)
+}
+
+// resumeWaiting passes decisions on to waiting calls.
+func (s *endpointServer) resumeWaiting(decided []slotqueue.Dequeued) {
+	s.releases = decided
+	for _, r := range decided {
 		s.waiting[r.ID] <- r.Decision
 		delete(s.waiting, r.ID)
 	}
-	s.observePressure(now)
 }
 
 // observePressure updates the pressure gauge with the gate's occupancy.
 func (s *endpointServer) observePressure(now time.Duration) {
-	s.pressure.Observe(now, s.gate.Busy(), s.gate.Limit())
+	s.pressure.Observe(now, s.gate.Busy(), s.gate.Capacity())
 }
--- a/internal/proxy/targets.go
+++ b/internal/proxy/targets.go
@@ -28,6 +28,7 @@
 	zones      map[string]*zoneLinks
 	candidates []placement.Candidate
 	budgets    map[string]*retry.ServiceBudget
+	nodes      int // in the view
 }
 
 // leavingRetryPause is the time after which an endpoint that reported it is leaving is
@@ -39,6 +40,20 @@
 	load         placement.State
 	typicalTimes map[string]*typicalTime // by route
 	leavingUntil time.Duration
+	reportedAt   time.Duration // when load was reported, or last tested by a call
+}
+
+const (
+	// limitProbeInterval is the least time between two calls of a node that test whether an
+	// endpoint still takes few calls, and fleetLimitProbeInterval that between two calls of the
+	// whole fleet.
+	limitProbeInterval      = time.Second
+	fleetLimitProbeInterval = 50 * time.Millisecond
+)
+
+// probeDue reports whether a call should test if an endpoint still takes few calls.
+func (t *targets) probeDue(s *target, slots int) bool {
+	return s.load.TakesFewCalls(slots) && t.now()-s.reportedAt > max(limitProbeInterval, time.Duration(t.nodes)*fleetLimitProbeInterval)
 }
 
 // typicalTime is the typical duration of a route's calls at an endpoint.
@@ -85,6 +100,7 @@
 		if s := t.states[m.EndpointInstance]; s != nil {
 			c.State, c.EstimatedDuration = &s.load, s.typicalTimes[route].current(t.now())
 			c.Excluded = c.Excluded || t.now() < s.leavingUntil
+			c.Probe = t.probeDue(s, m.Slots)
 		}
 		if !c.Excluded && t.isUnresponsive(m) {
 			t.state(m.EndpointInstance).load.EjectBriefly(t.now())
@@ -97,6 +113,9 @@
 	}
 	s := t.state(members[at].EndpointInstance)
 	s.load.StartCall()
+	if t.candidates[at].Probe {
+		s.reportedAt = t.now()
+	}
 	if u := s.typicalTimes[route]; u != nil {
 		u.at = t.now()
 	}
@@ -136,6 +155,7 @@
 	}
 	if !o.unreachable {
 		s.load.RecordLoad(o.load.Outstanding, o.load.Limit)
+		s.reportedAt = t.now()
 		s.typicalTimes[route] = &typicalTime{duration: time.Duration(o.load.TypicalMs) * time.Millisecond, at: t.now()}
 	}
 }
@@ -164,6 +184,7 @@
 	routes := v.RouteNames()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.nodes = len(v.ByVM)
 	for endpoint, s := range t.states {
 		maps.DeleteFunc(s.typicalTimes, func(route string, _ *typicalTime) bool { return !routes[route] })
 		if !endpoints[endpoint] && s.load.Idle() {
--- a/internal/proxynode/fleet_test.go
+++ b/internal/proxynode/fleet_test.go
@@ -35,6 +35,7 @@
 	return message.Headers{
 		RequestID: "Request-Id", RemainingMs: "Remaining-Ms", ResponseSeal: "Seal",
 		ExpectEndpoint: "Expect-Endpoint", NotStarted: "Not-Started", CallerService: "Caller-Service",
+		RateLimit: "Rate-Limit", EndpointLeaving: "Leaving",
 	}
 }
 
