Send no new calls to endpoints that say they are leaving

What callers saw: nothing by itself; requests to an endpoint that had said in its answers that it is leaving (DRAIN), where the platform's entry is late or its store is away.

Cause: nothing read the header.

Change: the node beside the endpoint accepts no more calls for that run of it and reports it as leaving. A node that gets such an answer remembers the run and sends nothing more to it, whatever happens to the endpoint's own node, until the platform names a later run under the same name.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -219,14 +219,15 @@
 		return nil
 	}
 	return &fleetview.Member{
-		VM:               e.ID,
-		AvailabilityZone: e.AvailabilityZone,
-		Service:          e.Service,
-		PeerAddress:      peerAddress,
-		Leaving:          e.Leaving,
-		EndpointInstance: e.ID,
-		EndpointAddress:  e.Address,
-		Slots:            e.Slots,
+		VM:                e.ID,
+		AvailabilityZone:  e.AvailabilityZone,
+		Service:           e.Service,
+		PeerAddress:       peerAddress,
+		Leaving:           e.Leaving,
+		EndpointInstance:  e.ID,
+		EndpointStartedMs: e.StartedMs,
+		EndpointAddress:   e.Address,
+		Slots:             e.Slots,
 	}
 }
 
--- a/internal/endpointlink/exchange.go
+++ b/internal/endpointlink/exchange.go
@@ -103,11 +103,11 @@
 }
 
 func (p *Pool) decodeNotice(h http.Header) Notice {
-	n := Notice{Leaving: p.headers.EndpointLeaving != "" && h.Get(p.headers.EndpointLeaving) == "1"}
-	if p.headers.RateLimit == "" || h.Get(p.headers.RateLimit) == "" {
+	n := Notice{Leaving: h.Get(p.headers.EndpointLeaving) == message.LeavingValue}
+	text := h.Get(p.headers.RateLimit)
+	if text == "" {
 		return n
 	}
-	text := h.Get(p.headers.RateLimit)
 	rate, err := strconv.ParseFloat(text, 64)
 	if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
 		n.Err = errors.Errorf("%s is %q, not a number of calls a second", p.headers.RateLimit, text)
--- a/internal/event/traffic.go
+++ b/internal/event/traffic.go
@@ -42,6 +42,8 @@
 	AnswerOversized Number = 1016
 	// EndpointLimited means that the local endpoint named another rate of calls.
 	EndpointLimited Number = 1017
+	// EndpointLeaving means that an answer of the local endpoint said that it is leaving.
+	EndpointLeaving Number = 1018
 )
 
 // trafficEvents holds the definitions numbered from 1000.
@@ -63,4 +65,5 @@
 	{Number: AnswerOversized, Name: "answer_oversized", Level: zerolog.WarnLevel, Meaning: "The local endpoint sent more than max_bytes as the head or the body of an answer; the field part says which. The connection was closed at once, and it is unknown whether the call ran to its end. If the answer was legitimate, raise answerHeadBytes."},
 	{Number: PanicRecovered, Name: "work_panicked", Level: zerolog.ErrorLevel, Meaning: "The node's own code panicked, which is a fault of the program: report it with the fields cause and stack. The outcome of an affected call is unknown; a background task restarts after one second. The process continues."},
 	{Number: EndpointLimited, Name: "endpoint_limited", Level: zerolog.InfoLevel, Meaning: "The local endpoint has named the calls a second that it takes, another number than before, or none any more (0). The node passes on no more calls than that; others go to other endpoints, wait or are refused. With the field error the endpoint named something else, and the rate of before holds. Check why the endpoint is in need."},
+	{Number: EndpointLeaving, Name: "endpoint_leaving", Level: zerolog.InfoLevel, Meaning: "An answer of the local endpoint said that it is leaving. Its node accepts no more calls for this run of it, and other nodes that get such an answer send none."},
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -28,6 +28,9 @@
 	// EndpointInstance identifies the run of the VM's endpoint, if the platform publishes
 	// it.
 	EndpointInstance string
+	// EndpointStartedMs is the start of that run, in milliseconds since the Unix epoch, if the
+	// platform publishes it. An endpoint may start again under the same EndpointInstance.
+	EndpointStartedMs int64
 	// EndpointAddress is the IP address and port of the VM's endpoint, if the platform
 	// publishes it.
 	EndpointAddress string
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -72,10 +72,13 @@
 	CallerService string
 	// RateLimit is set by an endpoint in need to the calls a second that it takes.
 	RateLimit string
-	// EndpointLeaving is set to 1 by an endpoint that is leaving.
+	// EndpointLeaving is set to LeavingValue by an endpoint that is leaving.
 	EndpointLeaving string
 }
 
+// LeavingValue is the value of the header EndpointLeaving.
+const LeavingValue = "1"
+
 // hopByHop lists the headers that apply to a single connection (RFC 9110, 7.6.1).
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -111,6 +111,9 @@
 	}
 	router.pressures.record(p.route.Name, m.VM, &reply.Load)
 	a = p.endpointResponse(reply)
+	if a != nil && a.Header.Get(router.config.Headers.EndpointLeaving) == message.LeavingValue {
+		router.targets.recordLeft(m)
+	}
 	p.answeredByEndpoint = p.answeredByEndpoint || a != nil
 	router.targets.recordOutcome(m, p.route.Name, callOutcome{load: &reply.Load, end: callEnd(a)})
 	p.mayHaveRun = true
--- a/internal/proxy/endpoint_health.go
+++ b/internal/proxy/endpoint_health.go
@@ -33,10 +33,13 @@
 	}
 }
 
-// recordNotice applies what an answer says of the endpoint.
-func (s *endpointServer) recordNotice(n endpointlink.Notice) {
+// recordNotice applies what an answer says of an endpoint instance.
+func (s *endpointServer) recordNotice(instance string, n endpointlink.Notice) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if n.Leaving && s.recordLeaving(instance) {
+		s.config.Log.Emit(event.EndpointLeaving, "", event.F("endpoint", instance))
+	}
 	if n.Err != nil {
 		s.config.Log.Emit(event.EndpointLimited, "", event.F("error", n.Err))
 		return // the rate of before holds
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -52,6 +52,8 @@
 	windows            map[string]*routeWindow // by route
 	appliedView        *fleetview.View
 	draining           bool // the platform lists the endpoint as leaving
+	listed             endpointRun
+	leaving            endpointRun // has said so in an answer
 }
 
 func newEndpointServer(c Config, pool *endpointlink.Pool, router *requestRouter, stopPhase func() stopping.Phase) *endpointServer {
@@ -93,6 +95,7 @@
 		if m.EndpointAddress == s.config.Settings.EndpointAddress {
 			s.gate.SetSlots(m.Slots)
 			s.draining = m.Leaving
+			s.observeRun(m)
 		}
 	}
 }
@@ -112,6 +115,14 @@
 	return reply
 }
 
+// isLeaving reports whether the endpoint instance has said in an answer that it is leaving.
+func (s *endpointServer) isLeaving(instance string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyView()
+	return s.leavesItself(instance)
+}
+
 // isStopping reports whether the node's planned stop has reached the phase in which it
 // accepts no new calls.
 func (s *endpointServer) isStopping() bool {
@@ -128,6 +139,9 @@
 	if s.isStopping() {
 		return refusalReply(calllink.RefusedLeaving, "the node is stopping")
 	}
+	if s.isLeaving(call.Endpoint) {
+		return refusalReply(calllink.RefusedLeaving, "the endpoint is leaving")
+	}
 	if internal {
 		return s.runInSlot(ctx, call)
 	}
@@ -180,7 +194,7 @@
 		CallerService: call.CallerService,
 		Remaining:     remaining,
 		Idempotent:    call.Idempotent,
-		OnNotice:      s.recordNotice,
+		OnNotice:      func(n endpointlink.Notice) { s.recordNotice(call.Endpoint, n) },
 	})
 	s.observeExchange(outcome, err, ctx.Err() != nil)
 	switch {
@@ -232,7 +246,7 @@
 		CallsDownstream:  len(s.graph.Callees(call.Route)) > 0,
 		Depth:            s.depth(call.Route),
 		TypicalMs:        int(s.estimatedDuration(call.Route).Milliseconds()),
-		Leaving:          s.draining || s.isStopping(),
+		Leaving:          s.draining || s.leavesItself(call.Endpoint) || s.isStopping(),
 	}
 }
 
--- a/internal/proxy/targets.go
+++ b/internal/proxy/targets.go
@@ -40,6 +40,9 @@
 	load         placement.State
 	typicalTimes map[string]*typicalTime // by route
 	leavingUntil time.Duration
+	left         bool          // a run of the endpoint has said that it is leaving
+	leftRunMs    int64         // start of that run
+	leftAt       time.Duration // when it last said so
 	reportedAt   time.Duration // when load was reported, or last tested by a call
 }
 
@@ -99,7 +102,7 @@
 		c.Excluded = m.Leaving || slices.Contains(tried, m.EndpointInstance)
 		if s := t.states[m.EndpointInstance]; s != nil {
 			c.State, c.EstimatedDuration = &s.load, s.typicalTimes[route].current(t.now())
-			c.Excluded = c.Excluded || t.now() < s.leavingUntil
+			c.Excluded = c.Excluded || t.now() < s.leavingUntil || s.hasLeft(m)
 			c.Probe = t.probeDue(s, m.Slots)
 		}
 		if !c.Excluded && t.isUnresponsive(m) {
@@ -187,7 +190,7 @@
 	t.nodes = len(v.ByVM)
 	for endpoint, s := range t.states {
 		maps.DeleteFunc(s.typicalTimes, func(route string, _ *typicalTime) bool { return !routes[route] })
-		if !endpoints[endpoint] && s.load.Idle() {
+		if !endpoints[endpoint] && s.load.Idle() && (!s.left || t.now()-s.leftAt > leftMemory) {
 			delete(t.states, endpoint)
 		}
 	}
--- a/internal/proxynode/fleet_test.go
+++ b/internal/proxynode/fleet_test.go
@@ -58,6 +58,7 @@
 	ip       string
 	id       string
 	service  string
+	restarts int64 // of the endpoint under its ID, as published
 	output   *bytes.Buffer
 	handler  http.Handler // of the endpoint
 	address  string       // of the endpoint
@@ -225,7 +226,7 @@
 		for i, v := range f.vms {
 			b.PutEndpoint(registry.Entry{
 				ID: v.id, Service: v.service, Address: f.address(i, 3), AvailabilityZone: "a",
-				Slots: 10, StartedMs: 1, Sequence: int64(f.version),
+				Slots: 10, StartedMs: 1 + v.restarts, Sequence: int64(f.version),
 			})
 		}
 	}
