--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -49,6 +49,11 @@
 	// ejected.
 	ejectBase = 250 * time.Millisecond
 	ejectMax  = 2 * time.Second
+	// probeInterval is the least time between two calls of a node that test whether an
+	// endpoint still takes few calls, and fleetProbeInterval that between two such calls of
+	// the whole fleet.
+	probeInterval      = time.Second
+	fleetProbeInterval = 50 * time.Millisecond
 )
 
 // Candidate is an endpoint that may take a call.
@@ -80,6 +85,7 @@
 	penaltyUpdatedAt time.Duration // end of the last call
 	unreachableCount int
 	ejectedUntil     time.Duration // end of the ejection
+	reportedAt       time.Duration // of busy and limit, or start of the last probe
 }
 
 // StartCall records that a call is sent.
@@ -128,16 +134,22 @@
 }
 
 // RecordLoad records the load that a reply reported and ends an ejection.
-func (s *State) RecordLoad(busy, limit int) {
-	s.busy, s.limit, s.inFlightAtReply = busy, limit, s.inFlight
+func (s *State) RecordLoad(now time.Duration, busy, limit int) {
+	s.busy, s.limit, s.inFlightAtReply, s.reportedAt = busy, limit, s.inFlight, now
 	s.unreachableCount = 0
 	s.ejectedUntil = 0
 }
 
-// TakesFewCalls reports whether the endpoint reported that it takes fewer calls at once than
-// it has slots. Then it may get none from a node while others are less loaded.
-func (s *State) TakesFewCalls(slots int) bool {
-	return s.limit > 0 && 2*s.limit < slots
+// ProbeDue reports whether a call should test if the endpoint still takes far fewer calls at
+// once than it has slots, as it reported: it may get none otherwise while others are less
+// loaded. nodes is the size of the fleet.
+func (s *State) ProbeDue(now time.Duration, slots, nodes int) bool {
+	return 2*s.limit < slots && s.limit > 0 && now-s.reportedAt > max(probeInterval, time.Duration(nodes)*fleetProbeInterval)
+}
+
+// StartProbe records that a call is sent because a probe was due.
+func (s *State) StartProbe(now time.Duration) {
+	s.reportedAt = now
 }
 
 // RecordUnreachable ejects an endpoint that could not be reached, with exponential
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -11,7 +11,7 @@
 
 func stateWithLoad(busy, limit int) *State {
 	s := &State{}
-	s.RecordLoad(busy, limit)
+	s.RecordLoad(0, busy, limit)
 	return s
 }
 
@@ -107,7 +107,7 @@
 	}
 	require.True(t, s.Ejected(ejectMax-1))
 	require.False(t, s.Ejected(ejectMax))
-	s.RecordLoad(0, 10)
+	s.RecordLoad(0, 0, 10)
 	require.False(t, s.Ejected(0))
 }
 
@@ -129,7 +129,7 @@
 			for _, end := range ends[i] {
 				if end <= now {
 					states[i].EndCall(now, OutcomeSuccess)
-					states[i].RecordLoad(len(ends[i]), slots)
+					states[i].RecordLoad(0, len(ends[i]), slots)
 					continue
 				}
 				kept = append(kept, end)
@@ -170,8 +170,8 @@
 	failed, calls, recovered, after := 0, 0, 0, 0
 	random := rand.New(rand.NewPCG(5, 1))
 	for now := time.Duration(0); now < simulationTime; now += interval {
-		healthy.RecordLoad(4+random.IntN(3), 10)
-		failing.RecordLoad(4+random.IntN(3), 10)
+		healthy.RecordLoad(0, 4+random.IntN(3), 10)
+		failing.RecordLoad(0, 4+random.IntN(3), 10)
 		states := []*State{healthy, failing}
 		at := Pick(now, time.Second, []Candidate{{SameZone: true, State: healthy}, {SameZone: true, State: failing}}, random.Uint64())
 		states[at].StartCall()
@@ -247,8 +247,8 @@
 	onTime := 0
 	for i := range calls {
 		now := time.Duration(i) * interval
-		states[0].RecordLoad(10, 58)
-		states[1].RecordLoad(5, 58)
+		states[0].RecordLoad(0, 10, 58)
+		states[1].RecordLoad(0, 5, 58)
 		at := Pick(now, timeout, []Candidate{
 			{SameZone: true, EstimatedDuration: downstream + mean*100/55, State: states[0]},
 			{EstimatedDuration: downstream + mean*100/120, State: states[1]},
@@ -377,6 +377,23 @@
 		}
 		z.inFlight = append(z.inFlight[:i], z.inFlight[i+1:]...)
 		z.stateByZone[one.from].EndCall(now, OutcomeSuccess)
-		z.stateByZone[one.from].RecordLoad(len(z.inFlight), len(z.slotFreeAt))
+		z.stateByZone[one.from].RecordLoad(0, len(z.inFlight), len(z.slotFreeAt))
 	}
 }
+
+func TestProbeOfEndpointThatTakesFewCalls(t *testing.T) {
+	s := &State{}
+	require.False(t, s.ProbeDue(time.Hour, 80, 10), "it has reported nothing")
+	s.RecordLoad(0, 3, 70)
+	require.False(t, s.ProbeDue(time.Hour, 80, 10), "it takes many calls")
+	s.RecordLoad(0, 3, 3)
+	require.False(t, s.ProbeDue(probeInterval, 80, 10))
+	require.True(t, s.ProbeDue(probeInterval+1, 80, 10))
+	require.False(t, s.ProbeDue(probeInterval+1, 80, 200), "all nodes of a large fleet probe it in turn")
+	s.StartProbe(probeInterval + 1)
+	require.False(t, s.ProbeDue(2*probeInterval, 80, 10))
+
+	idle := &State{}
+	idle.RecordLoad(0, 5, 58)
+	require.Equal(t, 1, Pick(0, 0, []Candidate{{State: idle}, {State: s, Slots: 80, Probe: true}}, 0))
+}
--- a/internal/proxy/targets.go
+++ b/internal/proxy/targets.go
@@ -43,20 +43,6 @@
 	left         bool          // a run of the endpoint has said that it is leaving
 	leftRunMs    int64         // start of that run
 	leftAt       time.Duration // when it last said so
-	reportedAt   time.Duration // when load was reported, or last tested by a call
-}
-
-const (
-	// limitProbeInterval is the least time between two calls of a node that test whether an
-	// endpoint still takes few calls, and fleetLimitProbeInterval that between two calls of the
-	// whole fleet.
-	limitProbeInterval      = time.Second
-	fleetLimitProbeInterval = 50 * time.Millisecond
-)
-
-// probeDue reports whether a call should test if an endpoint still takes few calls.
-func (t *targets) probeDue(s *target, slots int) bool {
-	return s.load.TakesFewCalls(slots) && t.now()-s.reportedAt > max(limitProbeInterval, time.Duration(t.nodes)*fleetLimitProbeInterval)
 }
 
 // typicalTime is the typical duration of a route's calls at an endpoint.
@@ -103,7 +89,7 @@
 		if s := t.states[m.EndpointInstance]; s != nil {
 			c.State, c.EstimatedDuration = &s.load, s.typicalTimes[route].current(t.now())
 			c.Excluded = c.Excluded || t.now() < s.leavingUntil || s.hasLeft(m)
-			c.Probe = t.probeDue(s, m.Slots)
+			c.Probe = s.load.ProbeDue(t.now(), m.Slots, t.nodes)
 		}
 		if !c.Excluded && t.isUnresponsive(m) {
 			t.state(m.EndpointInstance).load.EjectBriefly(t.now())
@@ -117,7 +103,7 @@
 	s := t.state(members[at].EndpointInstance)
 	s.load.StartCall()
 	if t.candidates[at].Probe {
-		s.reportedAt = t.now()
+		s.load.StartProbe(t.now())
 	}
 	if u := s.typicalTimes[route]; u != nil {
 		u.at = t.now()
@@ -157,8 +143,7 @@
 		s.leavingUntil = t.now() + leavingRetryPause
 	}
 	if !o.unreachable {
-		s.load.RecordLoad(o.load.Outstanding, o.load.Limit)
-		s.reportedAt = t.now()
+		s.load.RecordLoad(t.now(), o.load.Outstanding, o.load.Limit)
 		s.typicalTimes[route] = &typicalTime{duration: time.Duration(o.load.TypicalMs) * time.Millisecond, at: t.now()}
 	}
 }
