Lengthen the pauses between dials of nodes without the platform

What callers saw: nothing; the load of an outage of the whole store.

Cause: found by working out at 5,900 nodes: three dials a second of each make 74 a second at each of 240 readers, all refused.

Conclusion: a node that the store rejects alone finds a reader with its first three dials in nearly all cases, so this delays it rarely.

--- a/internal/updatefeed/feed.go
+++ b/internal/updatefeed/feed.go
@@ -28,10 +28,11 @@
 	// startupReadTime is how long a starting node reads the platform itself: nodes that start
 	// together first have to discover each other.
 	startupReadTime = 1500 * time.Millisecond
-	// fallbackDials is the number of readers that a node which can't read the platform dials at
-	// once, and fallbackPause the wait after that: they may be unable too.
-	fallbackDials = 3
-	fallbackPause = time.Second
+	// fallbackDials is the number of readers that a node which can't read the platform dials
+	// before it pauses. They may be unable too, so the pause grows from fallbackPauseMin to
+	// retryPause.
+	fallbackDials    = 3
+	fallbackPauseMin = time.Second
 	// fallbackTime is how long such a node follows another one before it reads the platform
 	// again.
 	fallbackTime = 5 * time.Second
@@ -108,12 +109,13 @@
 		cancel()
 		<-ended
 	}()
-	subscribeAt := f.config.Directory.Now() + minReadTime
+	subscribeAt, fallbackPause := f.config.Directory.Now()+minReadTime, fallbackPauseMin
 	for wait.For(ctx, assignmentInterval) {
 		var link *readerLink
 		switch {
 		case f.config.Directory.StateAge() > f.config.Times.AgeMax:
 			link = f.dialOneOf(ctx, f.readersOfAllZones(), fallbackDials, fallbackPause)
+			fallbackPause = min(2*fallbackPause, retryPause)
 			if link != nil {
 				link.followUntil = f.config.Directory.Now() + fallbackTime
 			}
