--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -167,11 +167,12 @@
 }
 
 // ConfirmUnchanged records that the source had no changes at the time asOf that this
-// directory lacks.
+// directory lacks. Subscribers learn of it at once.
 func (d *Directory) ConfirmUnchanged(asOf time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.confirmedAt = max(d.confirmedAt, asOf)
+	d.broadcast(&Update{})
 }
 
 // ConfirmedBySender records that the sender of updates is assumed to have all changes. It is
--- a/internal/discovery/update_test.go
+++ b/internal/discovery/update_test.go
@@ -64,6 +64,7 @@
 		}, 1},
 		{"a full list with another endpoint", func() { from.ReplaceEndpoints([]registry.Entry{newEntry("e4", "10.0.0.4:80", false)}) }, 1},
 		{"a newer revision", func() { from.AdvanceRevision(20, 0) }, 1},
+		{"a confirmation without changes", func() { from.ConfirmUnchanged(0) }, 1},
 		{"the same revision", func() { from.AdvanceRevision(20, 0) }, 0},
 	}
 	for _, step := range steps {
