Show that one large request ends a node

A node reads and encodes each request whole, several times over, without a memory budget. Change: stand-ins of the review and case 1: a booking with a body below max_body_bytes, while eight others run. Nothing of the project changes.

--- /dev/null
+++ b/review/standins/drain_queue.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// drainMargin is allowed beyond the bound, for the clocks and the scheduling of this test.
+	drainMargin = 100 * time.Millisecond
+	// leavingServes is how long the leaving instance serves: the drain and a little longer.
+	leavingServes = boundDrain + 1200*time.Millisecond
+)
+
+// playDrainQueue has an instance leave while calls wait for its slots.
+func playDrainQueue(f *fleet, trouble bool) (verdict, error) {
+	for _, n := range f.nodes {
+		n.instance.work = constantWork(viewWork)
+	}
+	l := newLoad(f, "view")
+	go func() { l.send(f.nodes[0], 120, viewInterval) }()
+	time.Sleep(3500 * time.Millisecond)
+	leaving := f.nodes[1]
+	var acknowledged time.Time
+	if trouble {
+		acknowledged = leaving.publish("draining")
+		time.Sleep(leavingServes)
+		f.record.logf("instance %s exits", leaving.instance.id)
+		leaving.instance.exit()
+		f.store.remove("servers/" + leaving.instance.id)
+	}
+	time.Sleep(4 * time.Second) // the last views are sent by then
+	answers := l.wait()
+	f.record.logf("answers by status: %v", byStatus(answers))
+	if !trouble {
+		return verdict{text: "no instance left"}, nil
+	}
+	late, lost := 0, 0
+	for _, a := range leaving.instance.arrived() {
+		after := a.at.Sub(acknowledged)
+		if after <= boundDrain+drainMargin {
+			continue
+		}
+		late++
+		if a.broken {
+			lost++
+		}
+		f.record.logf("%s reached the instance %.3f s after the acknowledgement; broken off: %v", a.attempt, after.Seconds(), a.broken)
+	}
+	return verdict{broken: late > 0, text: fmt.Sprintf("%d requests reached the leaving instance later than %v after the acknowledgement; %d of them were broken off when it exited", late, boundDrain, lost)}, nil
+}
--- /dev/null
+++ b/review/standins/large_body.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// largeBodyBytes is the size of the one large request: below max_body_bytes, 67108864.
+const largeBodyBytes = 67_000_000
+
+// bookingWork is the time that an ordinary booking takes.
+const bookingWork = 2 * time.Second
+
+// warmUpBookings is the number of quick bookings after which all instances have answered.
+const warmUpBookings = 12
+
+// bookingsInFlight is the number of ordinary bookings that run meanwhile.
+const bookingsInFlight = 8
+
+var largeBodyFleet = fleetSpec{
+	machines: []machineSpec{
+		{zone: "zone-a", service: "front", slots: 54},
+		{zone: "zone-a", service: "desk", slots: 54},
+		{zone: "zone-b", service: "desk", slots: 54},
+	},
+	config: configuration{
+		Version: "r3", Routes: []route{book("desk", "6000ms")}, Services: services("front", "desk"), Limits: usualLimits,
+	},
+}
+
+// playLargeBody sends one request with a large body, while others have ordinary bookings
+// in flight at the same machine.
+func playLargeBody(f *fleet, trouble bool) (verdict, error) {
+	front := f.nodes[0]
+	if err := warmUp(f, front); err != nil {
+		return verdict{}, err
+	}
+	for _, n := range f.nodes {
+		n.instance.work = constantWork(bookingWork)
+	}
+	var guards []*memoryGuard
+	for _, n := range f.nodes {
+		g := guardMemory(n)
+		defer g.stop()
+		guards = append(guards, g)
+	}
+	var clients sync.WaitGroup
+	answers := make([]*answer, bookingsInFlight)
+	for k := range answers {
+		c, err := newClient(f.record, fmt.Sprintf("client %d", k+1), front.clientAddress())
+		if err != nil {
+			return verdict{}, err
+		}
+		clients.Go(func() {
+			defer c.close()
+			answers[k] = c.do(&request{attempt: fmt.Sprintf("booking-%d", k+1), method: http.MethodPost, path: "/book/1", deadline: 6 * time.Second, body: []byte("a booking")})
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	if trouble {
+		c, err := newClient(f.record, "the client with the large body", front.clientAddress())
+		if err != nil {
+			return verdict{}, err
+		}
+		defer c.close()
+		c.do(&request{attempt: "large", method: http.MethodPost, path: "/book/2", deadline: 6 * time.Second, body: bytes.Repeat([]byte("x"), largeBodyBytes)})
+	}
+	clients.Wait()
+	lost := 0
+	for _, a := range answers {
+		if a.status == 0 {
+			lost++
+		}
+	}
+	killed := 0
+	for _, g := range guards {
+		f.record.logf("node %s: at most %d MB resident", g.node.vm, g.peakMB())
+		if g.killed.Load() {
+			killed++
+		}
+	}
+	return verdict{broken: lost > 3, text: fmt.Sprintf("%d of %d bookings lost, %d nodes killed for their memory", lost, len(answers), killed)}, nil
+}
+
+// warmUp sends quick bookings one after the other.
+func warmUp(f *fleet, n *node) error {
+	c, err := newClient(f.record, "the first client", n.clientAddress())
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	for k := range warmUpBookings {
+		a := c.do(&request{attempt: fmt.Sprintf("warm-up-%d", k+1), method: http.MethodPost, path: "/book/0", deadline: 6 * time.Second, body: []byte("a booking")})
+		if !a.own {
+			return fmt.Errorf("the warm-up got %v", a)
+		}
+	}
+	return nil
+}
