Send the load of the review's cases from all machines

Cause: with clients at one machine only, a node takes their route for one that endpoints call and admits more than it does otherwise, which is less usual. Change: cases 2 and 3 send their load evenly to all machines, on many routes.

--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -106,3 +106,22 @@
 	}
 	return fmt.Sprintf("%d to %s (of the instance: %v, closes: %v, after %.3f s)", a.status, a.request.attempt, a.own, a.closes, a.endedAt.Sub(a.sentAt).Seconds())
 }
+
+// warmUpRequests is the number of quick requests after which all instances have answered.
+const warmUpRequests = 12
+
+// warmUp sends quick requests one after the other.
+func warmUp(f *fleet, n *node, method, path string) error {
+	c, err := newClient(f.record, "the first client", n.clientAddress())
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	for k := range warmUpRequests {
+		a := c.do(&request{attempt: fmt.Sprintf("warm-up-%d", k+1), method: method, path: path, deadline: viewDeadline})
+		if !a.own {
+			return fmt.Errorf("the warm-up got %v", a)
+		}
+	}
+	return nil
+}
--- a/review/standins/large_body.go
+++ b/review/standins/large_body.go
@@ -14,9 +14,6 @@
 // bookingWork is the time that an ordinary booking takes.
 const bookingWork = 2 * time.Second
 
-// warmUpBookings is the number of quick bookings after which all instances have answered.
-const warmUpBookings = 12
-
 // bookingsInFlight is the number of ordinary bookings that run meanwhile.
 const bookingsInFlight = 8
 
@@ -35,7 +32,7 @@
 // in flight at the same machine.
 func playLargeBody(f *fleet, trouble bool) (verdict, error) {
 	front := f.nodes[0]
-	if err := warmUp(f, front); err != nil {
+	if err := warmUp(f, front, http.MethodPost, "/book/0"); err != nil {
 		return verdict{}, err
 	}
 	for _, n := range f.nodes {
@@ -84,19 +81,3 @@
 	}
 	return verdict{broken: lost > 3, text: fmt.Sprintf("%d of %d bookings lost, %d nodes killed for their memory", lost, len(answers), killed)}, nil
 }
-
-// warmUp sends quick bookings one after the other.
-func warmUp(f *fleet, n *node) error {
-	c, err := newClient(f.record, "the first client", n.clientAddress())
-	if err != nil {
-		return err
-	}
-	defer c.close()
-	for k := range warmUpBookings {
-		a := c.do(&request{attempt: fmt.Sprintf("warm-up-%d", k+1), method: http.MethodPost, path: "/book/0", deadline: 6 * time.Second, body: []byte("a booking")})
-		if !a.own {
-			return fmt.Errorf("the warm-up got %v", a)
-		}
-	}
-	return nil
-}
--- a/review/standins/stop_queue.go
+++ b/review/standins/stop_queue.go
@@ -2,27 +2,11 @@
 
 import (
 	"fmt"
-	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// bookWork and bookInterval make bookings alone take all slots: 9 of 10 at each of two instances.
-const (
-	bookWork     = 700 * time.Millisecond
-	bookInterval = 30 * time.Millisecond
-)
-
-// workByPath is the time that a request takes by its route.
-func workByPath(r *http.Request) time.Duration {
-	if strings.HasPrefix(r.URL.Path, "/book/") {
-		return bookWork
-	}
-	return viewWork
-}
-
 // playStopQueue stops the node that took requests from clients while these requests wait for
 // a slot of an instance elsewhere, behind more urgent ones.
 func playStopQueue(f *fleet, trouble bool) (verdict, error) {
@@ -30,16 +14,15 @@
 		n.instance.work = workByPath
 	}
 	front := f.nodes[0]
-	before, after, bookings := newLoad(f, "before"), newLoad(f, "after"), newLoad(f, "booking")
-	bookings.method, bookings.path, bookings.deadline = http.MethodPost, "/book/", 5*time.Second
+	before, after, bookings := newLoad(f, "before"), newLoad(f, "after"), newBookings(f)
 	var booked sync.WaitGroup
-	booked.Go(func() { bookings.send(f.nodes[2], 400, bookInterval) })
-	before.send(front, 60, viewInterval)
+	booked.Go(func() { bookings.send(f.nodes[1:], 400, bookInterval) })
+	before.send(f.nodes, 60, viewInterval)
 	stoppedAt := time.Now()
 	if trouble {
 		front.signal(syscall.SIGTERM)
 	}
-	after.send(front, 35, viewInterval) // the platform's second miss comes 2 s after SIGTERM at the latest
+	after.send(f.nodes[:1], 35, viewInterval) // the platform's second miss comes 2 s after SIGTERM at the latest
 	f.record.logf("%.3f s after the signal no more is sent", time.Since(stoppedAt).Seconds())
 	answers := append(before.wait(), after.wait()...)
 	f.record.logf("answers by status: %v", byStatus(answers))
