Show that a planned stop drops answers that are ready

Cause: at 92 % of its time the planned stop closes all connections of clients. Change: case 2: quick requests are pipelined behind slow ones at a node that is stopped.

--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -2,9 +2,10 @@
 
 // cases are the cases by name.
 var cases = map[string]caseEntry{
-	"drain-queue": {fleet: busyFleet, play: playDrainQueue},
-	"large-body":  {fleet: largeBodyFleet, play: playLargeBody},
-	"stop-queue":  {fleet: busyFleet, play: playStopQueue},
+	"drain-queue":   {fleet: busyFleet, play: playDrainQueue},
+	"large-body":    {fleet: largeBodyFleet, play: playLargeBody},
+	"stop-pipeline": {fleet: busyFleet, play: playStopPipeline},
+	"stop-queue":    {fleet: busyFleet, play: playStopQueue},
 }
 
 // book is a route of requests that may run once, as the small site files have one.
--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -125,3 +125,22 @@
 	}
 	return nil
 }
+
+// doPipelined sends requests behind one another and waits for all answers.
+func (c *client) doPipelined(requests []*request) []*answer {
+	var answers []*answer
+	for _, r := range requests {
+		a := &answer{request: *r}
+		_ = c.conn.SetDeadline(time.Now().Add(r.deadline + clientSlack)) // an ended connection fails below
+		a.err = c.send(r)
+		a.sentAt = time.Now()
+		c.record.logf("%s sent %s %s %s", c.name, r.method, r.path, r.attempt)
+		answers = append(answers, a)
+	}
+	for _, a := range answers {
+		c.receive(a)
+		a.endedAt = time.Now()
+		c.record.logf("%s got %s", c.name, a)
+	}
+	return answers
+}
