--- a/review/standins/large_body.go
+++ b/review/standins/large_body.go
@@ -8,8 +8,11 @@
 	"time"
 )
 
-// largeBodyBytes is the size of the one large request: below max_body_bytes, 67108864.
-const largeBodyBytes = 67_000_000
+// largeBodies requests with largeBodyBytes each are sent at once. The size is below max_body_bytes, 67108864.
+const (
+	largeBodies    = 2
+	largeBodyBytes = 67_000_000
+)
 
 // bookingWork is the time that an ordinary booking takes.
 const bookingWork = 2 * time.Second
@@ -28,8 +31,8 @@
 	},
 }
 
-// playLargeBody sends one request with a large body, while others have ordinary bookings
-// in flight at the same machine.
+// playLargeBody sends requests with large bodies, while others have ordinary bookings in
+// flight at the same machine.
 func playLargeBody(f *fleet, trouble bool) (verdict, error) {
 	front := f.nodes[0]
 	if err := warmUp(f, front, http.MethodPost, "/book/0"); err != nil {
@@ -58,12 +61,9 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	if trouble {
-		c, err := newClient(f.record, "the client with the large body", front.clientAddress())
-		if err != nil {
+		if err := sendLargeBodies(f, front, &clients); err != nil {
 			return verdict{}, err
 		}
-		defer c.close()
-		c.do(&request{attempt: "large", method: http.MethodPost, path: "/book/2", deadline: 6 * time.Second, body: bytes.Repeat([]byte("x"), largeBodyBytes)})
 	}
 	clients.Wait()
 	lost := 0
@@ -81,3 +81,19 @@
 	}
 	return verdict{broken: lost > 3, text: fmt.Sprintf("%d of %d bookings lost, %d nodes killed for their memory", lost, len(answers), killed)}, nil
 }
+
+// sendLargeBodies starts clients that send one request with a large body each.
+func sendLargeBodies(f *fleet, n *node, clients *sync.WaitGroup) error {
+	body := bytes.Repeat([]byte("x"), largeBodyBytes)
+	for k := range largeBodies {
+		c, err := newClient(f.record, fmt.Sprintf("client %d with a large body", k+1), n.clientAddress())
+		if err != nil {
+			return err
+		}
+		clients.Go(func() {
+			defer c.close()
+			c.do(&request{attempt: fmt.Sprintf("large-%d", k+1), method: http.MethodPost, path: "/book/2", deadline: 6 * time.Second, body: body})
+		})
+	}
+	return nil
+}
