Show that a planned stop takes calls on and cuts them

Cause: calls of the local endpoint are accepted until the stop closes all connections, whatever time is left.

--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -5,6 +5,7 @@
 	"drain-queue":   {fleet: busyFleet, play: playDrainQueue},
 	"large-body":    {fleet: largeBodyFleet, play: playLargeBody},
 	"stop-pipeline": {fleet: busyFleet, play: playStopPipeline},
+	"stop-call":     {fleet: callFleet, play: playStopCall},
 	"stop-queue":    {fleet: busyFleet, play: playStopQueue},
 }
 
