--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -2,10 +2,10 @@
 
 // cases are the cases by name.
 var cases = map[string]caseEntry{
+	"drain-retry":   {fleet: retryFleet, play: playDrainRetry},
 	"drain-queue":   {fleet: busyFleet, play: playDrainQueue},
 	"large-body":    {fleet: largeBodyFleet, play: playLargeBody},
 	"stop-pipeline": {fleet: busyFleet, play: playStopPipeline},
-	"stop-call":     {fleet: callFleet, play: playStopCall},
 	"stop-queue":    {fleet: busyFleet, play: playStopQueue},
 }
 
--- a/review/standins/drain_queue.go
+++ b/review/standins/drain_queue.go
@@ -45,17 +45,6 @@
 	if !trouble {
 		return verdict{text: "no instance left"}, nil
 	}
-	late, lost := 0, 0
-	for _, a := range leaving.instance.arrived() {
-		after := a.at.Sub(acknowledged)
-		if after <= boundDrain+drainMargin {
-			continue
-		}
-		late++
-		if a.broken {
-			lost++
-		}
-		f.record.logf("%s reached the instance %.3f s after the acknowledgement; broken off: %v", a.attempt, after.Seconds(), a.broken)
-	}
+	late, lost := lateArrivals(f, leaving, acknowledged)
 	return verdict{broken: late > 0, text: fmt.Sprintf("%d requests reached the leaving instance later than %v after the acknowledgement; %d of them were broken off when it exited", late, boundDrain, lost)}, nil
 }
