--- a/review/standins/stop_queue.go
+++ b/review/standins/stop_queue.go
@@ -7,6 +7,13 @@
 	"time"
 )
 
+const (
+	// bookingsAlone is the time after which bookings take all slots.
+	bookingsAlone = 2 * time.Second
+	// viewsBefore are sent in the second before the signal.
+	viewsBefore = 20
+)
+
 // playStopQueue stops the node that took requests from clients while these requests wait for
 // a slot of an instance elsewhere, behind more urgent ones.
 func playStopQueue(f *fleet, trouble bool) (verdict, error) {
@@ -17,7 +24,8 @@
 	before, after, bookings := newLoad(f, "before"), newLoad(f, "after"), newBookings(f)
 	var booked sync.WaitGroup
 	booked.Go(func() { bookings.send(f.nodes[1:], 400, bookInterval) })
-	before.send(f.nodes, 60, viewInterval)
+	time.Sleep(bookingsAlone)
+	before.send(f.nodes, viewsBefore, viewInterval)
 	stoppedAt := time.Now()
 	if trouble {
 		front.signal(syscall.SIGTERM)
