Write ready responses at the end of a planned stop

Cause: at 92 % of the stop shutDown closed every client connection at once. Responses go out in request order and nothing ended the request in front. The same path cut requests that were still arriving.

At 92 % all other running requests end with 502 and unread ones with 503, and up to 4 % is left to write them out. The response is set before the handler is cancelled, as a cancelled handler answered 504 "no answer in time" in one of five runs of the new test. Breaking off at 92 % only was weighed: it leaves a slow reader half the time.

--- a/decision/stopping/stopping.go
+++ b/decision/stopping/stopping.go
@@ -17,6 +17,9 @@
 	// Refusing also refuses requests of clients. Calls made by the local endpoint belong
 	// to requests in flight and are still accepted.
 	Refusing
+	// Concluding also ends requests in flight that hold up ready responses on the same
+	// connection, so that there is time to write these.
+	Concluding
 	// Finished ends the process.
 	Finished
 )
@@ -35,11 +38,22 @@
 	drainAfterPercent  = 36
 	noticePercent      = 42
 	refuseAfterPercent = 48
+	// concludePercent is the start of Concluding, in percent of the whole stop. Requests that
+	// are still running by then may be interrupted.
+	concludePercent = 88
 	// finishPercent is the part of the stop, in percent, after which requests still in
 	// flight are aborted.
 	finishPercent = 92
+	// writePercent is the part of the stop, in percent, that the last responses may take.
+	writePercent = 4
 )
 
+// WriteTimeout returns the time for writing the last responses after a stop has reached
+// Finished. limit is the maximum duration of the stop.
+func WriteTimeout(limit time.Duration) time.Duration {
+	return limit * writePercent / 100
+}
+
 // PhaseAt returns the phase at a time since the start of the stop. limit is the maximum
 // duration of the stop, outstanding the number of requests in flight.
 func PhaseAt(since, limit time.Duration, outstanding int) Phase {
@@ -48,6 +62,8 @@
 		return Finished
 	case since >= min(noticeTime, limit*noticePercent/100) && outstanding == 0:
 		return Finished
+	case since >= limit*concludePercent/100:
+		return Concluding
 	case since >= min(refuseAfter, limit*refuseAfterPercent/100):
 		return Refusing
 	case since >= min(drainAfter, limit*drainAfterPercent/100):
--- a/decision/stopping/stopping_test.go
+++ b/decision/stopping/stopping_test.go
@@ -22,6 +22,7 @@
 		{"idle once clients are informed", 2600 * time.Millisecond, limit, 0, Finished},
 		{"remaining clients are refused while accepted requests have time to finish", 3 * time.Second, limit, 1, Refusing},
 		{"requests in flight keep running", 5 * time.Second, limit, 1, Refusing},
+		{"ready responses are no longer held up", 5300 * time.Millisecond, limit, 1, Concluding},
 		{"before the platform kills the process", 5900 * time.Millisecond, limit, 1, Finished},
 		{"a short stop keeps the order of the phases", 500 * time.Millisecond, time.Second, 3, Refusing},
 	}
@@ -47,3 +48,17 @@
 		}
 	}
 }
+
+// The last responses are written before the platform kills the process.
+func TestLastResponsesAreWrittenBeforeTheLimit(t *testing.T) {
+	for _, limit := range []time.Duration{200 * time.Millisecond, time.Second, 6 * time.Second, time.Minute} {
+		end := limit
+		for at := limit; at > 0; at -= limit / 100 {
+			if PhaseAt(at, limit, 1) == Finished {
+				end = at
+			}
+		}
+		require.Positive(t, WriteTimeout(limit))
+		require.Less(t, end+WriteTimeout(limit), limit)
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -36,16 +37,25 @@
 	queueChanged *sync.Cond
 	queue        []*exchange // in order of arrival
 	writing      bool
+	reading      bool // a request has begun to arrive
 	closing      bool // no further request is accepted
+	lastWritten  bool // the response that closes the connection was written, or is being written
 	ended        bool // nothing more may be written
 	lingerTimer  *time.Timer
 }
 
 // exchange is one request that waits for its response.
 type exchange struct {
-	isHead   bool // the request method is HEAD, so the response has no body
-	last     bool // the connection is closed after the response
+	request  *message.Request // nil if it was not read whole
+	last     bool             // the connection is closed after the response
+	late     bool             // it arrived while the connection was being closed
 	response *message.Response
+	cancel   context.CancelFunc // ends the handler
+}
+
+// isHead reports whether the response has no body because the method is HEAD.
+func (e *exchange) isHead() bool {
+	return e.request != nil && e.request.Method == http.MethodHead
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -71,19 +81,22 @@
 		if r == nil && refused == nil {
 			return
 		}
-		e := &exchange{last: last}
+		ctx, cancel := context.WithCancel(c.ctx)
+		e := &exchange{request: r, last: last, cancel: cancel}
 		if !c.enqueue(e) {
+			cancel()
 			c.awaitClose()
 			return
 		}
+		if e.late {
+			refused = c.server.config.NotRead()
+		}
 		if refused != nil {
-			e.last = true
 			c.respond(e, refused)
 			c.awaitClose()
 			return
 		}
-		e.isHead = r.Method == "HEAD"
-		go c.serve(e, r)
+		go c.serve(ctx, e)
 		if last {
 			c.awaitClose()
 			return
@@ -95,13 +108,16 @@
 // ended or exceeded its idle timeout.
 func (c *conn) awaitRequest() bool {
 	if c.in.Buffered() > 0 {
+		c.setReading(true)
 		return true
 	}
+	c.setReading(false)
 	for {
 		c.limit.remaining = unlimited
-		_ = c.raw.SetReadDeadline(time.Now().Add(c.server.config.Limits().IdleTimeout)) // fails only on a closed connection
+		c.setReadTimeout(c.server.config.Limits().IdleTimeout)
 		_, err := c.in.Peek(1)
 		if err == nil {
+			c.setReading(true)
 			return true
 		}
 		if !isTimeout(err) || c.outstanding() == 0 {
@@ -110,36 +126,61 @@
 	}
 }
 
-func (c *conn) serve(e *exchange, r *message.Request) {
-	c.respond(e, c.server.config.Handler(c.ctx, r))
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
+func (c *conn) serve(ctx context.Context, e *exchange) {
+	defer e.cancel()
+	c.respond(e, c.server.config.Handler(ctx, e.request))
 }
 
 // enqueue adds a request to the queue. It waits while the queue is full, and returns false
-// if the connection is closing.
+// if the connection closes without a further response.
 func (c *conn) enqueue(e *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	for len(c.queue) >= pipelineMax && !c.closing {
 		c.queueChanged.Wait()
 	}
-	if c.closing {
+	if c.lastWritten || c.ended {
 		return false
 	}
+	e.late = c.closing
 	c.queue = append(c.queue, e)
 	return true
 }
 
-// respond sets the response to a request and writes every response whose turn it is in the queue.
+// respond sets the response to a request, unless it was interrupted, and writes every response
+// whose turn it is.
 func (c *conn) respond(e *exchange, a *message.Response) {
+	c.setResponse(e, a)
+	c.writeReady()
+}
+
+// setResponse sets the response to a request unless it has one.
+func (c *conn) setResponse(e *exchange, a *message.Response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e.response == nil {
+		e.response = a
+	}
+}
+
+// writeReady writes every response whose turn it is in the queue.
+func (c *conn) writeReady() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e.response = a
 	for !c.writing && !c.ended && len(c.queue) > 0 && c.queue[0].response != nil {
 		next := c.queue[0]
 		// Without keep-alives the response to the last queued request closes the connection.
 		// Closing it earlier would drop the requests behind, which may be running already.
-		c.closing = c.closing || next.last || c.server.keepAlivesDisabled.Load() && len(c.queue) == 1
-		closes := c.closing && len(c.queue) == 1
+		c.closing = c.closing || next.last || c.server.keepAlivesDisabled.Load() && len(c.queue) == 1 && !c.reading
+		closes := c.closing && len(c.queue) == 1 && !c.reading
+		c.lastWritten = c.lastWritten || closes
 		c.writing = true
 		c.mu.Unlock()
 		err := c.writeResponse(next, closes)
@@ -162,7 +203,7 @@
 
 func (c *conn) writeResponse(e *exchange, closes bool) error {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
-	_, err := c.raw.Write(encode(e.response, e.isHead, closes))
+	_, err := c.raw.Write(encode(e.response, e.isHead(), closes))
 	return err
 }
 
@@ -176,18 +217,39 @@
 	c.lingerTimer = time.AfterFunc(lingerTime, func() { _ = c.raw.Close() }) // may be closed already
 }
 
-// drain stops accepting requests and closes an idle connection. After the last response was
-// written, the client closes the connection.
+// drain stops accepting requests and closes an idle connection. A request that is still
+// arriving is refused. After the last response was written, the client closes the connection.
 func (c *conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
 	c.queueChanged.Broadcast()
-	if len(c.queue) == 0 && !c.ended {
+	switch {
+	case c.ended:
+	case c.reading:
+		_ = c.raw.SetReadDeadline(time.Now()) // makes readRequest return
+	case len(c.queue) == 0:
 		_ = c.raw.Close() // makes run return, which removes the connection
 	}
 }
 
+// setReadTimeout bounds the time of the following reads. A closing connection reads no more.
+func (c *conn) setReadTimeout(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing && c.reading {
+		timeout = 0
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed connection
+}
+
+// isClosing reports whether the connection accepts no further request.
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // outstanding returns the number of queued requests.
 func (c *conn) outstanding() int {
 	c.mu.Lock()
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -34,7 +34,7 @@
 			server, client := net.Pipe()
 			t.Cleanup(func() { _ = client.Close() })
 			raw := &disconnectingClient{Conn: server}
-			c := newConn(New(Config{Limits: testLimits, Handler: echo}), raw)
+			c := newConn(New(testConfig(testLimits(), echo)), raw)
 			t.Cleanup(c.cancel)
 			raw.disconnect = c.closeNow
 			first := &exchange{}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -29,6 +29,18 @@
 	return &message.Response{Status: 200, Header: http.Header{"X-Host": {r.Host}}, Body: []byte(r.Method + " " + r.Target + " " + string(r.Body))}
 }
 
+// testConfig returns a configuration whose own responses tell whether a request may have run.
+func testConfig(limits Limits, handler Handler) Config {
+	return Config{
+		Limits:  func() Limits { return limits },
+		Handler: handler,
+		Interrupted: func(*message.Request) *message.Response {
+			return message.ErrorResponse(http.StatusBadGateway, "interrupted")
+		},
+		NotRead: func() *message.Response { return message.ErrorResponse(http.StatusServiceUnavailable, "not read") },
+	}
+}
+
 // client is a connection to a server under test.
 type client struct {
 	t    *testing.T
@@ -38,7 +50,7 @@
 
 func startServer(t *testing.T, limits Limits, handler Handler) (*Server, func() *client) {
 	t.Helper()
-	s := New(Config{Limits: func() Limits { return limits }, Handler: handler})
+	s := New(testConfig(limits, handler))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	served := make(chan error, 1)
@@ -330,7 +342,7 @@
 	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		serverSide, clientSide := net.Pipe()
-		c := newConn(New(Config{Limits: testLimits, Handler: echo}), serverSide)
+		c := newConn(New(testConfig(testLimits(), echo)), serverSide)
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
--- a/internal/ingress/read.go
+++ b/internal/ingress/read.go
@@ -47,10 +47,10 @@
 func (c *conn) readRequest() (r *message.Request, last bool, refused *message.Response) {
 	limits := c.server.config.Limits()
 	c.limit.remaining = max(int64(limits.HeaderBytes-c.in.Buffered()), 0)
-	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only on a closed connection
+	c.setReadTimeout(limits.HeaderTimeout)
 	parsed, err := http.ReadRequest(c.in)
 	if err != nil {
-		return nil, true, responseToReadError(err)
+		return nil, true, c.responseToReadError(err)
 	}
 	body, complete, refused := c.readBody(parsed, limits.BodyBytes)
 	if !complete {
@@ -69,9 +69,11 @@
 
 // responseToReadError returns the response to a request that can't be read, or nil if the
 // connection failed.
-func responseToReadError(err error) *message.Response {
+func (c *conn) responseToReadError(err error) *message.Response {
 	var network net.Error
 	switch {
+	case isTimeout(err) && c.isClosing():
+		return c.server.config.NotRead()
 	case errors.Is(err, errTooLarge):
 		return message.ErrorResponse(http.StatusRequestHeaderFieldsTooLarge, "the head is larger than the limit")
 	case isTimeout(err):
@@ -93,7 +95,7 @@
 	if r.ContentLength == 0 {
 		return nil, true, nil
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only on a closed connection
+	c.setReadTimeout(bodyTimeout)
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") && c.outstanding() == 0 {
 		if _, err := io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, false, nil
@@ -102,7 +104,7 @@
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	switch {
 	case err != nil:
-		return nil, false, responseToReadError(err)
+		return nil, false, c.responseToReadError(err)
 	case int64(len(body)) > limit:
 		return nil, false, message.ErrorResponse(http.StatusRequestEntityTooLarge, "the body is larger than the limit")
 	default:
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -36,6 +36,11 @@
 	Limits func() Limits
 	// Handler answers requests.
 	Handler Handler
+	// Interrupted returns the response to a request whose handler is interrupted, and which may
+	// be running.
+	Interrupted func(r *message.Request) *message.Response
+	// NotRead returns the response to a request that the server closes on before it has read it.
+	NotRead func() *message.Response
 }
 
 // Server serves connections until it is closed.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -120,6 +120,16 @@
 	return p.requestRouter.handle(ctx, r)
 }
 
+// Interrupted returns the response to a request that Serve has not answered when the node ends.
+func (p *Proxy) Interrupted(r *message.Request) *message.Response {
+	return p.requestRouter.interrupted(r)
+}
+
+// NotRead returns the response to a request that was not read whole when the node ends.
+func (p *Proxy) NotRead() *message.Response {
+	return p.requestRouter.notRead()
+}
+
 // PeerHandler accepts the links of other nodes.
 func (p *Proxy) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -102,6 +102,19 @@
 	return p.sendToEndpoints(ctx)
 }
 
+// interrupted returns the response to a request that the stopping node ends while an endpoint
+// may be running it.
+func (router *requestRouter) interrupted(r *message.Request) *message.Response {
+	p := &routedRequest{router: router, request: r, requestID: r.Header.Get(router.config.Headers.RequestID)}
+	return p.errorResponse(problem.New(problem.KindLeaving, problem.ExecutionUnknown, "the node has stopped before the answer"))
+}
+
+// notRead returns the response to a request that the stopping node has not read whole.
+func (router *requestRouter) notRead() *message.Response {
+	p := &routedRequest{router: router}
+	return p.errorResponse(problem.New(problem.KindLeaving, problem.NotExecuted, "the node has stopped before it read the request"))
+}
+
 // recordOutcome updates the metrics of a finished request and logs a call of the local
 // endpoint that another endpoint failed.
 func (p *routedRequest) recordOutcome(a *message.Response) {
--- a/internal/proxynode/node.go
+++ b/internal/proxynode/node.go
@@ -115,7 +115,9 @@
 		Settings: s, RetryBudget: n.retryBudget, Headers: c.Headers, View: n.holder, SharedState: n.directory,
 		Log: n.log, Metrics: instruments, Now: n.now,
 	})
-	n.clientServer = ingress.New(ingress.Config{Limits: n.clientLimits, Handler: n.requestProxy.Serve})
+	n.clientServer = ingress.New(ingress.Config{
+		Limits: n.clientLimits, Handler: n.requestProxy.Serve, Interrupted: n.requestProxy.Interrupted, NotRead: n.requestProxy.NotRead,
+	})
 	if err := n.listen(n.statusHandler(ring, instruments)); err != nil {
 		n.abort()
 		return nil, err
--- a/internal/proxynode/stop.go
+++ b/internal/proxynode/stop.go
@@ -12,10 +12,6 @@
 // stopPollInterval is the interval between two checks of what is in flight.
 const stopPollInterval = 20 * time.Millisecond
 
-// closeTimeout bounds the responses to requests that arrive at the very end. These are
-// refused, which takes no time.
-const closeTimeout = 100 * time.Millisecond
-
 // shutDown performs the planned stop: the node is no longer ready, finishes what is in
 // flight and closes. It reports whether nothing was aborted.
 func (n *Node) shutDown(ctx context.Context) (clean bool) {
@@ -28,14 +24,14 @@
 		wait.For(ctx, stopPollInterval)
 		phase = max(phase, stopping.PhaseAt(n.now()-begun, n.config.Settings.Load().StopTimeoutDuration(), n.inFlight()))
 		n.requestProxy.SetStopPhase(phase)
+		if phase >= stopping.Concluding {
+			n.clientServer.InterruptBlocking()
+		}
 	}
 	clean = n.inFlight() == 0
 	_ = n.clientListener.Close() // no new clients are accepted
-	if clean {
-		n.clientServer.Close(closeTimeout)
-	} else {
-		n.clientServer.Close(0) // the stop time is used up
-	}
+	n.clientServer.InterruptAll()
+	n.clientServer.Close(stopping.WriteTimeout(n.config.Settings.Load().StopTimeoutDuration()))
 	n.requestProxy.Close()
 	for _, one := range n.internalServers {
 		_ = one.server.Close() // in-flight work has ended or used up its time
