Place no attempt at an endpoint that has left meanwhile

Cause: sendToEndpoints picked from the view of the request's start, and the node beside the endpoint, which sees its entry, refused only calls for one that had said in an answer that it leaves. An endpoint whose entry is removed while it still serves ("gone") was treated as one that stays.

The drain counts from the time up to which the view before was complete (View.ChangedSince), so a node that learns late stops no later than the bound. Counting from the notice was weighed: a reader that fails may delay it by up to updateBound, which is the whole drain. New setting drainTime, filled from the platform's bound.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -187,9 +187,10 @@
 // publish stores the view that requests are routed by.
 func (d *Directory) publish() {
 	v := &fleetview.View{
-		Index:     d.index,
-		ByService: make(map[string][]*fleetview.Member),
-		ByVM:      make(map[string]*fleetview.Member),
+		Index:        d.index,
+		ChangedSince: d.confirmedAt,
+		ByService:    make(map[string][]*fleetview.Member),
+		ByVM:         make(map[string]*fleetview.Member),
 	}
 	if d.configuration != nil {
 		v.Revision = d.configuration.Version
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -45,6 +45,9 @@
 	Index *catalogue.Index
 	// Revision is the platform's revision of the current catalogue.
 	Revision uint64
+	// ChangedSince is the time, since the process started, up to which the view before this one
+	// was complete: what differs between the two was published later.
+	ChangedSince time.Duration
 	// ByService holds the members of each service in a stable order.
 	ByService map[string][]*Member
 	// ByVM holds the members by the VM's name.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -36,10 +36,10 @@
 		if p.checkQuarantine() {
 			break
 		}
-		member := router.targets.pick(p.view.ByService[p.service], p.route.Name, p.timeToTarget(), p.triedInstances)
+		member := p.pick()
 		if member == nil && p.refusedByEndpoint {
 			p.triedInstances, p.refusedByEndpoint = p.triedInstances[:0], false // these endpoints may accept it now
-			member = router.targets.pick(p.view.ByService[p.service], p.route.Name, p.timeToTarget(), nil)
+			member = p.pick()
 		}
 		if member == nil {
 			break
@@ -55,6 +55,13 @@
 	return p.failureResponse(ctx)
 }
 
+// pick selects the endpoint for the next attempt. Endpoints may have begun to leave since the
+// request arrived, so the newest view counts.
+func (p *routedRequest) pick() *fleetview.Member {
+	members := p.router.config.View.Load().ByService[p.service]
+	return p.router.targets.pick(members, p.route.Name, p.timeToTarget(), p.triedInstances)
+}
+
 // checkQuarantine reports whether the request is quarantined because endpoints crashed
 // while running it.
 func (p *routedRequest) checkQuarantine() bool {
--- a/internal/proxy/leaving.go
+++ b/internal/proxy/leaving.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/galenacart/galenacart/decision/draining"
 	"github.com/galenacart/galenacart/internal/fleetview"
 )
 
@@ -25,18 +26,44 @@
 	return true
 }
 
-// observeRun records the run that the platform lists. A later run of a leaving instance is
-// not leaving.
-func (s *endpointServer) observeRun(m *fleetview.Member) {
-	s.listed = endpointRun{instance: m.EndpointInstance, startedMs: m.EndpointStartedMs}
-	if s.leaving.instance == s.listed.instance && s.leaving.startedMs < s.listed.startedMs {
-		s.leaving = endpointRun{}
+// observeListed records what the platform lists of the local endpoint; m is nil if it lists
+// nothing. An endpoint that is no longer listed is leaving as well. changedSince is the time
+// after which the list changed.
+func (s *endpointServer) observeListed(m *fleetview.Member, changedSince time.Duration) {
+	if m == nil {
+		if s.listed.instance != "" && !s.window.IsClosing() {
+			s.window = draining.Closing(changedSince, s.config.Settings.DrainTimeDuration())
+		}
+		return
+	}
+	run := endpointRun{instance: m.EndpointInstance, startedMs: m.EndpointStartedMs}
+	switch {
+	case !m.Leaving:
+		s.window = draining.Window{}
+	case run != s.listed:
+		s.window = draining.Closed() // it may have begun to leave long ago
+	case !s.window.IsClosing():
+		s.window = draining.Closing(changedSince, s.config.Settings.DrainTimeDuration())
+	}
+	s.listed = run
+	if s.leaving.instance == run.instance && s.leaving.startedMs < run.startedMs {
+		s.leaving = endpointRun{} // a later run is not leaving
 	}
 }
 
-// leavesItself reports whether an instance has said in an answer that it is leaving.
-func (s *endpointServer) leavesItself(instance string) bool {
-	return instance != "" && s.leaving.instance == instance
+// windowOf returns the time in which an instance gets calls. One that has said in an answer
+// that it is leaving gets none.
+func (s *endpointServer) windowOf(instance string) draining.Window {
+	switch {
+	case instance == "":
+		return draining.Window{}
+	case s.leaving.instance == instance:
+		return draining.Closed()
+	case s.listed.instance == instance:
+		return s.window
+	default:
+		return draining.Window{}
+	}
 }
 
 // leftMemory is how long a node remembers endpoints that said they are leaving after the
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -10,6 +10,7 @@
 
 	"github.com/galenacart/galenacart/decision/breaker"
 	"github.com/galenacart/galenacart/decision/callgraph"
+	"github.com/galenacart/galenacart/decision/draining"
 	"github.com/galenacart/galenacart/decision/pressure"
 	"github.com/galenacart/galenacart/decision/retry"
 	"github.com/galenacart/galenacart/decision/slotqueue"
@@ -51,9 +52,9 @@
 	releases           []slotqueue.Dequeued
 	windows            map[string]*routeWindow // by route
 	appliedView        *fleetview.View
-	draining           bool // the platform lists the endpoint as leaving
-	listed             endpointRun
-	leaving            endpointRun // has said so in an answer
+	listed             endpointRun     // the last one that the platform has listed
+	window             draining.Window // of the listed run
+	leaving            endpointRun     // has said so in an answer
 }
 
 func newEndpointServer(c Config, pool *endpointlink.Pool, router *requestRouter, stopPhase func() stopping.Phase) *endpointServer {
@@ -91,13 +92,21 @@
 	}
 	s.appliedView = v
 	s.forgetRoutes(v)
+	m := s.ownMember(v)
+	if m != nil {
+		s.gate.SetSlots(m.Slots)
+	}
+	s.observeListed(m, v.ChangedSince)
+}
+
+// ownMember returns the member of a view that the local endpoint is, or nil.
+func (s *endpointServer) ownMember(v *fleetview.View) *fleetview.Member {
 	for _, m := range v.ByService[s.config.Settings.Service] {
 		if m.EndpointAddress == s.config.Settings.EndpointAddress {
-			s.gate.SetSlots(m.Slots)
-			s.draining = m.Leaving
-			s.observeRun(m)
+			return m
 		}
 	}
+	return nil
 }
 
 // handle runs a call of this or another node. A call that is not idempotent continues when
@@ -115,12 +124,12 @@
 	return reply
 }
 
-// isLeaving reports whether the endpoint instance has said in an answer that it is leaving.
-func (s *endpointServer) isLeaving(instance string) bool {
+// admits reports whether a call may start now, as far as its endpoint may be leaving.
+func (s *endpointServer) admits(call *calllink.Call) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyView()
-	return s.leavesItself(instance)
+	return s.windowOf(call.Endpoint).Admits(s.config.Now(), s.estimatedDuration(call.Route))
 }
 
 // isStopping reports whether the node's planned stop has reached the phase in which it
@@ -139,7 +148,7 @@
 	if s.isStopping() {
 		return refusalReply(calllink.RefusedLeaving, "the node is stopping")
 	}
-	if s.isLeaving(call.Endpoint) {
+	if !s.admits(call) {
 		return refusalReply(calllink.RefusedLeaving, "the endpoint is leaving")
 	}
 	if internal {
@@ -246,7 +255,7 @@
 		CallsDownstream:  len(s.graph.Callees(call.Route)) > 0,
 		Depth:            s.depth(call.Route),
 		TypicalMs:        int(s.estimatedDuration(call.Route).Milliseconds()),
-		Leaving:          s.draining || s.leavesItself(call.Endpoint) || s.isStopping(),
+		Leaving:          s.windowOf(call.Endpoint).IsClosing() || s.isStopping(),
 	}
 }
 
--- a/internal/proxynode/fleet_test.go
+++ b/internal/proxynode/fleet_test.go
@@ -59,6 +59,8 @@
 	id       string
 	service  string
 	restarts int64 // of the endpoint under its ID, as published
+	leaving  bool  // the endpoint, as published
+	gone     bool  // the endpoint is no longer published
 	output   *bytes.Buffer
 	handler  http.Handler // of the endpoint
 	address  string       // of the endpoint
@@ -161,6 +163,9 @@
 	return v
 }
 
+// testSlots is the number of slots of each endpoint, as published.
+const testSlots = 10
+
 // testMemoryMB is the memory of each node by its settings, in MB.
 const testMemoryMB = 284
 
@@ -222,11 +227,16 @@
 	for _, s := range sources {
 		b := <-s.directory
 		s.directory <- b
+		b.ConfirmUnchanged(b.Now()) // what follows is published now
 		b.ApplyConfiguration(&discovery.Configuration{Version: f.version, Catalogue: c})
 		for i, v := range f.vms {
+			if v.gone {
+				b.RemoveEndpoint(v.id)
+				continue
+			}
 			b.PutEndpoint(registry.Entry{
 				ID: v.id, Service: v.service, Address: f.address(i, 3), AvailabilityZone: "a",
-				Slots: 10, StartedMs: 1 + v.restarts, Sequence: int64(f.version),
+				Slots: testSlots, StartedMs: 1 + v.restarts, Sequence: int64(f.version), Leaving: v.leaving,
 			})
 		}
 	}
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -45,6 +45,9 @@
 	// UpdateBound is the time within which a change of the configuration must be in force at
 	// every node, such as "2s". Default 2s.
 	UpdateBound string `json:"updateBound,omitempty"`
+	// DrainTime is the time for which an endpoint that has begun to leave still serves, such as
+	// "2s". Default 2s.
+	DrainTime string `json:"drainTime,omitempty"`
 	// AnswerHeadBytes bounds the head of an answer of the local endpoint, including all
 	// bytes before it, in bytes. Default 65536, which common proxies allow.
 	AnswerHeadBytes int `json:"answerHeadBytes,omitempty" validate:"omitempty,gte=1024,lte=1048576"`
@@ -79,6 +82,7 @@
 	c.duration("/stopTimeout", m.StopTimeout)
 	c.duration("/retryWindow", m.RetryWindow)
 	c.duration("/updateBound", m.UpdateBound)
+	c.duration("/drainTime", m.DrainTime)
 	return c.faults
 }
 
@@ -106,6 +110,17 @@
 	return parseDuration(m.UpdateBound)
 }
 
+// defaultDrainTime is the usual time for which an endpoint serves after it has begun to leave.
+const defaultDrainTime = 2 * time.Second
+
+// DrainTimeDuration is the time for which an endpoint that has begun to leave still serves.
+func (m *Mesh) DrainTimeDuration() time.Duration {
+	if m.DrainTime == "" {
+		return defaultDrainTime
+	}
+	return parseDuration(m.DrainTime)
+}
+
 // RetryWindowDuration is the time over which repeats are counted.
 func (m *Mesh) RetryWindowDuration() time.Duration {
 	return parseDuration(m.RetryWindow)
