Refuse what no endpoint has got at the end of a planned stop

Calls of other nodes that waited at the stopping node lost their link.

Cause: nothing ended a wait before the end of the stop, and a node can't tell alone whether its call still waits at another node.

Change: phase Withdrawing (86 %). Calls that have not left the node are taken out of its queue; for the others a new frame kindWithdraw ends the wait for a slot at the other node, whose reply proves that the call has not run. Only with one of these proofs is the client told 503 with Retry-After. Running calls go on; nodes of earlier versions ignore the frame, and their callers get 502. Waits for a dial or a liveness check end too, and no further attempt begins. Calls that wait at the stopping node go back as leaving. Using the existing cancel frame was weighed: it breaks off running calls, and its sender doesn't wait for the reply.

--- a/decision/slotqueue/slotqueue.go
+++ b/decision/slotqueue/slotqueue.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/galenacart/galenacart/decision/draining"
 	"github.com/galenacart/galenacart/decision/ratelimit"
 )
 
@@ -33,6 +34,8 @@
 	Wait
 	// Refuse rejects the call.
 	Refuse
+	// Leave returns the call to its sender, since the endpoint is leaving.
+	Leave
 )
 
 // Call is a call to the endpoint.
@@ -51,7 +54,7 @@
 type Dequeued struct {
 	// ID identifies the call.
 	ID uint64
-	// Decision is Run or Refuse.
+	// Decision is Run, Refuse or Leave.
 	Decision Decision
 }
 
@@ -175,6 +178,22 @@
 	return out
 }
 
+// Leave removes the waiting calls that are not expected to start and end within the window of an
+// endpoint that is leaving, and appends the decisions to out. Less important calls wait longer
+// and are removed first.
+func (q *Queue) Leave(now time.Duration, w draining.Window, out []Dequeued) []Dequeued {
+	kept := q.waiting[:0]
+	for _, c := range q.waiting {
+		if w.Admits(now+q.estimatedWait(now, len(kept)), c.EstimatedDuration) {
+			kept = append(kept, c)
+			continue
+		}
+		out = append(out, Dequeued{ID: c.ID, Decision: Leave})
+	}
+	q.waiting = kept
+	return out
+}
+
 // Cancel removes a waiting call. It returns false if the call is not waiting.
 func (q *Queue) Cancel(id uint64) bool {
 	index := slices.IndexFunc(q.waiting, func(c Call) bool { return c.ID == id })
--- a/decision/slotqueue/slotqueue_test.go
+++ b/decision/slotqueue/slotqueue_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/galenacart/galenacart/decision/draining"
 )
 
 const (
@@ -96,6 +98,14 @@
 				require.Equal(t, waiting[id], q.Cancel(id))
 				delete(waiting, id)
 			},
+			"leave": func(t *rapid.T) {
+				w := draining.Closing(0, time.Duration(rapid.IntRange(0, 20).Draw(t, "drain"))*ms)
+				for _, r := range q.Leave(0, w, nil) {
+					require.Equal(t, Leave, r.Decision)
+					require.True(t, waiting[r.ID])
+					delete(waiting, r.ID)
+				}
+			},
 			"resize": func(t *rapid.T) {
 				q.SetSlots(rapid.IntRange(1, 10).Draw(t, "slots"))
 				apply(q.Dispatch(0, nil))
@@ -111,6 +121,26 @@
 	})
 }
 
+// TestLeaveReturnsWhatCannotCompleteInTime has 2 slots, calls of 100 ms and a drain of 300 ms: the
+// most important calls still run there, and the others go back at once.
+func TestLeaveReturnsWhatCannotCompleteInTime(t *testing.T) {
+	const hold = 100 * ms
+	q := New(3)
+	q.holdTime = hold
+	require.Equal(t, 2, q.Limit())
+	for id := range uint64(2) {
+		require.Equal(t, Run, q.Offer(0, Call{ID: id, Deadline: distantDeadline}))
+	}
+	for id, rank := range map[uint64]uint8{10: 0, 11: 0, 12: 1, 13: 1, 14: 2, 15: 2} {
+		require.Equal(t, Wait, q.Offer(0, Call{ID: id, Rank: rank, Deadline: distantDeadline, EstimatedDuration: hold}))
+	}
+	returned := q.Leave(0, draining.Closing(0, 3*hold), nil)
+	require.ElementsMatch(t, []Dequeued{{14, Leave}, {15, Leave}}, returned)
+	require.Empty(t, q.Leave(0, draining.Window{}, nil), "an endpoint that stays keeps its queue")
+	require.Len(t, q.Leave(0, draining.Closed(), nil), 4)
+	require.Equal(t, 2, q.Busy())
+}
+
 func BenchmarkOfferAndFinish(b *testing.B) {
 	q := New(15)
 	var out []Dequeued
--- a/decision/stopping/stopping.go
+++ b/decision/stopping/stopping.go
@@ -17,6 +17,9 @@
 	// Refusing also refuses requests of clients. Calls made by the local endpoint belong
 	// to requests in flight and are still accepted.
 	Refusing
+	// Withdrawing also takes back requests that no endpoint has got, while there is time to
+	// prove that.
+	Withdrawing
 	// Concluding also ends requests in flight that hold up ready responses on the same
 	// connection, so that there is time to write these.
 	Concluding
@@ -38,6 +41,8 @@
 	drainAfterPercent  = 36
 	noticePercent      = 42
 	refuseAfterPercent = 48
+	// withdrawPercent is the start of Withdrawing, in percent of the whole stop.
+	withdrawPercent = 86
 	// concludePercent is the start of Concluding, in percent of the whole stop. Requests that
 	// are still running by then may be interrupted.
 	concludePercent = 88
@@ -64,6 +69,8 @@
 		return Finished
 	case since >= limit*concludePercent/100:
 		return Concluding
+	case since >= limit*withdrawPercent/100:
+		return Withdrawing
 	case since >= min(refuseAfter, limit*refuseAfterPercent/100):
 		return Refusing
 	case since >= min(drainAfter, limit*drainAfterPercent/100):
--- a/decision/stopping/stopping_test.go
+++ b/decision/stopping/stopping_test.go
@@ -22,6 +22,7 @@
 		{"idle once clients are informed", 2600 * time.Millisecond, limit, 0, Finished},
 		{"remaining clients are refused while accepted requests have time to finish", 3 * time.Second, limit, 1, Refusing},
 		{"requests in flight keep running", 5 * time.Second, limit, 1, Refusing},
+		{"requests that still wait are taken back", 5200 * time.Millisecond, limit, 1, Withdrawing},
 		{"ready responses are no longer held up", 5300 * time.Millisecond, limit, 1, Concluding},
 		{"before the platform kills the process", 5900 * time.Millisecond, limit, 1, Finished},
 		{"a short stop keeps the order of the phases", 500 * time.Millisecond, time.Second, 3, Refusing},
--- a/internal/calllink/accept.go
+++ b/internal/calllink/accept.go
@@ -61,7 +61,7 @@
 	s := newStream(socket)
 	a.add(s)
 	defer a.remove(s)
-	inboundLink := &inboundLink{acceptor: a, stream: s, cancels: make(map[uint64]context.CancelFunc)}
+	inboundLink := &inboundLink{acceptor: a, stream: s, calls: make(map[uint64]*inboundCall)}
 	_ = s.read(a.now, inboundLink.handleFrame) // the calling node detects the closed link itself
 	inboundLink.cancelCalls()
 }
@@ -92,8 +92,21 @@
 	acceptor *Acceptor
 	stream   *stream
 
-	mu      sync.Mutex
-	cancels map[uint64]context.CancelFunc
+	mu    sync.Mutex
+	calls map[uint64]*inboundCall
+}
+
+// inboundCall is a call without a reply.
+type inboundCall struct {
+	cancel   context.CancelFunc
+	withdraw func()
+}
+
+// call returns the call with an ID, or nil if it has ended.
+func (l *inboundLink) call(id uint64) *inboundCall {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls[id]
 }
 
 func (l *inboundLink) handleFrame(f *frame) {
@@ -103,11 +116,12 @@
 			l.startCall(f.ID, f.Call)
 		}
 	case kindCancel:
-		l.mu.Lock()
-		cancel := l.cancels[f.ID]
-		l.mu.Unlock()
-		if cancel != nil {
-			cancel()
+		if one := l.call(f.ID); one != nil {
+			one.cancel()
+		}
+	case kindWithdraw:
+		if one := l.call(f.ID); one != nil {
+			one.withdraw()
 		}
 	case kindState:
 		l.acceptor.importState(f.State)
@@ -124,14 +138,16 @@
 
 func (l *inboundLink) startCall(id uint64, call *Call) {
 	ctx, cancel := context.WithCancel(context.Background())
+	withdrawn := make(chan struct{})
+	call.Withdrawn = withdrawn
 	l.mu.Lock()
-	l.cancels[id] = cancel
+	l.calls[id] = &inboundCall{cancel: cancel, withdraw: sync.OnceFunc(func() { close(withdrawn) })}
 	l.mu.Unlock()
 	go func() {
 		defer cancel()
 		reply := l.acceptor.handler(ctx, call)
 		l.mu.Lock()
-		delete(l.cancels, id)
+		delete(l.calls, id)
 		l.mu.Unlock()
 		l.sendCrashes(reply.Crashes)
 		_ = l.stream.send(&frame{Kind: kindReply, ID: id, Reply: reply}) // a failed send closes the link
@@ -166,7 +182,7 @@
 func (l *inboundLink) cancelCalls() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, cancel := range l.cancels {
-		cancel()
+	for _, one := range l.calls {
+		one.cancel()
 	}
 }
--- a/internal/calllink/crashes.go
+++ b/internal/calllink/crashes.go
@@ -51,11 +51,11 @@
 	if err != nil {
 		return err
 	}
-	s, err := l.session(ctx)
+	s, err := l.session(ctx, nil)
 	if err != nil {
 		return err
 	}
-	_, err = s.request(ctx, &frame{Kind: kindCrashes, State: data})
+	_, err = s.request(ctx, &frame{Kind: kindCrashes, State: data}, nil)
 	return err
 }
 
@@ -63,11 +63,11 @@
 // recordCrashes. complete is false if that node has just started and may lack some. The
 // errors are those of Do.
 func (l *Link) FetchCrashes(ctx context.Context) (complete bool, err error) {
-	s, err := l.session(ctx)
+	s, err := l.session(ctx, nil)
 	if err != nil {
 		return false, err
 	}
-	reply, err := s.request(ctx, &frame{Kind: kindCrashRequest})
+	reply, err := s.request(ctx, &frame{Kind: kindCrashRequest}, nil)
 	if err != nil {
 		return false, err
 	}
--- a/internal/calllink/crashes_test.go
+++ b/internal/calllink/crashes_test.go
@@ -55,9 +55,9 @@
 	require.Error(t, err)
 	var got crashRecorder
 	l := connect(t, &clock{}, respondWith(200), callbacks{receive: noCallbacks.receive, exportState: noCallbacks.exportState, recordCrashes: got.receive})
-	s, err := l.session(context.Background())
+	s, err := l.session(context.Background(), nil)
 	require.NoError(t, err)
-	_, err = s.request(context.Background(), &frame{Kind: kindCrashes, State: []byte{0xff}})
+	_, err = s.request(context.Background(), &frame{Kind: kindCrashes, State: []byte{0xff}}, nil)
 	require.ErrorIs(t, err, ErrReplyLost)
 	require.Empty(t, got.crashes())
 }
--- a/internal/calllink/frame.go
+++ b/internal/calllink/frame.go
@@ -24,6 +24,7 @@
 	kindState
 	kindCrashes
 	kindCrashRequest
+	kindWithdraw // nodes of earlier versions ignore it
 )
 
 // frame is one protocol unit of a link. One WebSocket message can contain several.
@@ -57,6 +58,19 @@
 	Host   string
 	Fields []string
 	Body   []byte
+	// Withdrawn is closed when the call should not start any more. A call that already runs
+	// goes on. It may be nil, and is signalled by a frame of its own.
+	Withdrawn <-chan struct{}
+}
+
+// IsWithdrawn reports whether the call should not start any more.
+func (c *Call) IsWithdrawn() bool {
+	select {
+	case <-c.Withdrawn:
+		return true
+	default:
+		return false
+	}
 }
 
 // Request returns the request that the call carries.
@@ -98,6 +112,8 @@
 	// RefusedMisdirected means that another endpoint, which has the address now, got the call
 	// and refused it.
 	RefusedMisdirected
+	// RefusedWithdrawn means that the calling node has taken the call back before it started.
+	RefusedWithdrawn
 )
 
 // Reply is the outcome of a call.
--- a/internal/calllink/link.go
+++ b/internal/calllink/link.go
@@ -62,13 +62,14 @@
 }
 
 // Do sends a call and waits for its reply. The error is ErrNotSent, ErrReplyLost or that of
-// ctx; with the latter a cancellation is sent to the other node.
+// ctx; with the latter a cancellation is sent to the other node. A call that is withdrawn
+// before it was sent ends with ErrNotSent; the other node replies to a later withdrawal.
 func (l *Link) Do(ctx context.Context, call *Call) (*Reply, error) {
-	s, err := l.session(ctx)
+	s, err := l.session(ctx, call.Withdrawn)
 	if err != nil {
 		return nil, err
 	}
-	return s.request(ctx, &frame{Kind: kindCall, Call: call})
+	return s.request(ctx, &frame{Kind: kindCall, Call: call}, call.Withdrawn)
 }
 
 // Unresponsive reports whether calls should go to another node: this one has been silent
@@ -152,8 +153,9 @@
 	}
 }
 
-// session returns the open session. While the first dial is in progress it waits.
-func (l *Link) session(ctx context.Context) (*session, error) {
+// session returns the open session. While the first dial is in progress it waits, until
+// withdrawn is closed.
+func (l *Link) session(ctx context.Context, withdrawn <-chan struct{}) (*session, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.current == nil {
@@ -165,12 +167,16 @@
 		}
 		done := l.dialDone
 		l.mu.Unlock()
+		waiting := true
 		select {
 		case <-done:
 		case <-ctx.Done():
+			waiting = false
+		case <-withdrawn:
+			waiting = false
 		}
 		l.mu.Lock()
-		if ctx.Err() != nil {
+		if !waiting {
 			return nil, ErrNotSent
 		}
 	}
--- a/internal/calllink/liveness.go
+++ b/internal/calllink/liveness.go
@@ -23,7 +23,8 @@
 // confirmAlive pings the other node unless a message arrived recently, and reports whether
 // it responds. A call that is sent to a silent node may or may not run; one that fails this
 // check was not sent and can be retried elsewhere.
-func (s *session) confirmAlive(ctx context.Context) bool {
+// The wait ends when withdrawn is closed.
+func (s *session) confirmAlive(ctx context.Context, withdrawn <-chan struct{}) bool {
 	if s.now()-time.Duration(s.stream.lastReceived.Load()) <= livenessValidity {
 		return true
 	}
@@ -38,6 +39,8 @@
 		return true
 	case <-ctx.Done():
 		return false
+	case <-withdrawn:
+		return false
 	}
 }
 
--- a/internal/calllink/session.go
+++ b/internal/calllink/session.go
@@ -37,9 +37,10 @@
 	return s
 }
 
-// request sends a frame and waits for the reply to it.
-func (s *session) request(ctx context.Context, f *frame) (*Reply, error) {
-	if !s.confirmAlive(ctx) {
+// request sends a frame and waits for the reply to it. When withdrawn is closed, the frame is
+// taken back if it was not sent yet, or else the other node is told.
+func (s *session) request(ctx context.Context, f *frame, withdrawn <-chan struct{}) (*Reply, error) {
+	if !s.confirmAlive(ctx, withdrawn) {
 		return nil, ErrNotSent
 	}
 	id, call := s.register()
@@ -48,16 +49,25 @@
 	}
 	f.ID = id
 	_ = s.stream.send(f) // a failed send closes the session, which closes call.reply
-	select {
-	case reply := <-call.reply:
-		if reply != nil {
-			return reply, nil
+	for {
+		select {
+		case reply := <-call.reply:
+			if reply != nil {
+				return reply, nil
+			}
+			return nil, s.lostError(call)
+		case <-ctx.Done():
+			s.unregister(id)
+			_ = s.stream.send(&frame{Kind: kindCancel, ID: id}) // a closed link cancels as well
+			return nil, ctx.Err()
+		case <-withdrawn:
+			withdrawn = nil
+			if s.stream.takeBack(f) {
+				s.unregister(id)
+				return nil, ErrNotSent
+			}
+			_ = s.stream.send(&frame{Kind: kindWithdraw, ID: id}) // a closed link ends the call as well
 		}
-		return nil, s.lostError(call)
-	case <-ctx.Done():
-		s.unregister(id)
-		_ = s.stream.send(&frame{Kind: kindCancel, ID: id}) // a closed link cancels as well
-		return nil, ctx.Err()
 	}
 }
 
--- a/internal/calllink/stream.go
+++ b/internal/calllink/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,18 @@
 	return s.flush()
 }
 
+// takeBack removes a frame from the queue. It returns false if the frame may have been written.
+func (s *stream) takeBack(f *frame) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	index := slices.Index(s.queue, f)
+	if index < 0 {
+		return false
+	}
+	s.queue = slices.Delete(s.queue, index, index+1)
+	return true
+}
+
 // flush writes until the queue is empty.
 func (s *stream) flush() error {
 	var batch bytes.Buffer
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	router.targets.countCall(p.service, router.config.RetryBudget().Window)
 	for range refusalsMax {
-		if p.checkQuarantine() {
+		if p.checkWithdrawn() || p.checkQuarantine() {
 			break
 		}
 		member := p.pick()
@@ -62,6 +62,17 @@
 	return p.router.targets.pick(members, p.route.Name, p.timeToTarget(), p.triedInstances)
 }
 
+// checkWithdrawn reports whether the stopping node starts no further attempt.
+func (p *routedRequest) checkWithdrawn() bool {
+	select {
+	case <-p.router.withdrawn:
+		p.recordProblem(problem.KindLeaving, "the node is stopping")
+		return true
+	default:
+		return false
+	}
+}
+
 // checkQuarantine reports whether the request is quarantined because endpoints crashed
 // while running it.
 func (p *routedRequest) checkQuarantine() bool {
@@ -187,6 +198,7 @@
 		Rank:          p.rank,
 		Idempotent:    p.route.Idempotent,
 		RemainingMs:   uint32(max((p.deadline - router.config.Now()).Milliseconds(), 1)),
+		Withdrawn:     router.withdrawn,
 	}
 	call.SetRequest(p.request)
 	if m.VM == router.config.Settings.VM || m.EndpointAddress == router.config.Settings.EndpointAddress {
@@ -236,7 +248,7 @@
 	}
 	kind := problem.KindOverloaded
 	switch reply.Refused {
-	case calllink.RefusedLeaving:
+	case calllink.RefusedLeaving, calllink.RefusedWithdrawn:
 		kind = problem.KindLeaving
 	case calllink.RefusedUnreachable, calllink.RefusedMisdirected, calllink.RefusedCircuitOpen:
 		kind = problem.KindUnreachable
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -140,6 +140,9 @@
 // SetStopPhase sets the phase of a planned stop.
 func (p *Proxy) SetStopPhase(phase stopping.Phase) {
 	p.phase.Store(uint32(phase))
+	if phase >= stopping.Withdrawing {
+		p.requestRouter.withdraw()
+	}
 }
 
 func (p *Proxy) stopPhase() stopping.Phase {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,8 @@
 	observer       callObserver
 	localHandler   calllink.Handler
 	stopPhase      func() stopping.Phase
+	withdrawn      chan struct{} // closed when requests that no endpoint has got are taken back
+	withdraw       func()        // closes withdrawn
 	appliedView    atomic.Pointer[fleetview.View]
 }
 
@@ -47,7 +50,11 @@
 }
 
 func newRequestRouter(c Config, stopPhase func() stopping.Phase) *requestRouter {
-	router := &requestRouter{config: c, stopPhase: stopPhase, pressures: newChainPressures(c.Now), suspectTracker: newSuspectTracker(c)}
+	router := &requestRouter{
+		config: c, stopPhase: stopPhase, pressures: newChainPressures(c.Now), suspectTracker: newSuspectTracker(c),
+		withdrawn: make(chan struct{}),
+	}
+	router.withdraw = sync.OnceFunc(func() { close(router.withdrawn) })
 	router.targets = newTargets(c, router.suspectTracker.merge)
 	router.suspectTracker.link = router.targets.link
 	return router
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -164,8 +164,8 @@
 
 func (s *endpointServer) runInSlot(ctx context.Context, call *calllink.Call) *calllink.Reply {
 	deadline := s.config.Now() + time.Duration(call.RemainingMs)*time.Millisecond
-	if !s.acquireSlot(ctx, call, deadline) {
-		return refusalReply(calllink.RefusedNoCapacity, "the endpoint has no slot in time")
+	if refusal := s.acquireSlot(ctx, call, deadline); refusal != nil {
+		return refusal
 	}
 	s.recordStart(call.Route)
 	end := finishedCall{route: call.Route, startedAt: s.config.Now(), deadline: deadline}
@@ -184,6 +184,9 @@
 func (s *endpointServer) exchange(ctx context.Context, call *calllink.Call, deadline time.Duration) (reply *calllink.Reply, completed bool) {
 	request := call.Request()
 	s.suspectTracker.awaitLearned(ctx)
+	if call.IsWithdrawn() {
+		return refusalReply(calllink.RefusedWithdrawn, "the call was taken back"), false
+	}
 	if s.suspectTracker.checkQuarantine(request) > 0 {
 		s.config.Log.Emit(event.SuspectRefused, request.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", fingerprint(request)))
 		return refusalReply(calllink.RefusedQuarantined, "endpoints that ran this request crashed"), false
@@ -277,10 +280,19 @@
 	defer s.mu.Unlock()
 	s.applyView()
 	s.graph.Tick(s.config.Now())
+	s.returnWaiting()
 	s.resumeWaiting(s.gate.Dispatch(s.config.Now(), s.releases[:0]))
 	s.adaptWindows()
 }
 
+// returnWaiting returns waiting calls to their senders when the node can't run them before the
+// end of its planned stop.
+func (s *endpointServer) returnWaiting() {
+	if s.stopPhase() >= stopping.Withdrawing {
+		s.resumeWaiting(s.gate.Leave(s.config.Now(), draining.Closed(), s.releases[:0]))
+	}
+}
+
 func (s *endpointServer) inFlight() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -8,21 +8,38 @@
 	"github.com/galenacart/galenacart/internal/calllink"
 )
 
-// acquireSlot waits for a slot of the endpoint. It returns false if the call gets none.
-func (s *endpointServer) acquireSlot(ctx context.Context, call *calllink.Call, deadline time.Duration) bool {
+// acquireSlot waits for a slot of the endpoint. It returns nil, or the refusal if the call gets
+// none.
+func (s *endpointServer) acquireSlot(ctx context.Context, call *calllink.Call, deadline time.Duration) *calllink.Reply {
 	id, verdict, wait := s.requestSlot(call, deadline)
 	if verdict != slotqueue.Wait {
-		return verdict == slotqueue.Run
+		return slotRefusal(verdict)
 	}
 	timer := time.NewTimer(deadline - s.config.Now())
 	defer timer.Stop()
 	select {
 	case verdict = <-wait:
-		return verdict == slotqueue.Run
+		return slotRefusal(verdict)
+	case <-call.Withdrawn:
+		s.cancelWait(id, wait)
+		return refusalReply(calllink.RefusedWithdrawn, "the call was taken back")
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	return s.cancelWait(id, wait)
+	s.cancelWait(id, wait)
+	return slotRefusal(slotqueue.Refuse)
+}
+
+// slotRefusal returns the reply to a call that the queue does not run, or nil.
+func slotRefusal(verdict slotqueue.Decision) *calllink.Reply {
+	switch verdict {
+	case slotqueue.Run:
+		return nil
+	case slotqueue.Leave:
+		return refusalReply(calllink.RefusedLeaving, "the endpoint or its node is leaving")
+	default:
+		return refusalReply(calllink.RefusedNoCapacity, "the endpoint has no slot in time")
+	}
 }
 
 func (s *endpointServer) requestSlot(call *calllink.Call, deadline time.Duration) (uint64, slotqueue.Decision, chan slotqueue.Decision) {
@@ -44,18 +61,17 @@
 
 // cancelWait removes a waiting call. If the call got a slot in the meantime, the slot is
 // released.
-func (s *endpointServer) cancelWait(id uint64, wait chan slotqueue.Decision) bool {
+func (s *endpointServer) cancelWait(id uint64, wait chan slotqueue.Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.waiting, id)
 	if s.gate.Cancel(id) {
 		s.observePressure(s.config.Now())
-		return false
+		return
 	}
 	if verdict := <-wait; verdict == slotqueue.Run {
 		s.releaseSlot(0)
 	}
-	return false
 }
 
 // recordStart records that the endpoint starts to run a call of a route.
--- a/internal/proxynode/stop_test.go
+++ b/internal/proxynode/stop_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,3 +103,55 @@
 	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
 	require.NotEmpty(t, r.Header.Get("Retry-After"))
 }
+
+// TestPlannedStopRefusesRequestsThatNoEndpointGot guards against a stop that cuts requests
+// which wait for a slot of an endpoint: they have not run and never will, and their clients
+// are told so.
+func TestPlannedStopRefusesRequestsThatNoEndpointGot(t *testing.T) {
+	for _, desc := range []string{"slot of another VM", "slot of the own VM"} {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, idempotent %v", desc, idempotent), func(t *testing.T) {
+				later := slowRoute("stock", idempotent) // with an admission window of its own
+				later.Name, later.Path = "r-later", "/later/"
+				f := newFleet(t, slowRoute("stock", idempotent), later)
+				door := f.add("door", http.NotFound)
+				var running, waitingRan atomic.Int32
+				finish := make(chan struct{})
+				stock := f.add("stock", func(_ http.ResponseWriter, r *http.Request) {
+					switch r.URL.Path {
+					case "/stock/busy":
+						running.Add(1)
+						<-finish
+					case "/later/1":
+						waitingRan.Add(1)
+					}
+				})
+				other := f.add("other", http.NotFound)
+				stopped := door
+				if desc == "slot of the own VM" {
+					stopped = stock
+				}
+				f.publish()
+				r, _ := f.send(other, http.MethodPost, "/stock/first", "")
+				require.Equal(t, http.StatusOK, r.StatusCode)
+				const usableSlots = testSlots * 95 / 100
+				for i := range usableSlots {
+					dialNode(t, other).send(http.MethodPost, "/stock/busy", fmt.Sprint("busy-", i))
+				}
+				require.Eventually(t, func() bool { return running.Load() == usableSlots }, 10*time.Second, time.Millisecond)
+				waits := dialNode(t, stopped)
+				waits.send(http.MethodPost, "/later/1", "id-1")
+				require.Eventually(t, func() bool { return stock.node.requestProxy.State().Queued == 1 }, 10*time.Second, time.Millisecond)
+				stopped.stop()
+				r, _ = waits.receive()
+				require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+				require.Equal(t, "id-1", r.Header.Get("Request-Id"))
+				require.NotEmpty(t, r.Header.Get("Retry-After"))
+				require.Zero(t, stock.node.requestProxy.State().Queued, "it no longer waits when its client is told")
+				close(finish)
+				time.Sleep(settleTime)
+				require.Zero(t, waitingRan.Load())
+			})
+		}
+	}
+}
