Return what waits for a leaving endpoint while others can take it

Cause: a call was checked before it queued only. Neither the queue nor the hand-over after the wait looked at the endpoint's state again.

Change: Queue.Leave is applied when the endpoint begins to leave, at every call and every tick; it returns what is not expected to start and end within the drain (decision/draining), the least important first. The same look is taken right before the hand-over. It covers entries that are removed while the endpoint serves, and endpoints that say in an answer that they leave. Returning the whole queue at once was weighed: the leaving endpoint would idle for its drain while others refuse.

--- a/internal/proxy/endpoint_health.go
+++ b/internal/proxy/endpoint_health.go
@@ -39,6 +39,7 @@
 	defer s.mu.Unlock()
 	if n.Leaving && s.recordLeaving(instance) {
 		s.config.Log.Emit(event.EndpointLeaving, "", event.F("endpoint", instance))
+		s.returnWaiting()
 	}
 	if n.Err != nil {
 		s.config.Log.Emit(event.EndpointLimited, "", event.F("error", n.Err))
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -97,6 +97,7 @@
 		s.gate.SetSlots(m.Slots)
 	}
 	s.observeListed(m, v.ChangedSince)
+	s.returnWaiting()
 }
 
 // ownMember returns the member of a view that the local endpoint is, or nil.
@@ -167,9 +168,9 @@
 	if refusal := s.acquireSlot(ctx, call, deadline); refusal != nil {
 		return refusal
 	}
-	s.recordStart(call.Route)
 	end := finishedCall{route: call.Route, startedAt: s.config.Now(), deadline: deadline}
 	defer func() { s.recordEnd(end) }()
+	s.recordStart(call.Route)
 	reply, completed := s.exchange(ctx, call, deadline)
 	end.completed, end.refused = completed, reply.Refused == calllink.RefusedByEndpoint
 	return reply
@@ -187,6 +188,9 @@
 	if call.IsWithdrawn() {
 		return refusalReply(calllink.RefusedWithdrawn, "the call was taken back"), false
 	}
+	if !s.admits(call) {
+		return refusalReply(calllink.RefusedLeaving, "the endpoint is leaving"), false
+	}
 	if s.suspectTracker.checkQuarantine(request) > 0 {
 		s.config.Log.Emit(event.SuspectRefused, request.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", fingerprint(request)))
 		return refusalReply(calllink.RefusedQuarantined, "endpoints that ran this request crashed"), false
@@ -285,14 +289,6 @@
 	s.adaptWindows()
 }
 
-// returnWaiting returns waiting calls to their senders when the node can't run them before the
-// end of its planned stop.
-func (s *endpointServer) returnWaiting() {
-	if s.stopPhase() >= stopping.Withdrawing {
-		s.resumeWaiting(s.gate.Leave(s.config.Now(), draining.Closed(), s.releases[:0]))
-	}
-}
-
 func (s *endpointServer) inFlight() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -56,6 +56,7 @@
 	}
 	wait := make(chan slotqueue.Decision, 1)
 	s.waiting[id] = wait
+	s.returnWaiting()
 	return id, verdict, wait
 }
 
