Keep endpoints whose address an entry of another writer names

Cause: Table.Live kept the latest start of each address, whatever it named.

Change: entries of services that the configuration doesn't name are left out and hide nothing; the configuration's list of services is decoded for that, and a configuration that names none accepts all. A later start that was published once gives way to an earlier run that has published twice since it appeared. One later publication was weighed as proof: TestNewestRunOwnsAnAddress shows an entry that was on its way when the earlier run ended; that test is unchanged. The fixture of internal/discovery now names the service of its endpoints in its configurations, as every configuration of the platform does; its assertions are unchanged.

--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -3,7 +3,8 @@
 // store is unavailable. The package handles planned stops, outages and restores of the
 // store: an endpoint that has started to leave does not become available again during the
 // same run, a removed endpoint is added again only by a newer entry of its own, and an
-// endpoint whose entry is missing only briefly is kept.
+// endpoint whose entry is missing only briefly is kept. An entry that is no endpoint's own does
+// not hide the endpoint at its address.
 package registry
 
 import "time"
@@ -51,6 +52,19 @@
 	present  bool          // in the store, or pending
 	deadline time.Duration // end of the grace if pending, of the retention if removed
 	pending  bool          // missing since an outage; removed at deadline
+	hidden   bool          // omitted from the last list of live entries, for another one at its address
+	// The updates in which the run appeared, was last published, and was published before that.
+	appearedAt, publishedAt, publishedBefore uint64
+}
+
+// recordPublished records that an entry was received that is not older than the known one.
+func (r *record) recordPublished(e *Entry, update uint64) {
+	switch {
+	case !r.present || e.StartedMs != r.entry.StartedMs:
+		r.appearedAt, r.publishedAt, r.publishedBefore = update, update, update
+	case r.entry.Sequence < e.Sequence:
+		r.publishedAt, r.publishedBefore = update, r.publishedAt
+	}
 }
 
 // removed reports whether the entry was removed from the store. A pending one still counts
@@ -65,6 +79,7 @@
 	unavailable    bool          // the store does not answer
 	availableSince time.Duration // end of the last outage
 	hadOutage      bool
+	updates        uint64 // single entries and complete lists received so far
 }
 
 // New returns an empty table.
@@ -74,9 +89,17 @@
 
 // Put adds or updates an entry. It reports whether anything changed.
 func (t *Table) Put(e Entry) bool {
+	t.updates++
+	return t.put(e)
+}
+
+func (t *Table) put(e Entry) bool {
 	r, known := t.records[e.ID]
 	if !known {
-		t.records[e.ID] = &record{entry: e, present: true}
+		r = &record{}
+		r.recordPublished(&e, t.updates)
+		r.entry, r.present = e, true
+		t.records[e.ID] = r
 		return true
 	}
 	if e.olderThan(&r.entry) || r.removed() && !r.entry.olderThan(&e) {
@@ -85,7 +108,8 @@
 	if e.StartedMs == r.entry.StartedMs {
 		e.Leaving = e.Leaving || r.entry.Leaving
 	}
-	changed := !r.present || !r.entry.EqualExceptSequence(e)
+	changed := !r.present || r.hidden || !r.entry.EqualExceptSequence(e)
+	r.recordPublished(&e, t.updates)
 	r.entry, r.present, r.pending = e, true, false
 	return changed
 }
@@ -117,10 +141,11 @@
 // Replace applies the complete list of entries. It reports whether anything changed.
 func (t *Table) Replace(now time.Duration, all []Entry) bool {
 	changed := false
+	t.updates++
 	listed := make(map[string]bool, len(all))
 	for _, e := range all {
 		listed[e.ID] = true
-		changed = t.Put(e) || changed
+		changed = t.put(e) || changed
 	}
 	for id := range t.records {
 		if !listed[id] {
@@ -193,22 +218,3 @@
 	}
 	return changed
 }
-
-// Live returns the entries that are in the store or may be republished. If an endpoint
-// was restarted under another ID, the entry of its earlier run is omitted: it remains in
-// the store for some heartbeats.
-func (t *Table) Live() []Entry {
-	newest := make(map[string]int64)
-	for _, r := range t.records {
-		if r.present {
-			newest[r.entry.Address] = max(newest[r.entry.Address], r.entry.StartedMs)
-		}
-	}
-	live := make([]Entry, 0, len(t.records))
-	for _, r := range t.records {
-		if r.present && r.entry.StartedMs == newest[r.entry.Address] {
-			live = append(live, r.entry)
-		}
-	}
-	return live
-}
--- a/decision/registry/registry_test.go
+++ b/decision/registry/registry_test.go
@@ -11,6 +11,8 @@
 	return Entry{ID: id, Service: "stock", Address: "10.0.0.1:80", Slots: 10, StartedMs: 100, Sequence: sequence}
 }
 
+func anyService(string) bool { return true }
+
 func leaving(e Entry) Entry {
 	e.Leaving = true
 	return e
@@ -41,7 +43,7 @@
 			for _, e := range test.entries {
 				b.Put(e)
 			}
-			live := b.Live()
+			live := b.Live(anyService)
 			require.Len(t, live, test.live)
 			require.Equal(t, test.leaving, live[0].Leaving)
 		})
@@ -62,11 +64,11 @@
 	b.MarkUnavailable()
 	b.MarkAvailable(10 * time.Second)
 	require.False(t, b.Replace(10*time.Second, nil), "both may be republished")
-	require.Len(t, b.Live(), 2)
+	require.Len(t, b.Live(anyService), 2)
 	b.Put(entry("republished", 2))
 	require.False(t, b.Expire(10*time.Second+republishGrace-1))
 	require.True(t, b.Expire(10*time.Second+republishGrace))
-	live := b.Live()
+	live := b.Live(anyService)
 	require.Len(t, live, 1)
 	require.Equal(t, "republished", live[0].ID)
 }
@@ -94,7 +96,7 @@
 				remove(b)
 				require.Len(t, b.Removed(), 1)
 				require.Equal(t, test.live == 1, b.Put(test.published))
-				require.Len(t, b.Live(), test.live)
+				require.Len(t, b.Live(anyService), test.live)
 			}
 		})
 	}
@@ -104,7 +106,7 @@
 	b := New()
 	b.Put(entry("a", 6))
 	require.False(t, b.MergeRemoved(0, entry("a", 5)))
-	require.Len(t, b.Live(), 1)
+	require.Len(t, b.Live(anyService), 1)
 	require.Empty(t, b.Removed())
 }
 
@@ -119,16 +121,16 @@
 	b.MarkRestored(11 * time.Second)
 	require.False(t, b.Replace(11*time.Second, nil))
 	require.True(t, b.Expire(10*time.Second+republishGrace), "the grace of the first entry is over")
-	require.Len(t, b.Live(), 1)
+	require.Len(t, b.Live(anyService), 1)
 	require.True(t, b.Expire(11*time.Second+republishGrace))
-	require.Empty(t, b.Live())
+	require.Empty(t, b.Live(anyService))
 }
 
 func TestRemoveWithoutAnOutageIsImmediate(t *testing.T) {
 	b := New()
 	b.Put(entry("a", 1))
 	require.True(t, b.Remove(time.Hour, "a"))
-	require.Empty(t, b.Live())
+	require.Empty(t, b.Live(anyService))
 	require.False(t, b.Remove(time.Hour, "a"))
 	require.False(t, b.Remove(time.Hour, "never"))
 }
@@ -145,11 +147,65 @@
 	b.Put(entry("old", 9))
 	fresh := restarted(entry("new", 1), 200)
 	b.Put(fresh)
-	require.Equal(t, []Entry{fresh}, b.Live(), "a new run under another ID replaces the old one")
+	require.Equal(t, []Entry{fresh}, b.Live(anyService), "a new run under another ID replaces the old one")
 	b.Put(entry("old", 10))
-	require.Equal(t, []Entry{fresh}, b.Live())
+	require.Equal(t, []Entry{fresh}, b.Live(anyService))
 	b.Remove(0, "new")
-	require.Len(t, b.Live(), 1)
+	require.Len(t, b.Live(anyService), 1)
+}
+
+// TestLaterStartIsDisprovedByTheEarlierOne guards against an entry that is no endpoint's own and
+// hides the endpoint at its address.
+func TestLaterStartIsDisprovedByTheEarlierOne(t *testing.T) {
+	foreign := restarted(entry("foreign", 1<<63-1), 1<<63-1)
+	tests := []struct {
+		desc    string
+		entries []Entry
+		want    string
+	}{
+		{"an entry of the earlier run was on its way", []Entry{foreign, entry("own", 10)}, "foreign"},
+		{"the earlier run still publishes", []Entry{foreign, entry("own", 10), entry("own", 11)}, "own"},
+		{"the same entry is read again", []Entry{foreign, entry("own", 9), entry("own", 9)}, "foreign"},
+		{"both publish", []Entry{restarted(entry("foreign", 1), 200), entry("own", 10), entry("own", 11), restarted(entry("foreign", 2), 200)}, "foreign"},
+		{"the earlier run begins to leave", []Entry{foreign, entry("own", 10), leaving(entry("own", 11))}, "own"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			b := New()
+			b.Put(entry("own", 9))
+			for _, e := range test.entries {
+				b.Put(e)
+				_ = b.Live(anyService) // as after each change
+			}
+			live := b.Live(anyService)
+			require.Len(t, live, 1)
+			require.Equal(t, test.want, live[0].ID)
+		})
+	}
+}
+
+// TestHiddenEntryThatPublishesIsAChange checks that the list is made anew when it may differ.
+func TestHiddenEntryThatPublishesIsAChange(t *testing.T) {
+	b := New()
+	b.Put(entry("own", 9))
+	b.Put(restarted(entry("foreign", 1), 200))
+	_ = b.Live(anyService)
+	require.True(t, b.Put(entry("own", 10)))
+	require.True(t, b.Put(entry("own", 11)))
+	require.Equal(t, "own", b.Live(anyService)[0].ID)
+	require.False(t, b.Put(entry("own", 12)))
+}
+
+func TestEntriesOfUnknownServicesAreLeftOut(t *testing.T) {
+	b := New()
+	b.Put(entry("own", 9))
+	other := restarted(entry("foreign", 1), 200)
+	other.Service = "nobody"
+	b.Put(other)
+	live := b.Live(func(service string) bool { return service == "stock" })
+	require.Len(t, live, 1)
+	require.Equal(t, "own", live[0].ID)
+	require.Equal(t, "foreign", b.Live(anyService)[0].ID, "a later configuration may name its service")
 }
 
 func TestRemovedEntriesAreDroppedAfterTheirRetention(t *testing.T) {
@@ -158,7 +214,7 @@
 	b.Remove(0, "a")
 	require.False(t, b.Expire(removedRetention-1))
 	b.Put(entry("a", 4))
-	require.Empty(t, b.Live(), "an older entry that arrives late")
+	require.Empty(t, b.Live(anyService), "an older entry that arrives late")
 	b.Expire(removedRetention)
 	require.Empty(t, b.records)
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,10 +25,26 @@
 	Version uint64
 	// Catalogue contains routes, services and classes.
 	Catalogue *catalogue.Catalogue
+	// Services names the services of the deployment besides those of the routes.
+	Services []string `cbor:",omitempty"`
 	// Bounds limit client requests.
 	Bounds fleetview.ClientLimits
 }
 
+// serviceNames returns the services that the configuration names.
+func (c *Configuration) serviceNames() map[string]bool {
+	names := make(map[string]bool)
+	for _, name := range c.Services {
+		names[name] = true
+	}
+	for i := range c.Catalogue.Routes {
+		for _, name := range c.Catalogue.Routes[i].Services() {
+			names[name] = true
+		}
+	}
+	return names
+}
+
 // Source updates a Directory until ctx is done.
 type Source interface {
 	Run(ctx context.Context, d *Directory)
@@ -49,6 +65,7 @@
 	endpoints     *registry.Table
 	configuration *Configuration
 	index         *catalogue.Index
+	services      map[string]bool // of the configuration
 	sourceFailed  bool
 	position      storeera.Position         // up to which all changes are applied
 	confirmedAt   time.Duration             // when the source last confirmed that they are
@@ -78,6 +95,7 @@
 	}
 	d.configuration = c
 	d.index = catalogue.NewIndex(c.Catalogue)
+	d.services = c.serviceNames()
 	d.log.Emit(event.CatalogueInForce, "", event.F("revision", c.Version), event.F("routes", len(c.Catalogue.Routes)))
 	d.broadcast(&Update{Configuration: c})
 	d.publish()
@@ -196,7 +214,7 @@
 		v.Revision = d.configuration.Version
 		v.ClientLimits = d.configuration.Bounds
 	}
-	live := d.endpoints.Live()
+	live := d.endpoints.Live(d.knowsService)
 	d.broadcastEndpoints(live)
 	for _, e := range live {
 		m := d.member(&e)
@@ -212,6 +230,12 @@
 	d.holder.Store(v)
 }
 
+// knowsService reports whether a service is one of the deployment. Entries of others name no
+// endpoint to use. All are accepted while no configuration names any service.
+func (d *Directory) knowsService(name string) bool {
+	return len(d.services) == 0 || d.services[name]
+}
+
 // member returns the VM of an endpoint, or nil if its address is invalid. The platform names
 // only endpoints, so the endpoint's name is used for its VM.
 func (d *Directory) member(e *registry.Entry) *fleetview.Member {
--- a/internal/discovery/state_test.go
+++ b/internal/discovery/state_test.go
@@ -22,7 +22,8 @@
 
 func newConfiguration(version uint64, service string) *Configuration {
 	return &Configuration{
-		Version: version,
+		Version:  version,
+		Services: []string{"s1"}, // with endpoints, also while no route leads there
 		Catalogue: &catalogue.Catalogue{
 			Classes: []catalogue.Class{{Name: "0"}},
 			Routes: []catalogue.Route{{
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -66,7 +66,7 @@
 
 // snapshot returns the whole state as an update. The caller holds d.mu.
 func (d *Directory) snapshot(at storeera.Position) *Update {
-	return &Update{At: at, Configuration: d.configuration, Whole: true, Endpoints: d.endpoints.Live(), Gone: d.endpoints.Removed()}
+	return &Update{At: at, Configuration: d.configuration, Whole: true, Endpoints: d.endpoints.Live(d.knowsService), Gone: d.endpoints.Removed()}
 }
 
 // Heartbeat returns an update without changes.
