Take no refusal without an ID on a kept connection as proof

Cause: readMatchingResponse discarded answers with another ID, but took a refusal without one for the answer to the current request. Unread bytes are looked for before the send only. A request without an ID matched it as well.

Change: such a refusal is proof only where no earlier request and no foreign answer was on the connection; elsewhere the outcome is unknown and the connection is closed. A request without an ID gets a new connection. Discarding it and waiting on was weighed: a caller would wait until its deadline where the refusal was the answer.

--- a/internal/endpointlink/conn.go
+++ b/internal/endpointlink/conn.go
@@ -50,10 +50,17 @@
 	c.recentIDs = append(c.recentIDs, id)
 }
 
+// carriesFirstRequest reports whether the connection has carried no request before the current
+// one.
+func (c *conn) carriesFirstRequest() bool {
+	return len(c.recentIDs) == 1
+}
+
 // canServe reports whether no late duplicate of an earlier response on this connection can
-// be mistaken for the response to a request.
+// be mistaken for the response to a request. Responses to a request without an ID can't be told
+// from others.
 func (c *conn) canServe(id string) bool {
-	return id == "" || !slices.Contains(c.recentIDs, id)
+	return len(c.recentIDs) == 0 || id != "" && !slices.Contains(c.recentIDs, id)
 }
 
 // withinIdleLimit reports whether the endpoint is expected to still hold the connection open.
--- a/internal/endpointlink/exchange.go
+++ b/internal/endpointlink/exchange.go
@@ -121,11 +121,13 @@
 const lowestRate = 1e-9
 
 // readMatchingResponse reads the head of the response to a call. Responses to earlier requests
-// are discarded.
+// are discarded. A refusal without an ID is accepted only if no earlier request on the connection
+// can have caused it: an endpoint may repeat one without being asked.
 func (p *Pool) readMatchingResponse(c *conn, call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Request.Method}
 	id := call.Request.Header.Get(p.headers.RequestID)
 	c.head.beginHead()
+	onlyRequest := c.carriesFirstRequest()
 	for range skippedResponsesMax {
 		response, err := http.ReadResponse(c.in, request)
 		if err != nil {
@@ -134,12 +136,15 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		if response.Header.Get(p.headers.RequestID) == id || p.provesNotRun(response) && response.Header.Get(p.headers.RequestID) == "" {
+		answeredID := response.Header.Get(p.headers.RequestID)
+		unnamedRefusal := answeredID == "" && p.provesNotRun(response)
+		if answeredID == id || unnamedRefusal && onlyRequest {
 			return response, nil
 		}
-		if err := c.discardBody(response); err != nil || response.Close {
+		if err := c.discardBody(response); err != nil || response.Close || unnamedRefusal {
 			return nil, ErrResponseMismatch
 		}
+		onlyRequest = false
 	}
 	return nil, ErrResponseMismatch
 }
