Reject entries that can't be those of an endpoint

Cause: decodeEndpoint checked types, a port range and at least one slot, and entries from other nodes were not checked at all.

Nesting a million deep, numbers beyond 64 bits and ports out of range were rejected before as well.

--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -45,7 +45,7 @@
 		return
 	}
 	d.log.Emit(event.StateAdopted, "", event.F("revision", u.Configuration.Version), event.F("endpoints", len(u.Endpoints)))
-	for _, e := range u.Endpoints {
+	for _, e := range d.dropInvalid(u.Endpoints) {
 		d.putEndpoint(e)
 	}
 	for _, e := range u.Gone {
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -217,6 +217,7 @@
 }
 
 func (d *Directory) applyEndpoints(u *Update) (changed bool) {
+	u.Endpoints = d.dropInvalid(u.Endpoints)
 	for _, e := range u.Gone {
 		changed = d.endpoints.MergeRemoved(d.now(), e) || changed
 	}
--- a/internal/discovery/update_test.go
+++ b/internal/discovery/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -155,3 +156,35 @@
 		d.ExportState()
 	})
 }
+
+// TestInvalidEndpointsOfOtherNodesAreDropped guards against entries that a node of an earlier version
+// passes on and this one would reject.
+func TestInvalidEndpointsOfOtherNodesAreDropped(t *testing.T) {
+	tests := []struct {
+		desc   string
+		change func(e *registry.Entry)
+	}{
+		{"no ID", func(e *registry.Entry) { e.ID = "" }},
+		{"no service", func(e *registry.Entry) { e.Service = "" }},
+		{"a long zone", func(e *registry.Entry) { e.AvailabilityZone = strings.Repeat("z", nameBytesMax+1) }},
+		{"too many slots", func(e *registry.Entry) { e.Slots = slotsMax + 1 }},
+		{"no slots", func(e *registry.Entry) { e.Slots = 0 }},
+		{"no address", func(e *registry.Entry) { e.Address = "" }},
+		{"port 0", func(e *registry.Entry) { e.Address = "10.0.0.2:0" }},
+	}
+	for _, test := range tests {
+		for _, whole := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, whole %v", test.desc, whole), func(t *testing.T) {
+				odd := newEntry("odd", "10.0.0.2:80", false)
+				test.change(&odd)
+				d, views := newTestDirectory()
+				require.True(t, d.ApplyUpdate(&Update{
+					At: storeera.Position{Revision: 1}, Configuration: newConfiguration(7, "s1"), Whole: whole,
+					Endpoints: []registry.Entry{odd, newEntry("e1", "10.0.0.1:80", false)},
+				}))
+				require.Len(t, views.Load().ByVM, 1)
+				require.Contains(t, views.Load().ByVM, "e1")
+			})
+		}
+	}
+}
