Keep no connections of rejected handshakes

Cause: socket.Dial made an HTTP transport for each dial, which kept the connection of a handshake that a reader rejected with 503.

Change: the transport keeps no connections (DisableKeepAlives; net/http sends no Connection: close with an upgrade).

Evidence: TestRejectedDialLeavesNoConnection failed before (connections open after 5 s of 20 rejected dials) and passes now, with -race of socket, calllink and updatefeed.

Conclusion: the leak that was read in the code is fixed.

--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -16,7 +16,10 @@
 func Dial(ctx context.Context, address, path string, timeout time.Duration) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: timeout}).DialContext}}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: timeout}).DialContext,
+		DisableKeepAlives: true, // the transport is used once, and would keep the connection of a rejected handshake
+	}}
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+path, &websocket.DialOptions{HTTPClient: client}) //nolint:bodyclose // the library closes the body
 	return conn, errors.Wrapf(err, "dial %s", address)
 }
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,3 +45,28 @@
 	_, err = Dial(t.Context(), silent.Addr().String(), "/", 20*time.Millisecond)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// TestRejectedDialLeavesNoConnection guards against connections that stay open at both ends each
+// time a node rejects a handshake.
+func TestRejectedDialLeavesNoConnection(t *testing.T) {
+	const dials = 20
+	var open atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "no reader", http.StatusServiceUnavailable)
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	for range dials {
+		_, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "/", 10*time.Second)
+		require.Error(t, err)
+	}
+	require.Eventually(t, func() bool { return open.Load() == 0 }, 5*time.Second, time.Millisecond)
+}
