Split the last checks before a hand-over from the exchange

Cause: the checks added for leaving endpoints and withdrawn calls took endpointServer.exchange over the linter's limit of complexity (17 of 16). Change: refuseStart holds all checks that are repeated after the waits; behaviour is as before.

--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -19,6 +19,7 @@
 	"github.com/galenacart/galenacart/internal/endpointlink"
 	"github.com/galenacart/galenacart/internal/event"
 	"github.com/galenacart/galenacart/internal/fleetview"
+	"github.com/galenacart/galenacart/internal/message"
 	"github.com/galenacart/galenacart/internal/metrics"
 )
 
@@ -185,18 +186,8 @@
 func (s *endpointServer) exchange(ctx context.Context, call *calllink.Call, deadline time.Duration) (reply *calllink.Reply, completed bool) {
 	request := call.Request()
 	s.suspectTracker.awaitLearned(ctx)
-	if call.IsWithdrawn() {
-		return refusalReply(calllink.RefusedWithdrawn, "the call was taken back"), false
-	}
-	if !s.admits(call) {
-		return refusalReply(calllink.RefusedLeaving, "the endpoint is leaving"), false
-	}
-	if s.suspectTracker.checkQuarantine(request) > 0 {
-		s.config.Log.Emit(event.SuspectRefused, request.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", fingerprint(request)))
-		return refusalReply(calllink.RefusedQuarantined, "endpoints that ran this request crashed"), false
-	}
-	if !s.breakerAdmits(call) {
-		return refusalReply(calllink.RefusedCircuitOpen, "the endpoint breaks off all calls"), false
+	if refusal := s.refuseStart(call, request); refusal != nil {
+		return refusal, false
 	}
 	remaining := deadline - s.config.Now()
 	if !call.Idempotent {
@@ -249,6 +240,24 @@
 	}
 }
 
+// refuseStart returns the refusal of a call that must not be handed to the endpoint now, or nil.
+// What held when the call was admitted may have changed while it waited.
+func (s *endpointServer) refuseStart(call *calllink.Call, request *message.Request) *calllink.Reply {
+	switch {
+	case call.IsWithdrawn():
+		return refusalReply(calllink.RefusedWithdrawn, "the call was taken back")
+	case !s.admits(call):
+		return refusalReply(calllink.RefusedLeaving, "the endpoint is leaving")
+	case s.suspectTracker.checkQuarantine(request) > 0:
+		s.config.Log.Emit(event.SuspectRefused, request.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", fingerprint(request)))
+		return refusalReply(calllink.RefusedQuarantined, "endpoints that ran this request crashed")
+	case !s.breakerAdmits(call):
+		return refusalReply(calllink.RefusedCircuitOpen, "the endpoint breaks off all calls")
+	default:
+		return nil
+	}
+}
+
 // addLoad adds this node's load to a reply.
 func (s *endpointServer) addLoad(call *calllink.Call, internal bool, reply *calllink.Reply) {
 	s.mu.Lock()
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -36,7 +36,7 @@
 	case slotqueue.Run:
 		return nil
 	case slotqueue.Leave:
-		return refusalReply(calllink.RefusedLeaving, "the endpoint or its node is leaving")
+		return refusalReply(calllink.RefusedLeaving, "the endpoint or its node leaves before the call would end")
 	default:
 		return refusalReply(calllink.RefusedNoCapacity, "the endpoint has no slot in time")
 	}
