Drop the memory case, which the earlier case 1 shows

Change: the case is removed, the cases 8 to 10 become 7 to 9, and the stand-ins play one more scenario for the case that takes its place.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 	echo 'build the deploy file and review/build-2.sh first' >&2
 	exit 2
 fi
-exec target/review-rig silence review/9
+exec target/review-rig service review/9
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +18,9 @@
 // memoryMB is the memory of a machine of a small deployment.
 const memoryMB = 284
 
+// settleTime is the time of calm requests before a disruption.
+const settleTime = 4 * time.Second
+
 // The bounds of a small deployment.
 const (
 	drain       = 2 * time.Second
@@ -102,18 +104,15 @@
 
 // machine is one machine with an instance and the node beside it.
 type machine struct {
-	fleet         *fleet
-	name, zone    string
-	service, ip   string
-	instance      *instance
-	memoryWatched bool // the platform kills the node beyond its memory
-	unlisted      bool // the instance's entry is written later
+	fleet       *fleet
+	name, zone  string
+	service, ip string
+	instance    *instance
+	unlisted    bool // the instance's entry is written later
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   bool // the case is over
-	kills   int  // of the node, beyond its memory
-	peakKB  int
 }
 
 // add adds a machine. It starts with start.
@@ -201,11 +200,7 @@
 	m.command = command
 	m.mu.Unlock()
 	m.fleet.record.line("node of %s started, process %d", m.name, command.Process.Pid)
-	exited := make(chan struct{})
-	go m.awaitExit(command, exited)
-	if m.memoryWatched {
-		go m.watchMemory(command, exited)
-	}
+	go m.awaitExit(command)
 	return nil
 }
 
@@ -213,9 +208,8 @@
 const restartPause = 500 * time.Millisecond
 
 // awaitExit starts the node again when it ends before the case does.
-func (m *machine) awaitExit(command *exec.Cmd, exited chan struct{}) {
+func (m *machine) awaitExit(command *exec.Cmd) {
 	err := command.Wait()
-	close(exited)
 	m.fleet.record.line("node of %s ended: %v", m.name, err)
 	time.Sleep(restartPause)
 	m.mu.Lock()
@@ -229,45 +223,6 @@
 	}
 }
 
-// watchMemory kills the node when it exceeds its memory, as the platform does.
-func (m *machine) watchMemory(command *exec.Cmd, exited chan struct{}) {
-	for {
-		select {
-		case <-exited:
-			return
-		case <-time.After(2 * time.Millisecond):
-		}
-		kb := residentKB(command.Process.Pid)
-		m.mu.Lock()
-		m.peakKB = max(m.peakKB, kb)
-		m.mu.Unlock()
-		if kb <= memoryMB<<10 {
-			continue
-		}
-		m.fleet.record.line("node of %s uses %d MB of its %d: killed", m.name, kb>>10, memoryMB)
-		m.mu.Lock()
-		m.kills++
-		m.mu.Unlock()
-		_ = command.Process.Kill() // it may have ended
-		return
-	}
-}
-
-// residentKB returns the resident memory of a process, or 0 if it has ended.
-func residentKB(pid int) int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmRSS:" {
-			kb, _ := strconv.Atoi(fields[1]) // the kernel writes a number
-			return kb
-		}
-	}
-	return 0
-}
-
 // signal sends a signal to the machine's node.
 func (m *machine) signal(s syscall.Signal) error {
 	m.mu.Lock()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,7 +29,9 @@
 type scenario func(f *fleet, trouble bool) (verdict, error)
 
 func scenarios() map[string]scenario {
-	return map[string]scenario{"memory": playMemory, "silence": playSilence, "poison": playPoison, "service": playService, "stop": playStop}
+	return map[string]scenario{
+		"stop": playStop, "poison": playPoison, "silence": playSilence, "service": playService, "config": playConfig,
+	}
 }
 
 func main() {
