Don't hold the bodies of requests whose client has left

Callers saw: a node's memory grows with each large request that is given up.

Cause: the node remembers up to 256 requests whose client left while the endpoint may still run them, in case the endpoint crashes, and kept them whole.

Change: it keeps what a crash record needs: the ID, the fingerprint, the route and the end of the work. The lease of the request is returned when its exchange ends, so the body must go as well.

--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -6,8 +6,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/galenacart/galenacart/internal/message"
 )
 
 // crashWindow is the time within which calls broken off by the endpoint count as one
@@ -31,14 +29,16 @@
 	lastCrash uint64 // ID of the last crash, or 0
 	crashedAt time.Duration
 	foundUpAt time.Duration // when the endpoint last accepted a test connection
-	abandoned []abandonedRequest
+	abandoned []startedRequest
 }
 
-// abandonedRequest is a request whose sender gave up while the endpoint may still run it.
-type abandonedRequest struct {
-	request   *message.Request
-	route     string
-	runsUntil time.Duration // when the endpoint stops working on it
+// startedRequest identifies a request that the endpoint may still be running.
+// It does not hold the request itself, whose memory is released.
+type startedRequest struct {
+	requestID   string
+	fingerprint uint64
+	route       string
+	runsUntil   time.Duration // when the endpoint stops working on it
 }
 
 func newCrashDetector(now func() time.Duration, isDown func() bool) *crashDetector {
@@ -89,18 +89,18 @@
 }
 
 // recordAbandoned records a request whose sender gave up before the endpoint responded.
-func (c *crashDetector) recordAbandoned(r *message.Request, route string, runsUntil time.Duration) {
+func (c *crashDetector) recordAbandoned(one startedRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.abandoned = slices.DeleteFunc(c.abandoned, c.endedBeforeResponse)
 	if len(c.abandoned) < abandonedMax {
-		c.abandoned = append(c.abandoned, abandonedRequest{request: r, route: route, runsUntil: runsUntil})
+		c.abandoned = append(c.abandoned, one)
 	}
 }
 
 // takeAbandoned removes and returns the abandoned requests that the endpoint may have been
 // running when it crashed.
-func (c *crashDetector) takeAbandoned() []abandonedRequest {
+func (c *crashDetector) takeAbandoned() []startedRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	abandoned := c.abandoned
@@ -110,7 +110,7 @@
 
 // endedBeforeResponse reports whether the endpoint had stopped working on a request before
 // its last response to any call, so that a crash can't be due to it.
-func (c *crashDetector) endedBeforeResponse(one abandonedRequest) bool {
+func (c *crashDetector) endedBeforeResponse(one startedRequest) bool {
 	return one.runsUntil <= time.Duration(c.lastResponseAt.Load())
 }
 
--- a/internal/proxy/endpoint_health.go
+++ b/internal/proxy/endpoint_health.go
@@ -71,6 +71,6 @@
 		return
 	}
 	for _, one := range s.crashDetector.takeAbandoned() {
-		s.suspectTracker.recordCrash(one.request, one.route, crash)
+		s.suspectTracker.recordCrash(one, crash)
 	}
 }
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -227,19 +227,24 @@
 		}
 		return refusalReply(calllink.RefusedUnreachable, err.Error()), false
 	case ctx.Err() != nil:
-		s.crashDetector.recordAbandoned(request, call.Route, deadline)
+		s.crashDetector.recordAbandoned(s.identify(request, call.Route, deadline))
 		return &calllink.Reply{Detail: context.Cause(ctx).Error()}, false
 	default:
 		s.logInvalidResponse(request, err)
 		crash, endpointCrashed := s.crashDetector.connectionBroken()
 		if endpointCrashed {
-			s.suspectTracker.recordCrash(request, call.Route, crash)
+			s.suspectTracker.recordCrash(s.identify(request, call.Route, deadline), crash)
 		}
 		s.handleCrash(crash, endpointCrashed)
 		return &calllink.Reply{Detail: err.Error()}, false
 	}
 }
 
+// identify returns what is kept of a request that the endpoint may be running.
+func (s *endpointServer) identify(r *message.Request, route string, runsUntil time.Duration) startedRequest {
+	return startedRequest{requestID: r.Header.Get(s.config.Headers.RequestID), fingerprint: fingerprint(r), route: route, runsUntil: runsUntil}
+}
+
 // refuseStart returns the refusal of a call that must not be handed to the endpoint now, or nil.
 // What held when the call was admitted may have changed while it waited.
 func (s *endpointServer) refuseStart(call *calllink.Call, request *message.Request) *calllink.Reply {
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -85,15 +85,15 @@
 }
 
 // recordCrash records that the local endpoint crashed while running a request.
-func (s *suspectTracker) recordCrash(r *message.Request, route string, crash uint64) {
-	content := fingerprint(r)
+func (s *suspectTracker) recordCrash(r startedRequest, crash uint64) {
+	content := r.fingerprint
 	s.mu.Lock()
 	s.ledger.RecordCrash(s.config.Now(), content, crash)
 	lost := s.ledger.CrashCount(content)
 	s.nonEmpty.Store(true)
 	s.mu.Unlock()
-	s.config.Log.Emit(event.EndpointCrashed, r.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", content),
-		event.F("crash", crash), event.F("lost", lost), event.F("route", route))
+	s.config.Log.Emit(event.EndpointCrashed, r.requestID, event.F("fingerprint", content),
+		event.F("crash", crash), event.F("lost", lost), event.F("route", r.route))
 }
 
 // recordSuccess records that the local endpoint completed a request.
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -48,7 +48,7 @@
 		router: e, route: &catalogue.Route{Name: "r"}, service: "stock", deadline: now() + 10*time.Second,
 		request: &message.Request{Method: "GET", Target: "/stock/1", Host: "a.example", Header: http.Header{}},
 	}
-	e.suspectTracker.recordCrash(p.request, "r", 1)
+	e.suspectTracker.recordCrash(startedRequest{fingerprint: fingerprint(p.request), route: "r"}, 1)
 	_, err := p.send(t.Context(), &fleetview.Member{VM: "stock-1", PeerAddress: server.Listener.Addr().String()})
 	require.NoError(t, err)
 	require.Equal(t, 1, known, "the loss is known when the call arrives")
