Take no response with an invalid status for an answer

Callers saw: an answer with the status line HTTP/1.1 99, or with 600 and above, from an endpoint in trouble.

Cause: http.ReadResponse accepts any three digits, and nothing checked the range. 000 ended as 502 only since a reply between nodes has status 0 when it has no answer.

Change: a status outside 100 to 599 (RFC 9110, 15) is an error of the exchange: the connection is closed, and it is unknown whether the request ran. Idempotent requests go to another endpoint within the usual rules.

--- a/internal/endpointlink/exchange.go
+++ b/internal/endpointlink/exchange.go
@@ -49,6 +49,16 @@
 // ErrResponseMismatch means that the response belongs to another request.
 var ErrResponseMismatch = errors.New("the answer belongs to another request")
 
+// ErrInvalidStatus means that the status of a response is outside the range of HTTP. Whether the
+// endpoint ran the request is unknown, whatever else the response says.
+var ErrInvalidStatus = errors.New("the status of the answer is not one of HTTP")
+
+// The range of HTTP statuses (RFC 9110, 15).
+const (
+	statusMin = 100
+	statusMax = 599
+)
+
 // Do sends a request to the endpoint and returns its whole response. When ctx is done, the
 // connection is closed, which makes the endpoint abort the request. With Unknown and
 // NotRun the error is set.
@@ -136,7 +146,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read the endpoint's answer")
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode < statusMin || response.StatusCode > statusMax {
+			return nil, errors.Wrapf(ErrInvalidStatus, "status %03d", response.StatusCode)
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		answeredID := response.Header.Get(p.headers.RequestID)
