Bound the messages of nodes that send large bodies in pieces to 16 MB

Cause: the limit of a message had to fit a whole request. Since large bodies go in pieces, the largest message has the state of a deployment. Nodes of earlier versions keep the limit of before.

--- a/internal/calllink/stream.go
+++ b/internal/calllink/stream.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// messageBytesMax limits one message. A frame contains a whole request or response.
-	messageBytesMax = 80 << 20
+	// wholeMessageBytesMax limits one message of a node that sends whole requests and responses.
+	wholeMessageBytesMax = 80 << 20
+	// messageBytesMax limits one message of a node that sends large bodies in pieces. The largest
+	// contain the state of a deployment.
+	messageBytesMax = 16 << 20
 	// batchBytes is the message size at which no further frame is added.
 	batchBytes = 64 << 10
 	// readBufferBytesMax is the size of the largest buffer that is kept for the next message.
@@ -51,8 +54,12 @@
 }
 
 func newStream(socket *websocket.Conn) *stream {
-	socket.SetReadLimit(messageBytesMax)
-	return &stream{socket: socket, pieces: socket.Subprotocol() == subprotocolPieces, beforeWrite: func(*frame) {}, encoder: newDictEncoder()}
+	pieces := socket.Subprotocol() == subprotocolPieces
+	socket.SetReadLimit(wholeMessageBytesMax)
+	if pieces {
+		socket.SetReadLimit(messageBytesMax)
+	}
+	return &stream{socket: socket, pieces: pieces, beforeWrite: func(*frame) {}, encoder: newDictEncoder()}
 }
 
 // mayHoldWhole reports whether a body can be sent to a node that takes no pieces, and charges the
