Keep no read buffer for each quiet link

Buffers come from a pool now and are held only while a message is read and decoded.

Evidence: by reading; go test -race ./internal/calllink passes twice.

--- a/internal/calllink/stream.go
+++ b/internal/calllink/stream.go
@@ -193,35 +193,38 @@
 
 // read passes frames to handle until the link is closed.
 func (s *stream) read(now func() time.Duration, handle func(*frame)) error {
-	var buffer bytes.Buffer // decoding copies what it keeps
 	for {
-		data, err := s.readMessage(&buffer)
-		if err != nil {
-			s.close()
-			return errors.Wrap(err, "read from node")
-		}
-		received := int64(now())
-		s.dueSince.Store(received)
-		s.lastReceived.Store(received)
-		if err := s.decoder.decodeFrames(data, handle); err != nil {
+		if err := s.readMessage(now, handle); err != nil {
 			s.close()
 			return err
 		}
 	}
 }
 
-// readMessage reads the next message into a buffer.
-func (s *stream) readMessage(buffer *bytes.Buffer) ([]byte, error) {
-	if buffer.Cap() > readBufferBytesMax {
-		*buffer = bytes.Buffer{}
-	}
-	buffer.Reset()
+// messageBuffers are reused, so that a large fleet's many quiet links have none. Decoding copies
+// what it keeps.
+var messageBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// readMessage reads one message and passes its frames to handle.
+func (s *stream) readMessage(now func() time.Duration, handle func(*frame)) error {
 	_, reader, err := s.socket.Reader(context.Background())
 	if err != nil {
-		return nil, err
+		return errors.Wrap(err, "read from node")
+	}
+	buffer := messageBuffers.Get().(*bytes.Buffer)
+	defer func() {
+		if buffer.Cap() <= readBufferBytesMax {
+			messageBuffers.Put(buffer)
+		}
+	}()
+	buffer.Reset()
+	if _, err := buffer.ReadFrom(reader); err != nil {
+		return errors.Wrap(err, "read from node")
 	}
-	_, err = buffer.ReadFrom(reader)
-	return buffer.Bytes(), err
+	received := int64(now())
+	s.dueSince.Store(received)
+	s.lastReceived.Store(received)
+	return s.decoder.decodeFrames(buffer.Bytes(), handle)
 }
 
 // silenceAt returns how long a message has been due.
