Measure a client's progress by the monotonic clock

Callers would see: after a step of the time of day, requests that make progress are given up while memory is short (a step forward), or stalled ones are kept (a step back).

Cause: the time of the last progress was kept as a time of day.

Change: it is kept as monotonic time since the connection was accepted.

Evidence: by reading; the tests of internal/ingress pass. No test steps the clock.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -63,13 +63,18 @@
 // connectionBytes is what a connection takes besides its requests: its goroutine and buffers.
 const connectionBytes = 8 << 10
 
-// progress records when a peer last sent or read anything.
-type progress struct{ at atomic.Int64 } // in ns since the Unix epoch
+// progress records when a peer last sent or read anything, by the monotonic clock: steps of the time
+// of day must not make a peer look stalled.
+type progress struct {
+	startedAt time.Time
+	at        atomic.Int64 // in ns since startedAt
+}
 
-func (p *progress) record() { p.at.Store(time.Now().UnixNano()) }
+func (p *progress) record() { p.at.Store(int64(time.Since(p.startedAt))) }
 
-func (p *progress) since(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, p.at.Load()))
+// age returns the time since the last progress.
+func (p *progress) age() time.Duration {
+	return time.Since(p.startedAt) - time.Duration(p.at.Load())
 }
 
 // isHead reports whether the response has no body because the method is HEAD.
@@ -79,8 +84,8 @@
 
 func newConn(s *Server, raw net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &conn{server: s, raw: raw, source: &source{raw: raw}, ctx: ctx, cancel: cancel, memory: s.config.Memory.NewConnection()}
-	c.source.progress.record()
+	c := &conn{server: s, raw: raw, ctx: ctx, cancel: cancel, memory: s.config.Memory.NewConnection()}
+	c.source = &source{raw: raw, progress: progress{startedAt: time.Now()}}
 	c.in = bufio.NewReaderSize(c.source, readBufferBytes)
 	c.queueChanged = sync.NewCond(&c.mu)
 	return c
--- a/internal/ingress/pressure.go
+++ b/internal/ingress/pressure.go
@@ -25,13 +25,12 @@
 func (s *Server) holdings(choose func(*conn) bool) ([]*conn, []membudget.Holding) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	var conns []*conn
 	var holdings []membudget.Holding
 	for c := range s.conns {
 		if choose(c) {
 			conns = append(conns, c)
-			holdings = append(holdings, membudget.Holding{Bytes: c.memory.Held(), Stalled: c.source.progress.since(now)})
+			holdings = append(holdings, membudget.Holding{Bytes: c.memory.Held(), Stalled: c.source.progress.age()})
 		}
 	}
 	return conns, holdings
