Serve an endpoint again whose entry returns unchanged

What callers saw: 503 "no endpoint is there" for up to ten minutes after an endpoint's entry had been deleted and written again, had expired for longer than the grace, or had been unreadable, although the store held it again.

Cause: decision/registry accepted a removed endpoint only with a later start or a higher sequence. That protects from a store that was restored from an earlier copy.

Change: a removal is final only once the store was restored after it, or its era isn't known. Removals that a node of an earlier version reports aren't final, as such nodes also report endpoints that are there. Weighed: the store's revision in each entry, which is exact, but entries are arrays on the wire that earlier versions can't decode with one more field.

--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -2,9 +2,9 @@
 // of order, from other writers or from an older copy of the store, or disappear while the
 // store is unavailable. The package handles planned stops, outages and restores of the
 // store: an endpoint that has started to leave does not become available again during the
-// same run, a removed endpoint is added again only by a newer entry of its own, and an
-// endpoint whose entry is missing only briefly is kept. An entry that is no endpoint's own does
-// not hide the endpoint at its address.
+// same run, an endpoint that was removed before a restore is added again only by a newer entry
+// of its own, and an endpoint whose entry is missing only briefly is kept. An entry that is no
+// endpoint's own does not hide the endpoint at its address.
 package registry
 
 import "time"
@@ -52,6 +52,7 @@
 	present  bool          // in the store, or pending
 	deadline time.Duration // end of the grace if pending, of the retention if removed
 	pending  bool          // missing since an outage; removed at deadline
+	final    bool          // removed before a restore of the store, which may hold its last entry
 	hidden   bool          // omitted from the last list of live entries, for another one at its address
 	// The updates in which the run appeared, was last published, and was published before that.
 	appearedAt, publishedAt, publishedBefore uint64
@@ -87,7 +88,9 @@
 	return &Table{records: make(map[string]*record)}
 }
 
-// Put adds or updates an entry. It reports whether anything changed.
+// Put adds or updates an entry. It reports whether anything changed. A removed endpoint is
+// added again also by its last entry, as an entry may be deleted and written again unchanged,
+// unless it was removed before a restore of the store.
 func (t *Table) Put(e Entry) bool {
 	t.updates++
 	return t.put(e)
@@ -102,7 +105,7 @@
 		t.records[e.ID] = r
 		return true
 	}
-	if e.olderThan(&r.entry) || r.removed() && !r.entry.olderThan(&e) {
+	if e.olderThan(&r.entry) || r.removed() && r.final && !r.entry.olderThan(&e) {
 		return false
 	}
 	if e.StartedMs == r.entry.StartedMs {
@@ -110,7 +113,7 @@
 	}
 	changed := !r.present || r.hidden || !r.entry.EqualExceptSequence(e)
 	r.recordPublished(&e, t.updates)
-	r.entry, r.present, r.pending = e, true, false
+	r.entry, r.present, r.pending, r.final = e, true, false, false
 	return changed
 }
 
@@ -172,30 +175,48 @@
 // MarkRestored records that the store was restored from an older copy: entries missing
 // from the copy get the same grace as those that expired during an outage.
 func (t *Table) MarkRestored(now time.Duration) {
+	t.FinalizeRemoved()
 	t.MarkUnavailable()
 	t.MarkAvailable(now)
 }
 
-// MergeRemoved records the removal of an endpoint as reported by another node. It reports
+// FinalizeRemoved records that the store may hold entries from before removals known so far.
+// Only newer entries add these endpoints again.
+func (t *Table) FinalizeRemoved() {
+	for _, r := range t.records {
+		r.final = r.removed()
+	}
+}
+
+// Removal is the removal of an endpoint as one node reports it to another.
+type Removal struct {
+	// Entry is the last known entry of the endpoint.
+	Entry Entry
+	// Final says that only a newer entry adds the endpoint again.
+	Final bool
+}
+
+// MergeRemoval records the removal of an endpoint as reported by another node. It reports
 // whether anything changed. A newer entry of the endpoint is kept.
-func (t *Table) MergeRemoved(now time.Duration, e Entry) bool {
+func (t *Table) MergeRemoval(now time.Duration, removal Removal) bool {
+	e := removal.Entry
 	r, known := t.records[e.ID]
 	if known && e.olderThan(&r.entry) {
 		return false
 	}
 	changed := known && r.present
 	if !known || changed {
-		t.records[e.ID] = &record{entry: e, deadline: now + removedRetention}
+		t.records[e.ID] = &record{entry: e, deadline: now + removedRetention, final: removal.Final}
 	}
 	return changed
 }
 
-// Removed returns the removed entries, for nodes that do not know of the removal.
-func (t *Table) Removed() []Entry {
-	var removed []Entry
+// Removed returns the removals, for nodes that do not know of them.
+func (t *Table) Removed() []Removal {
+	var removed []Removal
 	for _, r := range t.records {
 		if r.removed() {
-			removed = append(removed, r.entry)
+			removed = append(removed, Removal{Entry: r.entry, Final: r.final})
 		}
 	}
 	return removed
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -177,6 +177,9 @@
 	switch verdict {
 	case storeera.Outdated:
 	case storeera.Current:
+		if era != d.position.Era {
+			d.endpoints.FinalizeRemoved() // the era of what other nodes reported is not known
+		}
 		d.position.Era = era
 	case storeera.Restored:
 		d.log.Emit(event.StoreRestored, "", event.F("era", era), event.F("era_before", d.position.Era), event.F("revision_before", d.position.Revision))
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -48,8 +48,8 @@
 	for _, e := range d.dropInvalid(u.Endpoints) {
 		d.putEndpoint(e)
 	}
-	for _, e := range u.Gone {
-		d.endpoints.MergeRemoved(d.now(), e)
+	for _, removal := range u.removals() {
+		d.endpoints.MergeRemoval(d.now(), removal)
 	}
 	d.applyConfiguration(u.Configuration)
 }
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -32,6 +33,8 @@
 	// Gone contains, in a snapshot, the removed endpoints: the receiver may still get older
 	// entries of them.
 	Gone []registry.Entry `cbor:",omitempty"`
+	// Final contains the IDs of the endpoints in Gone that only a newer entry adds again.
+	Final []string `cbor:",omitempty"`
 	// Freshness says when the source confirmed the state that the receiver has after this
 	// update. It is nil if further updates are queued.
 	Freshness *readers.Freshness `cbor:",omitempty"`
@@ -66,7 +69,23 @@
 
 // snapshot returns the whole state as an update. The caller holds d.mu.
 func (d *Directory) snapshot(at storeera.Position) *Update {
-	return &Update{At: at, Configuration: d.configuration, Whole: true, Endpoints: d.endpoints.Live(d.knowsService), Gone: d.endpoints.Removed()}
+	u := &Update{At: at, Configuration: d.configuration, Whole: true, Endpoints: d.endpoints.Live(d.knowsService)}
+	for _, removal := range d.endpoints.Removed() {
+		u.Gone = append(u.Gone, removal.Entry)
+		if removal.Final {
+			u.Final = append(u.Final, removal.Entry.ID)
+		}
+	}
+	return u
+}
+
+// removals returns the removals that a snapshot contains.
+func (u *Update) removals() []registry.Removal {
+	removals := make([]registry.Removal, 0, len(u.Gone))
+	for _, e := range u.Gone {
+		removals = append(removals, registry.Removal{Entry: e, Final: slices.Contains(u.Final, e.ID)})
+	}
+	return removals
 }
 
 // Heartbeat returns an update without changes.
@@ -198,6 +217,9 @@
 	if u.At.Era < d.position.Era || u.Whole && u.At.Before(d.position) {
 		return false
 	}
+	if u.At.Era != d.position.Era {
+		d.endpoints.FinalizeRemoved()
+	}
 	if u.Whole {
 		d.sourceRecovered()
 	}
@@ -218,8 +240,8 @@
 
 func (d *Directory) applyEndpoints(u *Update) (changed bool) {
 	u.Endpoints = d.dropInvalid(u.Endpoints)
-	for _, e := range u.Gone {
-		changed = d.endpoints.MergeRemoved(d.now(), e) || changed
+	for _, removal := range u.removals() {
+		changed = d.endpoints.MergeRemoval(d.now(), removal) || changed
 	}
 	if u.Whole {
 		return d.endpoints.Replace(d.now(), u.Endpoints) || changed
