Pass on what the store holds, whatever the configuration names

Cause: "removed" had two meanings. A reader broadcast the difference of what its own configuration let it use, so subscribers recorded endpoints of a service that was left out as removed from the store. The unchanged entry could not add them again.

Change: Table.Stored returns the present entries of all services. Entries that the reader has refuted (another entry at the address still publishes) are left out, since subscribers don't hear of heartbeats and could not find that out.

--- a/decision/registry/live.go
+++ b/decision/registry/live.go
@@ -6,7 +6,8 @@
 	byAddress := make(map[string]*record, len(t.records))
 	var shared map[string][]*record // addresses with several entries
 	for _, r := range t.records {
-		if r.hidden = false; !r.present || !known(r.entry.Service) {
+		r.hidden, r.refuted = false, false
+		if !r.present || !known(r.entry.Service) {
 			continue
 		}
 		address := r.entry.Address
@@ -43,7 +44,8 @@
 	latest := int64(0)
 	found := false
 	for _, r := range group {
-		r.hidden = r.disproved(group)
+		r.refuted = r.disproved(group)
+		r.hidden = r.refuted
 		if !r.hidden && (!found || r.entry.StartedMs > latest) {
 			latest, found = r.entry.StartedMs, true
 		}
--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -4,7 +4,8 @@
 // store: an endpoint that has started to leave does not become available again during the
 // same run, an endpoint that was removed before a restore is added again only by a newer entry
 // of its own, and an endpoint whose entry is missing only briefly is kept. An entry that is no
-// endpoint's own does not hide the endpoint at its address.
+// endpoint's own does not hide the endpoint at its address. The table holds what the store
+// holds; which services count is applied when it is read.
 package registry
 
 import "time"
@@ -54,6 +55,7 @@
 	pending  bool          // missing since an outage; removed at deadline
 	final    bool          // removed before a restore of the store, which may hold its last entry
 	hidden   bool          // omitted from the last list of live entries, for another one at its address
+	refuted  bool          // hidden, since an earlier run at its address still publishes
 	// The updates in which the run appeared, was last published, and was published before that.
 	appearedAt, publishedAt, publishedBefore uint64
 }
@@ -222,6 +224,18 @@
 	return removed
 }
 
+// Stored returns the entries that are in the store or may be republished, of all services,
+// apart from those that the last call of Live refuted.
+func (t *Table) Stored() []Entry {
+	stored := make([]Entry, 0, len(t.records))
+	for _, r := range t.records {
+		if r.present && !r.refuted {
+			stored = append(stored, r.entry)
+		}
+	}
+	return stored
+}
+
 // Expire removes the entries that were not republished within the grace, and drops
 // removed ones after their retention. It reports whether any entry was removed.
 func (t *Table) Expire(now time.Duration) bool {
--- a/decision/registry/registry_test.go
+++ b/decision/registry/registry_test.go
@@ -129,6 +129,25 @@
 	require.True(t, b.Live(anyService)[0].Leaving)
 }
 
+// TestStoredEntriesAreOfAllServices checks that what is passed on doesn't depend on the services that
+// a configuration names, or on another entry at the same address, unless that one was refuted.
+func TestStoredEntriesAreOfAllServices(t *testing.T) {
+	b := New()
+	b.Put(entry("own", 9))
+	foreign := restarted(entry("foreign", 1), 200)
+	b.Put(foreign)
+	other := entry("other", 1)
+	other.Service, other.Address = "nobody", "10.0.0.2:80"
+	b.Put(other)
+	stock := func(service string) bool { return service == "stock" }
+	require.Equal(t, []Entry{foreign}, b.Live(stock))
+	require.ElementsMatch(t, []Entry{entry("own", 9), foreign, other}, b.Stored())
+	b.Put(entry("own", 10))
+	b.Put(entry("own", 11))
+	require.Equal(t, []Entry{entry("own", 11)}, b.Live(stock))
+	require.ElementsMatch(t, []Entry{entry("own", 11), other}, b.Stored(), "the entry of no endpoint is left out")
+}
+
 func TestMergeRemovalKeepsANewerEntry(t *testing.T) {
 	b := New()
 	b.Put(entry("a", 6))
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -69,7 +69,7 @@
 	sourceFailed  bool
 	position      storeera.Position         // up to which all changes are applied
 	confirmedAt   time.Duration             // when the source last confirmed that they are
-	published     map[string]registry.Entry // the endpoints last sent to subscribers
+	published     map[string]registry.Entry // the stored endpoints last sent to subscribers
 	subscribers   map[*Subscriber]struct{}
 }
 
@@ -218,7 +218,7 @@
 		v.ClientLimits = d.configuration.Bounds
 	}
 	live := d.endpoints.Live(d.knowsService)
-	d.broadcastEndpoints(live)
+	d.broadcastEndpoints()
 	for _, e := range live {
 		m := d.member(&e)
 		if m == nil {
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -26,9 +26,11 @@
 	Configuration *Configuration `cbor:",omitempty"`
 	// Whole is true for a snapshot: Endpoints contains all endpoints.
 	Whole bool `cbor:",omitempty"`
-	// Endpoints contains new or changed endpoints.
+	// Endpoints contains new or changed endpoints of all services that the source publishes.
+	// The receiver applies its own configuration to them.
 	Endpoints []registry.Entry `cbor:",omitempty"`
-	// Removed contains the IDs of removed endpoints.
+	// Removed contains the IDs of removed endpoints. Nodes of an earlier version also name those
+	// of services that their configuration doesn't name.
 	Removed []string `cbor:",omitempty"`
 	// Gone contains, in a snapshot, the removed endpoints: the receiver may still get older
 	// entries of them.
@@ -69,7 +71,7 @@
 
 // snapshot returns the whole state as an update. The caller holds d.mu.
 func (d *Directory) snapshot(at storeera.Position) *Update {
-	u := &Update{At: at, Configuration: d.configuration, Whole: true, Endpoints: d.endpoints.Live(d.knowsService)}
+	u := &Update{At: at, Configuration: d.configuration, Whole: true, Endpoints: d.endpoints.Stored()}
 	for _, removal := range d.endpoints.Removed() {
 		u.Gone = append(u.Gone, removal.Entry)
 		if removal.Final {
@@ -121,11 +123,12 @@
 	}
 }
 
-// broadcastEndpoints sends the difference between live and the endpoints sent before.
-func (d *Directory) broadcastEndpoints(live []registry.Entry) {
+// broadcastEndpoints sends the difference between the stored endpoints and those sent before.
+func (d *Directory) broadcastEndpoints() {
 	u := &Update{}
-	current := make(map[string]registry.Entry, len(live))
-	for _, e := range live {
+	stored := d.endpoints.Stored()
+	current := make(map[string]registry.Entry, len(stored))
+	for _, e := range stored {
 		current[e.ID] = e
 		if before, known := d.published[e.ID]; !known || !before.EqualExceptSequence(e) {
 			u.Endpoints = append(u.Endpoints, e)
