Hold a request back by its caller too

The fingerprint left out the caller, so RecordCompletion for one caller cleared the losses of the other. Ruled out: losses that don't arrive (events 1003 show each crash with the same fingerprint at all nodes) and the budget of repeats (the route is non-idempotent).

Change: the fingerprint begins with the caller's service: the node's own where a request begins, the call's CallerService, which the endpoint gets, at the endpoint's node. That covers clients, calls of endpoints, repeats, what a started process learns, and abandoned requests, as all of them use the one function.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -76,7 +76,7 @@
 // checkQuarantine reports whether the request is quarantined because endpoints crashed
 // while running it.
 func (p *routedRequest) checkQuarantine() bool {
-	p.quarantine = p.router.suspectTracker.checkQuarantine(p.request)
+	p.quarantine = p.router.suspectTracker.checkQuarantine(p.router.config.Settings.Service, p.request)
 	if p.quarantine == 0 {
 		return false
 	}
@@ -205,7 +205,7 @@
 		return router.localHandler(ctx, call), nil
 	}
 	l := router.targets.link(m)
-	if losses := router.suspectTracker.losses(p.request); len(losses) > 0 {
+	if losses := router.suspectTracker.losses(call.CallerService, p.request); len(losses) > 0 {
 		if err := l.ReportCrashes(ctx, losses); err != nil {
 			return nil, errors.Wrap(calllink.ErrNotSent, err.Error()) // the call itself was not sent
 		}
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -121,7 +121,7 @@
 	s.config.Metrics.RecordCall(metrics.RolePeer, s.config.Now()-started)
 	s.addLoad(call, internal, reply)
 	if s.suspectTracker.nonEmpty.Load() {
-		reply.Crashes = s.suspectTracker.losses(call.Request())
+		reply.Crashes = s.suspectTracker.losses(call.CallerService, call.Request())
 	}
 	return reply
 }
@@ -212,7 +212,7 @@
 		}
 		response.Header.Del(s.config.Headers.RequestID) // the calling node sets it
 		if response.Status < http.StatusInternalServerError {
-			s.suspectTracker.recordSuccess(request)
+			s.suspectTracker.recordSuccess(call.CallerService, request)
 		}
 		reply = &calllink.Reply{}
 		reply.SetAnswer(response)
@@ -227,13 +227,13 @@
 		}
 		return refusalReply(calllink.RefusedUnreachable, err.Error()), false
 	case ctx.Err() != nil:
-		s.crashDetector.recordAbandoned(s.identify(request, call.Route, deadline))
+		s.crashDetector.recordAbandoned(s.identify(call, request, deadline))
 		return &calllink.Reply{Detail: context.Cause(ctx).Error()}, false
 	default:
 		s.logInvalidResponse(request, err)
 		crash, endpointCrashed := s.crashDetector.connectionBroken()
 		if endpointCrashed {
-			s.suspectTracker.recordCrash(s.identify(request, call.Route, deadline), crash)
+			s.suspectTracker.recordCrash(s.identify(call, request, deadline), crash)
 		}
 		s.handleCrash(crash, endpointCrashed)
 		return &calllink.Reply{Detail: err.Error()}, false
@@ -241,8 +241,10 @@
 }
 
 // identify returns what is kept of a request that the endpoint may be running.
-func (s *endpointServer) identify(r *message.Request, route string, runsUntil time.Duration) startedRequest {
-	return startedRequest{requestID: r.Header.Get(s.config.Headers.RequestID), fingerprint: fingerprint(r), route: route, runsUntil: runsUntil}
+func (s *endpointServer) identify(call *calllink.Call, r *message.Request, runsUntil time.Duration) startedRequest {
+	return startedRequest{
+		requestID: r.Header.Get(s.config.Headers.RequestID), fingerprint: fingerprint(call.CallerService, r), route: call.Route, runsUntil: runsUntil,
+	}
 }
 
 // refuseStart returns the refusal of a call that must not be handed to the endpoint now, or nil.
@@ -253,8 +255,8 @@
 		return refusalReply(calllink.RefusedWithdrawn, "the call was taken back")
 	case !s.admits(call):
 		return refusalReply(calllink.RefusedLeaving, "the endpoint is leaving")
-	case s.suspectTracker.checkQuarantine(request) > 0:
-		s.config.Log.Emit(event.SuspectRefused, request.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", fingerprint(request)))
+	case s.suspectTracker.checkQuarantine(call.CallerService, request) > 0:
+		s.config.Log.Emit(event.SuspectRefused, request.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", fingerprint(call.CallerService, request)))
 		return refusalReply(calllink.RefusedQuarantined, "endpoints that ran this request crashed")
 	case !s.breakerAdmits(call):
 		return refusalReply(calllink.RefusedCircuitOpen, "the endpoint breaks off all calls")
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -52,11 +52,11 @@
 	return &suspectTracker{config: c, ledger: quarantine.New(), peers: make(map[string]*peerProgress), learner: newCrashLearner(c)}
 }
 
-// fingerprint identifies a request by its content. It omits the headers, since the
-// request's ID and the VM that received it change when a client retries.
-func fingerprint(r *message.Request) uint64 {
+// fingerprint identifies a request by its content and the service that sends it. It omits the
+// headers, since the request's ID and the VM that received it change when a client retries.
+func fingerprint(callerService string, r *message.Request) uint64 {
 	h := xxhash.New()
-	for _, part := range []string{r.Method, r.Host, r.Target} {
+	for _, part := range []string{callerService, r.Method, r.Host, r.Target} {
 		_, _ = h.WriteString(part) // a hash never fails
 		_, _ = h.Write([]byte{0})
 	}
@@ -64,24 +64,24 @@
 	return h.Sum64()
 }
 
-// checkQuarantine returns the remaining quarantine of a request, or 0.
-func (s *suspectTracker) checkQuarantine(r *message.Request) time.Duration {
+// checkQuarantine returns the remaining quarantine of a request of a service, or 0.
+func (s *suspectTracker) checkQuarantine(callerService string, r *message.Request) time.Duration {
 	if !s.nonEmpty.Load() {
 		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.HoldRemaining(s.config.Now(), fingerprint(r))
+	return s.ledger.HoldRemaining(s.config.Now(), fingerprint(callerService, r))
 }
 
-// losses returns the known losses of a request.
-func (s *suspectTracker) losses(r *message.Request) []quarantine.Loss {
+// losses returns the known losses of a request of a service.
+func (s *suspectTracker) losses(callerService string, r *message.Request) []quarantine.Loss {
 	if !s.nonEmpty.Load() {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.Losses(s.config.Now(), fingerprint(r))
+	return s.ledger.Losses(s.config.Now(), fingerprint(callerService, r))
 }
 
 // recordCrash records that the local endpoint crashed while running a request.
@@ -96,14 +96,14 @@
 		event.F("crash", crash), event.F("lost", lost), event.F("route", r.route))
 }
 
-// recordSuccess records that the local endpoint completed a request.
-func (s *suspectTracker) recordSuccess(r *message.Request) {
+// recordSuccess records that the local endpoint completed a request of a service.
+func (s *suspectTracker) recordSuccess(callerService string, r *message.Request) {
 	if !s.nonEmpty.Load() {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ledger.RecordCompletion(fingerprint(r))
+	s.ledger.RecordCompletion(fingerprint(callerService, r))
 }
 
 // merge adds the losses that another node sent.
