Count crashes of first runs at one moment as one

Cause: two losses without a success in between hold a content back. That takes the second loss for a further try after the first; a content that many clients send is in flight at several endpoints at once.

Change: a loss says whether its run had begun before another loss of its content was known at that node. Such losses within 0.5 s count as one. A repeat takes its losses along before it is sent, so it is never a first run: a fatal request still crashes two endpoints on both kinds of route. On links a first run's crash ID is even: entries are arrays of fixed length, and all IDs of earlier versions are odd, which count as before.

Tests: TestCrashesAtOneMomentHoldNoSoundRequestBack fails before (503 for 200). TestCrashesOfFirstRunsCountAsOne. The model of a service and TestLedgersConverge draw first runs too, with their bounds as they were; crash IDs in the test of the wire are odd, as real ones are.

--- a/decision/quarantine/quarantine.go
+++ b/decision/quarantine/quarantine.go
@@ -7,7 +7,9 @@
 // content. A suspect that later runs to completion is cleared; this applies to nearly
 // all requests that were in flight by coincidence. A content that was in flight at
 // several crashes and has not completed since is held back, for longer with each
-// further crash.
+// further crash. Crashes at the same moment, of runs that had begun before any of them was
+// known, count as one: a content that many clients send is in flight at several endpoints,
+// which may crash together for another reason.
 package quarantine
 
 import (
@@ -30,6 +32,9 @@
 	holdGrowth = 10
 	// holdMax bounds the hold time, since a deployment usually outlives its faults.
 	holdMax = 30 * 24 * time.Hour
+	// sameMoment is the time within which crashes of first runs count as one. Nodes learn of
+	// a crash in less.
+	sameMoment = 500 * time.Millisecond
 	// retention is the time for which a content that is not held back is kept.
 	retention = holdMin
 	// contentsMax bounds the memory of a node to about 1 MB.
@@ -52,6 +57,8 @@
 	// Completed says that an endpoint has run the content to completion since the
 	// crash.
 	Completed bool
+	// First says that the run had begun before another loss of the content was known.
+	First bool
 }
 
 // Ledger holds the losses known to one node. Ledgers converge in whatever order nodes
@@ -68,6 +75,7 @@
 type loss struct {
 	at        time.Duration
 	completed bool
+	first     bool
 	revision  uint64 // of the ledger, at the last change
 	local     bool   // the last change was made at this node
 }
@@ -77,9 +85,10 @@
 	return &Ledger{contents: make(map[uint64]crashLosses)}
 }
 
-// RecordCrash records that an endpoint crashed while running a content.
-func (l *Ledger) RecordCrash(now time.Duration, fingerprint, crash uint64) {
-	l.record(now, Loss{Fingerprint: fingerprint, CrashID: crash}, true)
+// RecordCrash records that an endpoint crashed while running a content. first says that the
+// run had begun before another loss of the content was known.
+func (l *Ledger) RecordCrash(now time.Duration, fingerprint, crash uint64, first bool) {
+	l.record(now, Loss{Fingerprint: fingerprint, CrashID: crash, First: first}, true)
 }
 
 // Merge adds the losses reported by another node. It returns the contents that are held
@@ -108,10 +117,11 @@
 		c.evictIfFull()
 		known = &loss{at: now - one.Age}
 		c[one.CrashID] = known
-	case known.completed || !one.Completed:
+	case (known.completed || !one.Completed) && (known.first || !one.First):
 		return // no change
 	}
-	known.completed = one.Completed
+	known.completed = known.completed || one.Completed
+	known.first = known.first || one.First
 	l.markChanged(known, local)
 }
 
@@ -142,7 +152,7 @@
 }
 
 // CrashCount returns the number of crashes of a content since which it has not run to
-// completion.
+// completion. Those of first runs at the same moment count as one.
 func (l *Ledger) CrashCount(fingerprint uint64) int {
 	return l.contents[fingerprint].crashCount()
 }
@@ -198,8 +208,27 @@
 
 func (c crashLosses) crashCount() int {
 	n := 0
+	var firstRuns []time.Duration
 	for _, one := range c {
-		if !one.completed {
+		switch {
+		case one.completed:
+		case one.first:
+			firstRuns = append(firstRuns, one.at)
+		default:
+			n++
+		}
+	}
+	return n + moments(firstRuns)
+}
+
+// moments returns the number of spans of sameMoment that contain the given times.
+func moments(times []time.Duration) int {
+	n := 0
+	var begunAt time.Duration
+	slices.Sort(times)
+	for _, at := range times {
+		if n == 0 || at-begunAt >= sameMoment {
+			begunAt = at
 			n++
 		}
 	}
@@ -238,7 +267,7 @@
 func (c crashLosses) appendLosses(out []Loss, now time.Duration, fingerprint uint64, wanted func(*loss) bool) []Loss {
 	for crash, one := range c {
 		if wanted(one) {
-			out = append(out, Loss{Fingerprint: fingerprint, CrashID: crash, Age: max(now-one.at, 0), Completed: one.completed})
+			out = append(out, Loss{Fingerprint: fingerprint, CrashID: crash, Age: max(now-one.at, 0), Completed: one.completed, First: one.first})
 		}
 	}
 	return out
--- a/decision/quarantine/quarantine_test.go
+++ b/decision/quarantine/quarantine_test.go
@@ -12,13 +12,13 @@
 func TestHoldGrowsWithEachCrash(t *testing.T) {
 	const culprit, bystander = 1, 2
 	l := New()
-	l.RecordCrash(0, culprit, 10)
-	l.RecordCrash(0, bystander, 10)
-	l.RecordCrash(0, culprit, 10) // the same crash twice
+	l.RecordCrash(0, culprit, 10, false)
+	l.RecordCrash(0, bystander, 10, false)
+	l.RecordCrash(0, culprit, 10, false) // the same crash twice
 	require.Zero(t, l.HoldRemaining(0, culprit), "one crash proves nothing")
 	l.RecordCompletion(bystander)
-	l.RecordCrash(time.Second, culprit, 11)
-	l.RecordCrash(time.Second, bystander, 11)
+	l.RecordCrash(time.Second, culprit, 11, false)
+	l.RecordCrash(time.Second, bystander, 11, false)
 	require.Equal(t, holdMin, l.HoldRemaining(time.Second, culprit))
 	require.Zero(t, l.HoldRemaining(time.Second, bystander), "it has completed since the first crash")
 	require.Zero(t, l.HoldRemaining(time.Second, 3))
@@ -27,17 +27,42 @@
 	require.Equal(t, time.Duration(1), l.HoldRemaining(at-1, culprit))
 	require.Zero(t, l.HoldRemaining(at, culprit), "one more attempt is allowed")
 	l.Expire(at)
-	l.RecordCrash(at, culprit, 12)
+	l.RecordCrash(at, culprit, 12, false)
 	require.Equal(t, holdGrowth*holdMin, l.HoldRemaining(at, culprit), "a further crash extends the hold")
 	l.RecordCompletion(culprit)
 	require.Zero(t, l.HoldRemaining(at, culprit), "completion ends the hold")
 }
 
+// TestCrashesOfFirstRunsCountAsOne guards against a content that is held back since it was in flight at
+// several endpoints that crashed at the same moment.
+func TestCrashesOfFirstRunsCountAsOne(t *testing.T) {
+	const content = 1
+	l, other := New(), New()
+	l.RecordCrash(0, content, 11, true)
+	other.RecordCrash(0, content, 13, true)
+	require.Empty(t, l.Merge(0, other.ChangesSince(0, 0)))
+	require.Equal(t, 1, l.CrashCount(content))
+	require.Zero(t, l.HoldRemaining(0, content))
+	l.RecordCrash(time.Second, content, 15, false)
+	require.Equal(t, holdMin, l.HoldRemaining(time.Second, content), "it was sent again and crashed a further endpoint")
+	require.Equal(t, []uint64{content}, other.Merge(time.Second, l.ChangesSince(time.Second, 0)))
+
+	l = New()
+	l.RecordCrash(0, content, 11, false)
+	l.RecordCrash(0, content, 11, true) // another run of it at the same crash
+	l.RecordCrash(0, content, 13, true)
+	require.Equal(t, 1, l.CrashCount(content), "at least one run had begun before anything was known")
+	l.RecordCrash(sameMoment-1, content, 15, true)
+	require.Equal(t, 1, l.CrashCount(content))
+	l.RecordCrash(sameMoment, content, 17, true)
+	require.Equal(t, 2, l.CrashCount(content), "it has come again")
+}
+
 func TestContentsExpire(t *testing.T) {
 	l := New()
-	l.RecordCrash(0, 1, 10)
-	l.RecordCrash(0, 2, 10)
-	l.RecordCrash(0, 2, 11)
+	l.RecordCrash(0, 1, 10, false)
+	l.RecordCrash(0, 2, 10, false)
+	l.RecordCrash(0, 2, 11, false)
 	require.True(t, l.Expire(retention))
 	require.Zero(t, l.CrashCount(1))
 	require.Equal(t, 2, l.CrashCount(2))
@@ -46,16 +71,16 @@
 
 func TestLedgerIsBounded(t *testing.T) {
 	l := New()
-	l.RecordCrash(0, 1, 10)
-	l.RecordCrash(0, 1, 11)
+	l.RecordCrash(0, 1, 10, false)
+	l.RecordCrash(0, 1, 11, false)
 	for i := range uint64(2 * contentsMax) {
-		l.RecordCrash(time.Duration(i), 100+i, 12)
+		l.RecordCrash(time.Duration(i), 100+i, 12, false)
 	}
 	require.LessOrEqual(t, len(l.contents), contentsMax)
 	require.Greater(t, len(l.contents), contentsMax/2)
 	require.Positive(t, l.HoldRemaining(0, 1), "a content that is held back is evicted last")
 	for i := range uint64(2 * lossesPerContentMax) {
-		l.RecordCrash(time.Duration(i), 1, 20+i)
+		l.RecordCrash(time.Duration(i), 1, 20+i, false)
 	}
 	require.Len(t, l.contents[1], lossesPerContentMax)
 	require.Equal(t, holdMax, l.contents[1].holdTime())
@@ -65,7 +90,7 @@
 // changes.
 func TestChangesSince(t *testing.T) {
 	a, b := New(), New()
-	a.RecordCrash(0, 1, 10)
+	a.RecordCrash(0, 1, 10, false)
 	b.Merge(time.Hour, a.ChangesSince(time.Minute, 0))
 	require.Equal(t, time.Hour-time.Minute, b.contents[1].lastCrash())
 	require.Empty(t, b.ChangesSince(time.Hour, 1), "only the node of the crash reports it")
@@ -89,7 +114,7 @@
 			switch rapid.IntRange(0, 2).Draw(t, "what") {
 			case 0:
 				if crash++; crash <= lossesPerContentMax {
-					l.RecordCrash(0, content, crash)
+					l.RecordCrash(0, content, crash, rapid.Bool().Draw(t, "first"))
 				}
 			case 1:
 				l.RecordCompletion(content)
@@ -129,7 +154,11 @@
 	for seed := range uint64(8) {
 		r := rand.New(rand.NewPCG(seed, 0))
 		nodes := make([]*Ledger, endpoints)
-		inFlight := make([][]uint64, endpoints)
+		type run struct {
+			content uint64
+			first   bool
+		}
+		inFlight := make([][]run, endpoints)
 		for i := range nodes {
 			nodes[i] = New()
 		}
@@ -141,8 +170,8 @@
 		crashes, attempts, refused := uint64(0), 0, 0
 		crash := func(now time.Duration, at int) {
 			crashes++
-			for _, content := range inFlight[at] {
-				nodes[at].RecordCrash(now, content, crashes)
+			for _, r := range inFlight[at] {
+				nodes[at].RecordCrash(now, r.content, crashes, r.first)
 			}
 			inFlight[at] = nil
 			pending = append(pending, report{now + reportDelay, at})
@@ -168,9 +197,9 @@
 				}
 				continue
 			}
-			inFlight[at] = append(inFlight[at], content)
+			inFlight[at] = append(inFlight[at], run{content, nodes[at].CrashCount(content) == 0})
 			if len(inFlight[at]) > running {
-				nodes[at].RecordCompletion(inFlight[at][0])
+				nodes[at].RecordCompletion(inFlight[at][0].content)
 				inFlight[at] = inFlight[at][1:]
 			}
 			if content == culprit {
--- a/internal/calllink/crashes.go
+++ b/internal/calllink/crashes.go
@@ -10,11 +10,15 @@
 	"github.com/galenacart/galenacart/decision/quarantine"
 )
 
+// laterRunBit is set in the ID of each crash, but cleared on the wire for a loss of a first run: nodes of
+// earlier versions decode arrays of this length only.
+const laterRunBit = 1
+
 // wireCrash is the wire format of a crash.
 type wireCrash struct {
 	_       struct{} `cbor:",toarray"`
 	Content uint64
-	Crash   uint64
+	Crash   uint64 // ID of the crash; even if the run was a first one
 	AgeMs   uint64
 	Excused bool
 }
@@ -22,7 +26,11 @@
 func encodeCrashes(crashes []quarantine.Loss) ([]byte, error) {
 	list := make([]wireCrash, 0, len(crashes))
 	for _, l := range crashes {
-		list = append(list, wireCrash{Content: l.Fingerprint, Crash: l.CrashID, AgeMs: uint64(l.Age.Milliseconds()), Excused: l.Completed})
+		id := l.CrashID
+		if l.First {
+			id &^= laterRunBit
+		}
+		list = append(list, wireCrash{Content: l.Fingerprint, Crash: id, AgeMs: uint64(l.Age.Milliseconds()), Excused: l.Completed})
 	}
 	data, err := cbor.Marshal(list)
 	return data, errors.Wrap(err, "encode crashes")
@@ -39,7 +47,9 @@
 	crashes := make([]quarantine.Loss, 0, len(list))
 	for _, l := range list {
 		age := time.Duration(min(l.AgeMs, uint64(crashAgeMax.Milliseconds()))) * time.Millisecond
-		crashes = append(crashes, quarantine.Loss{Fingerprint: l.Content, CrashID: l.Crash, Age: age, Completed: l.Excused})
+		crashes = append(crashes, quarantine.Loss{
+			Fingerprint: l.Content, CrashID: l.Crash | laterRunBit, Age: age, Completed: l.Excused, First: l.Crash&laterRunBit == 0,
+		})
 	}
 	return crashes, nil
 }
--- a/internal/calllink/crashes_test.go
+++ b/internal/calllink/crashes_test.go
@@ -33,7 +33,9 @@
 	var got crashRecorder
 	l := connect(t, &clock{}, respondWith(200), callbacks{receive: noCallbacks.receive, exportState: noCallbacks.exportState, recordCrashes: got.receive})
 	require.Zero(t, l.SessionNumber())
-	crashes := []quarantine.Loss{{Fingerprint: 1, CrashID: 2, Age: time.Second}, {Fingerprint: 3, CrashID: 4, Completed: true}}
+	crashes := []quarantine.Loss{
+		{Fingerprint: 1, CrashID: 3, Age: time.Second}, {Fingerprint: 3, CrashID: 5, Completed: true}, {Fingerprint: 5, CrashID: 3, First: true},
+	}
 	require.NoError(t, l.ReportCrashes(context.Background(), crashes))
 	require.Equal(t, crashes, got.crashes())
 	require.EqualValues(t, 1, l.SessionNumber())
@@ -41,7 +43,7 @@
 
 func TestCrashesArriveBeforeTheReply(t *testing.T) {
 	var got crashRecorder
-	crashes := []quarantine.Loss{{Fingerprint: 1, CrashID: 2}}
+	crashes := []quarantine.Loss{{Fingerprint: 1, CrashID: 3}}
 	handler := func(context.Context, *Call) *Reply { return &Reply{Detail: "broken", Crashes: crashes} }
 	l := connect(t, &clock{}, handler, callbacks{receive: noCallbacks.receive, exportState: noCallbacks.exportState, recordCrashes: got.receive})
 	reply, err := l.Do(context.Background(), newCall("/a"))
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -39,6 +39,7 @@
 	fingerprint uint64
 	route       string
 	runsUntil   time.Duration // when the endpoint stops working on it
+	lossKnown   bool          // a loss of its content was known when it was handed over
 }
 
 func newCrashDetector(now func() time.Duration, isDown func() bool) *crashDetector {
@@ -84,7 +85,7 @@
 
 // startCrash assigns an ID to a new crash. The caller holds the lock.
 func (c *crashDetector) startCrash(crashedAt time.Duration) {
-	c.lastCrash = rand.Uint64() | 1 // never 0
+	c.lastCrash = rand.Uint64() | 1 // never 0; the other values have a meaning on the wire of links
 	c.crashedAt = crashedAt
 }
 
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -189,6 +189,7 @@
 	if refusal := s.refuseStart(call, request); refusal != nil {
 		return refusal, false
 	}
+	lossKnown := s.suspectTracker.isSuspect(call.CallerService, request)
 	remaining := deadline - s.config.Now()
 	if !call.Idempotent {
 		ctx = context.WithoutCancel(ctx)
@@ -227,13 +228,13 @@
 		}
 		return refusalReply(calllink.RefusedUnreachable, err.Error()), false
 	case ctx.Err() != nil:
-		s.crashDetector.recordAbandoned(s.identify(call, request, deadline))
+		s.crashDetector.recordAbandoned(s.identify(call, request, deadline, lossKnown))
 		return &calllink.Reply{Detail: context.Cause(ctx).Error()}, false
 	default:
 		s.logInvalidResponse(request, err)
 		crash, endpointCrashed := s.crashDetector.connectionBroken()
 		if endpointCrashed {
-			s.suspectTracker.recordCrash(s.identify(call, request, deadline), crash)
+			s.suspectTracker.recordCrash(s.identify(call, request, deadline, lossKnown), crash)
 		}
 		s.handleCrash(crash, endpointCrashed)
 		return &calllink.Reply{Detail: err.Error()}, false
@@ -241,9 +242,10 @@
 }
 
 // identify returns what is kept of a request that the endpoint may be running.
-func (s *endpointServer) identify(call *calllink.Call, r *message.Request, runsUntil time.Duration) startedRequest {
+func (s *endpointServer) identify(call *calllink.Call, r *message.Request, runsUntil time.Duration, lossKnown bool) startedRequest {
 	return startedRequest{
-		requestID: r.Header.Get(s.config.Headers.RequestID), fingerprint: fingerprint(call.CallerService, r), route: call.Route, runsUntil: runsUntil,
+		requestID: r.Header.Get(s.config.Headers.RequestID), fingerprint: fingerprint(call.CallerService, r), route: call.Route,
+		runsUntil: runsUntil, lossKnown: lossKnown,
 	}
 }
 
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -74,6 +74,17 @@
 	return s.ledger.HoldRemaining(s.config.Now(), fingerprint(callerService, r))
 }
 
+// isSuspect reports whether endpoints crashed while running a request of a service that has not
+// completed since.
+func (s *suspectTracker) isSuspect(callerService string, r *message.Request) bool {
+	if !s.nonEmpty.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.CrashCount(fingerprint(callerService, r)) > 0
+}
+
 // losses returns the known losses of a request of a service.
 func (s *suspectTracker) losses(callerService string, r *message.Request) []quarantine.Loss {
 	if !s.nonEmpty.Load() {
@@ -88,7 +99,7 @@
 func (s *suspectTracker) recordCrash(r startedRequest, crash uint64) {
 	content := r.fingerprint
 	s.mu.Lock()
-	s.ledger.RecordCrash(s.config.Now(), content, crash)
+	s.ledger.RecordCrash(s.config.Now(), content, crash, !r.lossKnown)
 	lost := s.ledger.CrashCount(content)
 	s.nonEmpty.Store(true)
 	s.mu.Unlock()
--- a/internal/proxynode/crash_caller_test.go
+++ b/internal/proxynode/crash_caller_test.go
@@ -4,11 +4,15 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/calllink"
+	"github.com/galenacart/galenacart/internal/message"
 )
 
 // callerFleet is a fleet of a service "stock" whose endpoints crash on the requests of some callers to one
@@ -116,3 +120,45 @@
 	require.LessOrEqual(t, f.crashed.Load(), int32(crashesMax*len(callers)))
 	f.requireServed()
 }
+
+// TestCrashesAtOneMomentHoldNoSoundRequestBack guards against a sound request that is refused for ten
+// minutes since it was in flight at two endpoints that crashed at the same moment.
+func TestCrashesAtOneMomentHoldNoSoundRequestBack(t *testing.T) {
+	const soundPath = "/stock/sound"
+	f := newFleet(t, route("stock", false))
+	var running atomic.Int32
+	bothRun := make(chan struct{})
+	for i := range 3 {
+		f.add("stock", func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != soundPath || running.Add(1) > 2 {
+				return
+			}
+			if running.Load() == 2 {
+				close(bothRun)
+			}
+			<-bothRun
+			f.vms[i].crash(downtime)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	front := f.add("front", http.NotFound)
+	f.publish()
+	var ended sync.WaitGroup
+	for i := range 2 {
+		ended.Go(func() {
+			reply := f.callNode(i, &calllink.Call{
+				Service: "stock", Endpoint: f.vms[i].id, Route: "r-stock", CallerService: "front", RemainingMs: 5000,
+				Method: "POST", Target: soundPath, Host: "door.example", Body: message.NewBody([]byte("x")), Fields: []string{"Request-Id", "id-1"},
+			})
+			require.Zero(t, reply.Status)
+		})
+	}
+	ended.Wait()
+	r, body := f.send(front, "POST", soundPath, "x")
+	require.Equal(t, http.StatusOK, r.StatusCode, body)
+	for _, v := range f.vms {
+		v.awaitEndpoint(t)
+	}
+	r, body = f.send(front, "POST", soundPath, "x")
+	require.Equal(t, http.StatusOK, r.StatusCode, body)
+}
