Tell a silent connection to the store from an outage

A watch without an answer counted as an outage, which starts the 2 s in which lapsed entries may return; the watch after a pause used a kept connection that was silent already; and a subscriber that had lost the store applied a grace of its own to removals that its reader had already waited for.

Removals that a reader reports in changes are applied at once.

--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -79,8 +79,10 @@
 // Table holds the published endpoints. It is not safe for concurrent use.
 type Table struct {
 	records        map[string]*record
+	lapseTime      time.Duration // see SetLapseTime
 	unavailable    bool          // the store does not answer
-	availableSince time.Duration // end of the last outage
+	lastContact    time.Duration // before the store became unavailable
+	availableSince time.Duration // end of the last outage in which entries may have lapsed
 	hadOutage      bool
 	updates        uint64 // single entries and complete lists received so far
 }
@@ -90,6 +92,12 @@
 	return &Table{records: make(map[string]*record)}
 }
 
+// SetLapseTime sets the least time without contact with the store in which entries can lapse
+// there. Shorter outages give no grace. It is 0 in a new table: any outage gives a grace.
+func (t *Table) SetLapseTime(lapseTime time.Duration) {
+	t.lapseTime = lapseTime
+}
+
 // Put adds or updates an entry. It reports whether anything changed. A removed endpoint is
 // added again also by its last entry, as an entry may be deleted and written again unchanged,
 // unless it was removed before a restore of the store.
@@ -138,11 +146,27 @@
 		r.deadline = t.availableSince + republishGrace
 		return false
 	}
-	r.present = false
-	r.deadline = now + removedRetention
+	r.markRemoved(now)
 	return true
 }
 
+// RemoveFinally records that an entry is no longer in the store and will not be republished,
+// as another node reports that has waited for it if necessary. It reports whether anything
+// changed.
+func (t *Table) RemoveFinally(now time.Duration, id string) bool {
+	r, known := t.records[id]
+	if !known || !r.present {
+		return false
+	}
+	r.markRemoved(now)
+	return true
+}
+
+func (r *record) markRemoved(now time.Duration) {
+	r.pending, r.present = false, false
+	r.deadline = now + removedRetention
+}
+
 // Replace applies the complete list of entries. It reports whether anything changed.
 func (t *Table) Replace(now time.Duration, all []Entry) bool {
 	changed := false
@@ -160,26 +184,33 @@
 	return changed
 }
 
-// MarkUnavailable records that the store does not answer.
-func (t *Table) MarkUnavailable() {
-	t.unavailable = true
+// MarkUnavailable records that the store does not answer, and when it was last known to.
+func (t *Table) MarkUnavailable(lastContact time.Duration) {
+	if !t.unavailable {
+		t.unavailable, t.lastContact = true, lastContact
+	}
 }
 
 // MarkAvailable records that the store answers.
 func (t *Table) MarkAvailable(now time.Duration) {
-	if t.unavailable {
-		t.unavailable = false
-		t.availableSince = now
-		t.hadOutage = true
+	if !t.unavailable {
+		return
+	}
+	t.unavailable = false
+	if now-t.lastContact >= t.lapseTime {
+		t.startGrace(now)
 	}
 }
 
+func (t *Table) startGrace(now time.Duration) {
+	t.availableSince, t.hadOutage = now, true
+}
+
 // MarkRestored records that the store was restored from an older copy: entries missing
 // from the copy get the same grace as those that expired during an outage.
 func (t *Table) MarkRestored(now time.Duration) {
 	t.FinalizeRemoved()
-	t.MarkUnavailable()
-	t.MarkAvailable(now)
+	t.startGrace(now)
 }
 
 // FinalizeRemoved records that the store may hold entries from before removals known so far.
@@ -244,8 +275,7 @@
 		switch {
 		case now < r.deadline:
 		case r.pending:
-			r.pending, r.present = false, false
-			r.deadline = now + removedRetention
+			r.markRemoved(now)
 			changed = true
 		case r.removed():
 			delete(t.records, id)
--- a/decision/registry/registry_test.go
+++ b/decision/registry/registry_test.go
@@ -61,7 +61,7 @@
 	b := New()
 	b.Put(entry("republished", 1))
 	b.Put(entry("missing", 1))
-	b.MarkUnavailable()
+	b.MarkUnavailable(9 * time.Second)
 	b.MarkAvailable(10 * time.Second)
 	require.False(t, b.Replace(10*time.Second, nil), "both may be republished")
 	require.Len(t, b.Live(anyService), 2)
@@ -172,6 +172,52 @@
 	require.Empty(t, b.Live(anyService))
 }
 
+// TestShortOutageGivesNoGrace guards against a removal that comes into force late since the store was out of
+// reach for a time in which no entry can lapse.
+func TestShortOutageGivesNoGrace(t *testing.T) {
+	tests := []struct {
+		desc      string
+		outage    time.Duration
+		lapseTime time.Duration
+		kept      bool
+	}{
+		{"shorter than entries take to lapse", 3*time.Second - 1, 3 * time.Second, false},
+		{"as long as entries take to lapse", 3 * time.Second, 3 * time.Second, true},
+		{"it isn't known how long they take", time.Millisecond, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			const lastContact = time.Minute
+			b := New()
+			b.SetLapseTime(test.lapseTime)
+			b.Put(entry("a", 1))
+			b.MarkUnavailable(lastContact)
+			b.MarkUnavailable(lastContact + test.outage) // the first one counts
+			available := lastContact + test.outage
+			b.MarkAvailable(available)
+			require.Equal(t, !test.kept, b.Remove(available+republishGrace-1, "a"))
+			require.Equal(t, test.kept, b.Expire(available+republishGrace))
+			require.Empty(t, b.Live(anyService))
+		})
+	}
+}
+
+// TestRemovalThatAnotherNodeReportsIsImmediate checks that the grace of this node doesn't delay what a node with the
+// current state knows.
+func TestRemovalThatAnotherNodeReportsIsImmediate(t *testing.T) {
+	b := New()
+	b.Put(entry("a", 1))
+	b.Put(entry("b", 1))
+	b.MarkUnavailable(0)
+	b.MarkAvailable(time.Minute)
+	require.False(t, b.Remove(time.Minute, "a"), "it may be republished")
+	require.True(t, b.RemoveFinally(time.Minute, "a"))
+	require.True(t, b.RemoveFinally(time.Minute, "b"))
+	require.False(t, b.RemoveFinally(time.Minute, "b"))
+	require.Empty(t, b.Live(anyService))
+	require.False(t, b.Expire(time.Minute+republishGrace))
+}
+
 func TestRemoveWithoutAnOutageIsImmediate(t *testing.T) {
 	b := New()
 	b.Put(entry("a", 1))
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -82,6 +83,19 @@
 	}
 }
 
+// heartbeatsToLapse is the number of intervals between the writes of an endpoint in which its
+// entry can't lapse: entries lapse after three, and the last one may have just begun when contact
+// with the source was lost.
+const heartbeatsToLapse = 2
+
+// SetEndpointHeartbeat sets the interval at which endpoints renew their entries, so that outages
+// of the source in which none can lapse are recognised.
+func (d *Directory) SetEndpointHeartbeat(interval time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.endpoints.SetLapseTime(heartbeatsToLapse * interval)
+}
+
 // ApplyConfiguration applies a configuration if it is newer than the current one.
 func (d *Directory) ApplyConfiguration(c *Configuration) {
 	d.mu.Lock()
@@ -146,13 +160,28 @@
 func (d *Directory) SourceFailed(err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.endpoints.MarkUnavailable()
+	d.endpoints.MarkUnavailable(d.lastContact())
 	if !d.sourceFailed {
 		d.sourceFailed = true
 		d.log.Emit(event.PlatformReadFailed, "", event.F("error", err))
 	}
 }
 
+// ReportLostCall logs that the source did not answer a call in time, and whether it has answered
+// another on a new connection since.
+func (d *Directory) ReportLostCall(err error, reached bool) {
+	d.log.Emit(event.PlatformCallLost, "", event.F("error", err), event.F("reached", reached))
+}
+
+// lastContact returns when the source was last known to respond, or a time before any outage if it
+// never was.
+func (d *Directory) lastContact() time.Duration {
+	if d.confirmedAt == 0 {
+		return math.MinInt64 / 2
+	}
+	return d.confirmedAt
+}
+
 // SourceRecovered records that the source responds.
 func (d *Directory) SourceRecovered() {
 	d.mu.Lock()
--- a/internal/discovery/withdrawn_test.go
+++ b/internal/discovery/withdrawn_test.go
@@ -71,7 +71,7 @@
 			subscribe(t, reader, d)
 			d.ApplyConfiguration(again)
 		}},
-		{"a node that starts while the store is away", func(t *testing.T, d *Directory) {
+		{"a node that starts while the store is away", func(_ *testing.T, d *Directory) {
 			reader, _ := newReader()
 			reader.ApplyConfiguration(without)
 			d.ImportState(reader.ExportState())
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -44,6 +44,8 @@
 	ReaderLost Number = 2018
 	// StoreRestored means that the platform's store was restored from an older copy.
 	StoreRestored Number = 2019
+	// PlatformCallLost means that a call to the platform got no answer in time.
+	PlatformCallLost Number = 2020
 )
 
 // controlEvents holds the definitions numbered from 2000.
@@ -67,4 +69,5 @@
 	{Number: ReaderFound, Name: "reader_heard", Level: zerolog.InfoLevel, Meaning: "Another node of the availability zone reads the platform for this one and sends it the changes. This node has stopped reading."},
 	{Number: ReaderLost, Name: "reader_lost", Level: zerolog.InfoLevel, Meaning: "The node that read the platform for this one sends no updates any more: it ended, is frozen, no longer reads, or is behind, or it runs and the platform has not confirmed its state lately. The field state_age is the time since the platform confirmed the state that this node has. This node reads the platform itself at once, and looks for a reader again after 5 s."},
 	{Number: StoreRestored, Name: "store_restored", Level: zerolog.WarnLevel, RateLimitExempt: true, Meaning: "The platform's store was restored from an older copy: its era has increased, and earlier revisions are no longer valid. The node reads everything again, keeps the configuration in force until a newer one is written, and keeps endpoints that the copy lacks for 2 s. Repeat the changes that were made after the copy."},
+	{Number: PlatformCallLost, Name: "platform_call_lost", Level: zerolog.WarnLevel, Meaning: "A call to the platform got no answer in time. With reached true, the platform has answered on a new connection since: the earlier one went silent, and the node goes on from where it was. With false the platform is away, see 2003. If it occurs often, check what is between the node and the platform: it may drop connections without a reset."},
 }
--- a/internal/proxynode/node.go
+++ b/internal/proxynode/node.go
@@ -110,6 +110,7 @@
 	instruments := metrics.NewSet()
 	n.memory = memory.NewBudget(s.MemoryBytes())
 	n.directory = discovery.NewDirectory(n.holder, n.log, n.now, peer.Port())
+	n.directory.SetEndpointHeartbeat(s.EndpointHeartbeatDuration())
 	n.feed = updatefeed.New(updatefeed.Config{
 		Directory: n.directory, Source: c.Source, View: n.holder, AvailabilityZone: s.AvailabilityZone,
 		EndpointAddress: s.EndpointAddress, Log: n.log, Times: readers.NewUpdateTimes(s.UpdateBoundDuration()),
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -52,6 +52,10 @@
 	// DrainTime is the time for which an endpoint that has begun to leave still serves, such as
 	// "2s". Default 2s.
 	DrainTime string `json:"drainTime,omitempty"`
+	// EndpointHeartbeat is the interval at which endpoints renew their entries in the platform's
+	// store, such as "1500ms". After an outage of the store in which entries can't have lapsed,
+	// missing ones count as removed at once. Default: any outage counts as long enough.
+	EndpointHeartbeat string `json:"endpointHeartbeat,omitempty"`
 	// AnswerHeadBytes bounds the head of an answer of the local endpoint, including all
 	// bytes before it, in bytes. Default 65536, which common proxies allow.
 	AnswerHeadBytes int `json:"answerHeadBytes,omitempty" validate:"omitempty,gte=1024,lte=1048576"`
@@ -92,6 +96,7 @@
 	c.duration("/retryWindow", m.RetryWindow)
 	c.duration("/updateBound", m.UpdateBound)
 	c.duration("/drainTime", m.DrainTime)
+	c.duration("/endpointHeartbeat", m.EndpointHeartbeat)
 	return c.faults
 }
 
@@ -150,6 +155,14 @@
 	return parseDuration(m.DrainTime)
 }
 
+// EndpointHeartbeatDuration is the interval at which endpoints renew their entries, or 0 if it isn't known.
+func (m *Mesh) EndpointHeartbeatDuration() time.Duration {
+	if m.EndpointHeartbeat == "" {
+		return 0
+	}
+	return parseDuration(m.EndpointHeartbeat)
+}
+
 // RetryWindowDuration is the time over which repeats are counted.
 func (m *Mesh) RetryWindowDuration() time.Duration {
 	return parseDuration(m.RetryWindow)
