--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,8 @@
 # Tests that KNOWN-RED.txt lists, as a regular expression; empty when none is part of make test.
 KNOWN_RED :=
 
-# Tests of misbehaving clients. They bound the memory of processes, so they run apart from others.
-CLIENT_TESTS := ^(TestMisbehavingClients|TestLargeRequestInCalm|TestStopBesideMisbehavingClients)$$
+# Tests of misbehaving clients and endpoints. They bound the memory of processes, so they run apart from others.
+CLIENT_TESTS := ^(TestMisbehavingClients|TestLargeRequestInCalm|TestStopBesideMisbehavingClients|TestEndlessAnswers)$$
 # Those of them that KNOWN-RED.txt lists, as a regular expression; empty when there are none.
 CLIENTS_KNOWN_RED :=
 
--- a/internal/proxynode/endless_test.go
+++ b/internal/proxynode/endless_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/testendless"
 )
 
 // heapMax is the heap growth in bytes that endless headers may cause.
@@ -24,23 +26,9 @@
 const concurrentRequests = 30
 
 // endlessHandler sends a prefix and then repeats a text until the connection is closed.
-func endlessHandler(beginning, text string) http.HandlerFunc {
-	piece := []byte(strings.Repeat(text, 1+(64<<10)/len(text)))
+func endlessHandler(prefix, repeated string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		head := strings.ReplaceAll(beginning, "$ID", r.Header.Get("Request-Id"))
-		if _, err := conn.Write([]byte(head)); err != nil {
-			return
-		}
-		for {
-			if _, err := conn.Write(piece); err != nil {
-				return
-			}
-		}
+		testendless.Serve(w, strings.ReplaceAll(prefix, "$ID", r.Header.Get("Request-Id")), repeated)
 	}
 }
 
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/stretchr/testify/require"
+
+	"github.com/galenacart/galenacart/internal/testendless"
 )
 
 func TestDialConnectsToPath(t *testing.T) {
@@ -70,3 +72,30 @@
 	}
 	require.Eventually(t, func() bool { return open.Load() == 0 }, 5*time.Second, time.Millisecond)
 }
+
+// TestEndlessHandshakeUsesBoundedMemory guards against another node that answers a handshake without an end.
+func TestEndlessHandshakeUsesBoundedMemory(t *testing.T) {
+	const allocatedMax = 8 << 20
+	tests := []struct{ desc, prefix, repeated string }{
+		{"status line", "HTTP/1.1 101 ", "O"},
+		{"no HTTP", "", "\x16\x03\x01\x00"},
+		{"one header", "HTTP/1.1 101 Switching Protocols\r\nX-Long: ", "a"},
+		{"headers", "HTTP/1.1 101 Switching Protocols\r\n", "X-Next: a\r\n"},
+		{"informational answers", "", "HTTP/1.1 102 Processing\r\nX-Next: a\r\n\r\n"},
+		{"a body", "HTTP/1.1 503 Service Unavailable\r\n\r\n", "a"},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				testendless.Serve(w, test.prefix, test.repeated)
+			}))
+			defer server.Close()
+			before := testendless.AllocatedBytes()
+			_, err := Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), "/known", 10*time.Second)
+			require.Error(t, err)
+			growth := testendless.AllocatedBytes() - before
+			t.Logf("%d KB allocated", growth>>10)
+			require.Less(t, growth, uint64(allocatedMax))
+		})
+	}
+}
