Accept late requests in a planned stop only if they can be answered

Cause: from 2.9 s on the node refused clients but not routes that "endpoints only" call, which callOrigins guesses from where calls come from; with clients at the VMs of one service the guess is wrong, and nothing asked what a request may still need. Calls of other nodes for the local endpoint were accepted for 2.2 s however long they take.

Change: stopping.Stop.Admit, pure: after 2.9 s a request is accepted if its deadline or timeout comes before the end; or, while the local endpoint runs something, if three times what calls of its route usually take fits and an endpoint begins it before that (it is taken back otherwise, by the frame that exists). Anything else is refused at once as not run. The guess plays no part in a stop any more. The local endpoint's window in a stop (Stop.Window) admits calls, and keeps waiting ones, only while they are expected to end before it. Weighed: telling the endpoint the time that is left (given up earlier, as node and endpoint then end the work at the same moment), and telling calls from clients by the connection (both come from the same machine).

--- a/decision/draining/draining.go
+++ b/decision/draining/draining.go
@@ -23,6 +23,24 @@
 	return Window{startBefore: since + drain*startPercent/100, endBefore: since + drain, closing: true}
 }
 
+// Between returns a window in which calls start before one time and are expected to end before
+// another.
+func Between(startBefore, endBefore time.Duration) Window {
+	return Window{startBefore: startBefore, endBefore: endBefore, closing: true}
+}
+
+// And returns the window of calls that both windows admit.
+func (w Window) And(other Window) Window {
+	switch {
+	case !w.closing:
+		return other
+	case !other.closing:
+		return w
+	default:
+		return Between(min(w.startBefore, other.startBefore), min(w.endBefore, other.endBefore))
+	}
+}
+
 // Closed returns the window of an endpoint that gets no more calls.
 func Closed() Window {
 	return Window{closing: true}
--- a/decision/draining/draining_test.go
+++ b/decision/draining/draining_test.go
@@ -53,3 +53,14 @@
 		require.LessOrEqual(t, start+estimated, since+drain)
 	})
 }
+
+func TestAndAdmitsWhatBothWindowsAdmit(t *testing.T) {
+	early, late := Between(time.Second, 2*time.Second), Between(3*time.Second, 4*time.Second)
+	require.Equal(t, early, early.And(Window{}))
+	require.Equal(t, early, Window{}.And(early))
+	require.Equal(t, early, early.And(late))
+	require.Equal(t, early, late.And(early))
+	require.False(t, Between(time.Second, time.Minute).And(Between(time.Minute, 2*time.Second)).Admits(500*time.Millisecond, 1600*time.Millisecond))
+	require.False(t, early.And(Closed()).Admits(0, 0))
+	require.False(t, Window{}.And(Window{}).IsClosing())
+}
--- a/decision/stopping/stopping.go
+++ b/decision/stopping/stopping.go
@@ -3,7 +3,11 @@
 // of its endpoint is missing in the meantime, and no accepted request may be aborted.
 package stopping
 
-import "time"
+import (
+	"time"
+
+	"github.com/galenacart/galenacart/decision/draining"
+)
 
 // Phase is a phase of the stop. Each phase also refuses what the earlier ones refuse.
 type Phase uint8
@@ -14,8 +18,7 @@
 	Announcing Phase = iota
 	// Draining refuses calls for the local endpoint.
 	Draining
-	// Refusing also refuses requests of clients. Calls made by the local endpoint belong
-	// to requests in flight and are still accepted.
+	// Refusing also refuses requests that may not be answered before the end.
 	Refusing
 	// Withdrawing also takes back requests that no endpoint has got, while there is time to
 	// prove that.
@@ -34,8 +37,8 @@
 	// noticeTime is the time within which the platform, which polls the node once a
 	// second and acts on two misses, stops routing clients to the node.
 	noticeTime = 2500 * time.Millisecond
-	// refuseAfter is the start of Refusing. A client cannot expect a stopping node to
-	// answer a request sent later.
+	// refuseAfter is the start of Refusing. What was accepted before may be interrupted at
+	// the end.
 	refuseAfter = 2900 * time.Millisecond
 	// The same times in percent of the whole stop, for stops with a short limit.
 	drainAfterPercent  = 36
@@ -53,6 +56,71 @@
 	writePercent = 4
 )
 
+// answerTime is the time from the end of a request at its endpoint until its answer is written to
+// the client.
+const answerTime = 100 * time.Millisecond
+
+// longCallFactor is the multiple of the typical duration of a route's calls within which nearly
+// all of them end.
+const longCallFactor = 3
+
+// Stop is the state of a planned stop. The zero value is that of a node that doesn't stop.
+type Stop struct {
+	Phase Phase
+	// EndsAt is the time at which requests in flight are interrupted. Nothing is done before
+	// StartsBefore that hasn't begun.
+	EndsAt, StartsBefore time.Duration
+}
+
+// At returns the state of a stop that began at a time and may last for limit.
+func At(phase Phase, begunAt, limit time.Duration) Stop {
+	return Stop{Phase: phase, EndsAt: begunAt + limit*finishPercent/100, StartsBefore: begunAt + limit*withdrawPercent/100}
+}
+
+// Window returns the time in which the local endpoint gets calls: they end before the stop does.
+// It has no end if the node doesn't stop.
+func (s Stop) Window() draining.Window {
+	if s.EndsAt == 0 {
+		return draining.Window{}
+	}
+	return draining.Between(s.StartsBefore, s.EndsAt-answerTime)
+}
+
+// Request is a request that arrives at a node.
+type Request struct {
+	// At is the time of its arrival, Deadline the time at which it is answered at the latest.
+	At, Deadline time.Duration
+	// Typical is how long calls of its route usually take, or 0 if that is unknown.
+	Typical time.Duration
+	// MayBeCall says that the local endpoint runs requests, so that this may be a call of one
+	// of these. Such a request fails if its call is refused.
+	MayBeCall bool
+}
+
+// Admission is the decision on a request that arrives during a stop.
+type Admission struct {
+	// Accepted says that the request may be sent to an endpoint.
+	Accepted bool
+	// StartBefore is the time before which an endpoint has to begin it, or 0 if any will do.
+	StartBefore time.Duration
+}
+
+// Admit decides on a request that arrives at a node. A request that is accepted in the Refusing
+// phase and later ends before the stop: by its deadline, or by the time that calls of its route
+// take if it may be a call of the local endpoint.
+func (s Stop) Admit(r Request) Admission {
+	end := s.EndsAt - answerTime
+	switch {
+	case s.Phase < Refusing, r.Deadline <= end:
+		return Admission{Accepted: true}
+	case r.MayBeCall && r.Typical > 0:
+		latest := min(end-longCallFactor*r.Typical, s.StartsBefore)
+		return Admission{Accepted: r.At < latest, StartBefore: latest}
+	default:
+		return Admission{}
+	}
+}
+
 // WriteTimeout returns the time for writing the last responses after a stop has reached
 // Finished. limit is the maximum duration of the stop.
 func WriteTimeout(limit time.Duration) time.Duration {
--- a/decision/stopping/stopping_test.go
+++ b/decision/stopping/stopping_test.go
@@ -63,3 +63,49 @@
 		require.Less(t, end+WriteTimeout(limit), limit)
 	}
 }
+
+// TestAdmit checks that what a stopping node takes on late is answered before its end.
+func TestAdmit(t *testing.T) {
+	const (
+		limit   = 6 * time.Second
+		begunAt = 100 * time.Second
+		late    = begunAt + 3500*time.Millisecond
+		typical = 20 * time.Millisecond
+	)
+	tests := []struct {
+		desc    string
+		request Request
+		want    bool
+	}{
+		{"before the node refuses anything", Request{At: begunAt + 2800*time.Millisecond, Deadline: begunAt + time.Minute}, true},
+		{"its deadline comes before the end", Request{At: late, Deadline: late + 1500*time.Millisecond}, true},
+		{"its deadline comes after the end", Request{At: late, Deadline: late + 2500*time.Millisecond}, false},
+		{"nor is it a call, however short", Request{At: late, Deadline: late + 2500*time.Millisecond, Typical: typical}, false},
+		{"it may be a call, and is short", Request{At: late, Deadline: late + 2500*time.Millisecond, Typical: typical, MayBeCall: true}, true},
+		{"it may be a call, of unknown duration", Request{At: late, Deadline: late + 2500*time.Millisecond, MayBeCall: true}, false},
+		{"it may be a call, and is long", Request{At: late, Deadline: late + 2500*time.Millisecond, Typical: 700 * time.Millisecond, MayBeCall: true}, false},
+		{"it may be a call, when waiting ones are taken back", Request{At: begunAt + 5200*time.Millisecond, Deadline: begunAt + time.Minute, Typical: typical, MayBeCall: true}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			s := At(PhaseAt(test.request.At-begunAt, limit, 1), begunAt, limit)
+			a := s.Admit(test.request)
+			require.Equal(t, test.want, a.Accepted)
+			if a.StartBefore > 0 {
+				require.Less(t, a.StartBefore+longCallFactor*typical, s.EndsAt)
+				require.LessOrEqual(t, a.StartBefore, s.StartsBefore)
+			}
+		})
+	}
+	require.True(t, Stop{}.Admit(Request{At: late, Deadline: late + time.Hour}).Accepted, "the node doesn't stop")
+}
+
+// TestCallsOfOtherNodesEndBeforeTheStop checks the window of the local endpoint.
+func TestCallsOfOtherNodesEndBeforeTheStop(t *testing.T) {
+	const limit, begunAt = 6 * time.Second, 100 * time.Second
+	w := At(Announcing, begunAt, limit).Window()
+	require.True(t, w.Admits(begunAt+time.Second, 4*time.Second))
+	require.False(t, w.Admits(begunAt+2*time.Second, 4*time.Second))
+	require.False(t, w.Admits(begunAt+5200*time.Millisecond, 0), "waiting calls go back")
+	require.False(t, Stop{}.Window().IsClosing())
+}
--- a/internal/proxy/leaving.go
+++ b/internal/proxy/leaving.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/galenacart/galenacart/decision/draining"
-	"github.com/galenacart/galenacart/decision/stopping"
 	"github.com/galenacart/galenacart/internal/fleetview"
 )
 
@@ -55,15 +54,18 @@
 // returnWaiting returns the waiting calls to their senders that can't complete before the
 // endpoint leaves or the node's planned stop ends.
 func (s *endpointServer) returnWaiting() {
-	w := s.windowOf(s.listed.instance)
-	if s.stopPhase() >= stopping.Withdrawing {
-		w = draining.Closed()
-	}
+	w := s.callWindow(s.listed.instance)
 	if w.IsClosing() {
 		s.resumeWaiting(s.gate.Leave(s.config.Now(), w, s.releases[:0]))
 	}
 }
 
+// callWindow returns the time in which an instance gets calls, also before the end of the node's
+// planned stop.
+func (s *endpointServer) callWindow(instance string) draining.Window {
+	return s.windowOf(instance).And(s.stop().Window())
+}
+
 // windowOf returns the time in which an instance gets calls. One that has said in an answer
 // that it is leaving gets none.
 func (s *endpointServer) windowOf(instance string) draining.Window {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -62,17 +62,17 @@
 	requestRouter    *requestRouter
 	server           *endpointServer
 	acceptor         *calllink.Acceptor
-	phase            atomic.Uint32 // phase of the planned stop
-	stateRequestedAt time.Duration // when another node was last asked for its state
+	stop             atomic.Pointer[stopping.Stop] // nil unless the node stops
+	stateRequestedAt time.Duration                 // when another node was last asked for its state
 }
 
 // New returns a Proxy. Run starts its background work.
 func New(c Config) *Proxy {
 	p := &Proxy{config: c}
 	pool := endpointlink.New(c.Settings.EndpointAddress, c.Headers, responseLimits(c))
-	p.requestRouter = newRequestRouter(c, p.stopPhase)
-	p.server = newEndpointServer(c, pool, p.requestRouter, p.stopPhase)
-	p.requestRouter.localHandler = p.server.handle
+	p.requestRouter = newRequestRouter(c, p.stopState)
+	p.server = newEndpointServer(c, pool, p.requestRouter, p.stopState)
+	p.requestRouter.localHandler, p.requestRouter.localInFlight = p.server.handle, p.server.inFlight
 	p.acceptor = calllink.NewAcceptor(p.server.handle, c.SharedState.ImportState, p.requestRouter.suspectTracker.merge, c.Now, c.Memory)
 	p.acceptor.SetCrashExport(p.requestRouter.suspectTracker.export)
 	p.registerGauges()
@@ -141,16 +141,19 @@
 	return mux
 }
 
-// SetStopPhase sets the phase of a planned stop.
-func (p *Proxy) SetStopPhase(phase stopping.Phase) {
-	p.phase.Store(uint32(phase))
-	if phase >= stopping.Withdrawing {
+// SetStop sets the state of a planned stop.
+func (p *Proxy) SetStop(s stopping.Stop) {
+	p.stop.Store(&s)
+	if s.Phase >= stopping.Withdrawing {
 		p.requestRouter.withdraw()
 	}
 }
 
-func (p *Proxy) stopPhase() stopping.Phase {
-	return stopping.Phase(p.phase.Load())
+func (p *Proxy) stopState() stopping.Stop {
+	if s := p.stop.Load(); s != nil {
+		return *s
+	}
+	return stopping.Stop{}
 }
 
 // InFlight returns the number of calls that run or wait at the local endpoint.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -183,7 +183,7 @@
 		RetryBudget: func() retry.FleetBudget { return retry.FleetBudget{Ratio: 0.2, Allowance: 60, Window: retryWindow} },
 		Log:         event.NewLog(io.Discard, "node", "door-1", zerolog.InfoLevel),
 		Metrics:     metrics.NewSet(),
-	}, func() stopping.Phase { return stopping.Announcing })
+	}, func() stopping.Stop { return stopping.Stop{} })
 }
 
 const retryWindow = 10 * time.Second
--- a/internal/proxy/recover_test.go
+++ b/internal/proxy/recover_test.go
@@ -41,7 +41,7 @@
 	require.Contains(t, lines.String(), "work_panicked")
 
 	lines.Reset()
-	m.requestRouter.stopPhase = func() stopping.Phase { panic("in the router") }
+	m.requestRouter.stop = func() stopping.Stop { panic("in the router") }
 	v := threeServices()
 	v.Index = catalogue.NewIndex(&catalogue.Catalogue{
 		Classes: []catalogue.Class{{Name: "0"}},
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,9 +37,10 @@
 	suspectTracker *suspectTracker
 	observer       callObserver
 	localHandler   calllink.Handler
-	stopPhase      func() stopping.Phase
-	withdrawn      chan struct{} // closed when requests that no endpoint has got are taken back
-	withdraw       func()        // closes withdrawn
+	localInFlight  func() int // number of calls that run or wait at the local endpoint
+	stop           func() stopping.Stop
+	withdrawn      context.Context // ends when requests that no endpoint has got are taken back
+	withdraw       context.CancelFunc
 	appliedView    atomic.Pointer[fleetview.View]
 }
 
@@ -49,12 +49,9 @@
 	observeCall(route string)
 }
 
-func newRequestRouter(c Config, stopPhase func() stopping.Phase) *requestRouter {
-	router := &requestRouter{
-		config: c, stopPhase: stopPhase, pressures: newChainPressures(c.Now), suspectTracker: newSuspectTracker(c),
-		withdrawn: make(chan struct{}),
-	}
-	router.withdraw = sync.OnceFunc(func() { close(router.withdrawn) })
+func newRequestRouter(c Config, stop func() stopping.Stop) *requestRouter {
+	router := &requestRouter{config: c, stop: stop, pressures: newChainPressures(c.Now), suspectTracker: newSuspectTracker(c)}
+	router.withdrawn, router.withdraw = context.WithCancel(context.Background())
 	router.targets = newTargets(c, router.suspectTracker.merge)
 	router.suspectTracker.link = router.targets.link
 	return router
@@ -77,6 +74,8 @@
 	refusedByEndpoint  bool          // an endpoint of triedInstances refused it
 	answeredByEndpoint bool          // the client gets an endpoint's response
 	startedAt          time.Duration
+	startBefore        time.Duration   // time before which an endpoint has to begin it, or 0
+	withdrawn          context.Context // ends when no further attempt begins
 	lastFailure        *message.Response
 	failure            *problem.Error
 	quarantine         time.Duration // remaining quarantine of the request, or 0
@@ -102,13 +101,23 @@
 	if p.route == nil {
 		return p.errorResponse(problem.New(problem.KindNoRoute, problem.NotExecuted, "no route for %s%s", r.Host, r.Path()))
 	}
-	if router.stopPhase() >= stopping.Refusing && !router.pressures.isInternal(p.route.Name) {
+	p.prepare()
+	if stop := router.stop(); stop.Phase >= stopping.Refusing && !p.acceptedBy(stop) {
 		return p.errorResponse(problem.New(problem.KindLeaving, problem.NotExecuted, "the node is stopping"))
 	}
-	p.prepare()
 	return p.sendToEndpoints(ctx)
 }
 
+// acceptedBy reports whether a stopping node may send the request to an endpoint, and sets until when.
+func (p *routedRequest) acceptedBy(stop stopping.Stop) bool {
+	router := p.router
+	admission := stop.Admit(stopping.Request{
+		At: router.config.Now(), Deadline: p.deadline, Typical: router.targets.typicalDuration(p.route.Name), MayBeCall: router.localInFlight() > 0,
+	})
+	p.startBefore = admission.StartBefore
+	return admission.Accepted
+}
+
 // interrupted returns the response to a request that the stopping node ends while an endpoint
 // may be running it.
 func (router *requestRouter) interrupted(r *message.Request) *message.Response {
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -39,7 +39,7 @@
 	suspectTracker *suspectTracker
 	pressures      *chainPressures
 	callOrigins    *callOrigins
-	stopPhase      func() stopping.Phase
+	stop           func() stopping.Stop
 
 	mu                 sync.Mutex
 	gate               *slotqueue.Queue
@@ -58,7 +58,7 @@
 	leaving            endpointRun     // has said so in an answer
 }
 
-func newEndpointServer(c Config, pool *endpointlink.Pool, router *requestRouter, stopPhase func() stopping.Phase) *endpointServer {
+func newEndpointServer(c Config, pool *endpointlink.Pool, router *requestRouter, stop func() stopping.Stop) *endpointServer {
 	s := &endpointServer{
 		config:             c,
 		pool:               pool,
@@ -66,7 +66,7 @@
 		suspectTracker:     router.suspectTracker,
 		pressures:          router.pressures,
 		callOrigins:        newCallOrigins(),
-		stopPhase:          stopPhase,
+		stop:               stop,
 		gate:               slotqueue.New(defaultSlots),
 		graph:              callgraph.New(),
 		durationEstimators: make(map[string]*slotqueue.DurationEstimator),
@@ -131,13 +131,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyView()
-	return s.windowOf(call.Endpoint).Admits(s.config.Now(), s.estimatedDuration(call.Route))
+	return s.callWindow(call.Endpoint).Admits(s.config.Now(), s.estimatedDuration(call.Route))
 }
 
 // isStopping reports whether the node's planned stop has reached the phase in which it
 // accepts no new calls.
 func (s *endpointServer) isStopping() bool {
-	return s.stopPhase() >= stopping.Draining
+	return s.stop().Phase >= stopping.Draining
 }
 
 // admitAndRun runs a call, or refuses it if the node can't accept it or its chain is
@@ -151,7 +151,7 @@
 		return refusalReply(calllink.RefusedLeaving, "the node is stopping")
 	}
 	if !s.admits(call) {
-		return refusalReply(calllink.RefusedLeaving, "the endpoint is leaving")
+		return refusalReply(calllink.RefusedLeaving, "the endpoint or its node leaves before the call would end")
 	}
 	if internal {
 		return s.runInSlot(ctx, call)
--- /dev/null
+++ b/internal/proxynode/late_stop_test.go
@@ -0,0 +1,106 @@
+package proxynode
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// lateStopClients is the number of clients that go on sending to the stopping node.
+const lateStopClients = 8
+
+// TestLateRequestsOfAStoppingNodeAreAnsweredOrRefused guards against a stopping node that accepts requests of clients
+// which it can't answer before its end: it took their route for one that only endpoints call, as clients are at the VMs of one
+// service only. They send until the node has ended.
+func TestLateRequestsOfAStoppingNodeAreAnsweredOrRefused(t *testing.T) {
+	const work = 600 * time.Millisecond
+	for _, idempotent := range []bool{true, false} {
+		booking := route("booking", idempotent)
+		booking.Limits.TimeoutMs = 1500
+		f := newFleet(t, booking)
+		f.stopTime = longStop
+		front := f.add("front", http.NotFound)
+		f.stopTime = "1s"
+		for range 3 {
+			f.add("booking", func(_ http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(work):
+				case <-r.Context().Done():
+				}
+			})
+		}
+		f.publish()
+		var served, refused atomic.Int32
+		var clients sync.WaitGroup
+		for i := range lateStopClients {
+			clients.Go(func() {
+				time.Sleep(time.Duration(i) * work / lateStopClients) // so that one of them always waits for its answer
+				for f.sendLate(t, front, &served, &refused) {
+					time.Sleep(settleTime / 5)
+				}
+			})
+		}
+		require.Eventually(t, func() bool { return served.Load() >= 3*lateStopClients }, 10*time.Second, time.Millisecond)
+		front.stop()
+		clients.Wait()
+		require.Positive(t, refused.Load(), "clients that send late are told that their requests have not run")
+	}
+}
+
+// sendLate sends a request and requires an answer of an endpoint or a promise. It returns false if the node
+// doesn't accept connections any more.
+func (f *fleet) sendLate(t *testing.T, v *vm, served, refused *atomic.Int32) bool {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := client.Do(f.request(v, http.MethodPost, "/booking/1", "x"))
+	if err != nil {
+		return false // it closes its listener only when it has answered everything
+	}
+	defer func() { _ = r.Body.Close() }()
+	switch r.StatusCode {
+	case http.StatusOK:
+		served.Add(1)
+	case http.StatusServiceUnavailable:
+		refused.Add(1)
+		if r.Header.Get("Retry-After") == "" {
+			t.Error("a refusal without a time to come back")
+		}
+	default:
+		t.Errorf("status %d of a request that a stopping node accepted", r.StatusCode)
+	}
+	return true
+}
+
+// TestStoppingNodeServesCallsOfItsEndpoint checks that a request that runs at the local endpoint ends well although it makes its
+// call late in the stop.
+func TestStoppingNodeServesCallsOfItsEndpoint(t *testing.T) {
+	f := newFleet(t, slowRoute("booking", false), slowRoute("stock", true))
+	f.add("stock", func(http.ResponseWriter, *http.Request) { time.Sleep(settleTime / 5) })
+	running, proceed := make(chan struct{}), make(chan struct{})
+	f.stopTime = longStop
+	var stopping *vm
+	stopping = f.add("booking", func(w http.ResponseWriter, _ *http.Request) {
+		close(running)
+		<-proceed
+		r, _ := f.send(stopping, http.MethodGet, "/stock/1", "")
+		w.WriteHeader(r.StatusCode)
+	})
+	f.publish()
+	for range 5 { // these tell how long such calls take
+		r, _ := f.send(stopping, http.MethodGet, "/stock/1", "")
+		require.Equal(t, http.StatusOK, r.StatusCode)
+	}
+	status := make(chan int, 1)
+	go func() {
+		r, _ := f.send(stopping, http.MethodPost, "/booking/1", "")
+		status <- r.StatusCode
+	}()
+	<-running
+	stopping.stop()
+	time.Sleep(2600 * time.Millisecond) // later than the start of refusals
+	close(proceed)
+	require.Equal(t, http.StatusOK, <-status)
+}
--- a/internal/proxynode/stop.go
+++ b/internal/proxynode/stop.go
@@ -23,7 +23,7 @@
 	for phase != stopping.Finished {
 		wait.For(ctx, stopPollInterval)
 		phase = max(phase, stopping.PhaseAt(n.now()-begun, n.config.Settings.Load().StopTimeoutDuration(), n.inFlight()))
-		n.requestProxy.SetStopPhase(phase)
+		n.requestProxy.SetStop(stopping.At(phase, begun, n.config.Settings.Load().StopTimeoutDuration()))
 		if phase >= stopping.Concluding {
 			n.clientServer.InterruptBlocking()
 		}
