Keep a removal final that another node reports as such, and name the removals plainly

Cause: a node that knew of a removal ignored that another one reported it as final, so it would add the endpoint again by its last entry after a restore that only the other had seen. Found by reading; TestRemovedEntryIsReplacedOnlyByANewerOne plays it and fails before. RemoveFinally, which had nothing to do with final removals, is RemoveWithoutGrace now.

--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -150,12 +150,12 @@
 	return true
 }
 
-// RemoveFinally records that an entry is no longer in the store and will not be republished,
+// RemoveWithoutGrace records that an entry is no longer in the store and will not be republished,
 // as another node reports that has waited for it if necessary. It reports whether anything
 // changed.
-func (t *Table) RemoveFinally(now time.Duration, id string) bool {
+func (t *Table) RemoveWithoutGrace(now time.Duration, id string) bool {
 	r, known := t.records[id]
-	if !known || !r.present {
+	if !known || r.removed() {
 		return false
 	}
 	r.markRemoved(now)
@@ -237,11 +237,12 @@
 	if known && e.olderThan(&r.entry) {
 		return false
 	}
-	changed := known && r.present
-	if !known || changed {
-		t.records[e.ID] = &record{entry: e, deadline: now + removedRetention, final: removal.Final}
+	if known && r.removed() {
+		r.final = r.final || removal.Final
+		return false
 	}
-	return changed
+	t.records[e.ID] = &record{entry: e, deadline: now + removedRetention, final: removal.Final}
+	return known
 }
 
 // Removed returns the removals, for nodes that do not know of them.
--- a/decision/registry/registry_test.go
+++ b/decision/registry/registry_test.go
@@ -113,6 +113,7 @@
 				require.Len(t, restored.Live(anyService), test.afterARestore)
 
 				told := New()
+				remove(told)
 				require.False(t, told.MergeRemoval(0, Removal{Entry: entry("a", 5), Final: true}))
 				require.Equal(t, test.afterARestore == 1, told.Put(test.published))
 			}
@@ -211,9 +212,9 @@
 	b.MarkUnavailable(0)
 	b.MarkAvailable(time.Minute)
 	require.False(t, b.Remove(time.Minute, "a"), "it may be republished")
-	require.True(t, b.RemoveFinally(time.Minute, "a"))
-	require.True(t, b.RemoveFinally(time.Minute, "b"))
-	require.False(t, b.RemoveFinally(time.Minute, "b"))
+	require.True(t, b.RemoveWithoutGrace(time.Minute, "a"))
+	require.True(t, b.RemoveWithoutGrace(time.Minute, "b"))
+	require.False(t, b.RemoveWithoutGrace(time.Minute, "b"))
 	require.Empty(t, b.Live(anyService))
 	require.False(t, b.Expire(time.Minute+republishGrace))
 }
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -253,7 +253,7 @@
 		changed = d.endpoints.Put(e) || changed
 	}
 	for _, id := range u.Removed {
-		changed = d.endpoints.RemoveFinally(d.now(), id) || changed
+		changed = d.endpoints.RemoveWithoutGrace(d.now(), id) || changed
 	}
 	return changed
 }
