--- a/internal/proxynode/late_stop_test.go
+++ b/internal/proxynode/late_stop_test.go
@@ -104,3 +104,33 @@
 	close(proceed)
 	require.Equal(t, http.StatusOK, <-status)
 }
+
+// TestStoppingNodeReturnsCallsThatTakeTooLong guards against a stopping node that accepts calls of other nodes for its
+// endpoint which it then cuts: another endpoint of the service can run them.
+func TestStoppingNodeReturnsCallsThatTakeTooLong(t *testing.T) {
+	const calls, rounds, work = 16, 5, 900 * time.Millisecond
+	f := newFleet(t, slowRoute("stock", false))
+	f.stopTime = "1s" // calls end within it only if they begin at once
+	door := f.add("door", http.NotFound)
+	stopping := f.add("stock", func(http.ResponseWriter, *http.Request) { time.Sleep(work) })
+	f.add("stock", func(http.ResponseWriter, *http.Request) { time.Sleep(work) })
+	f.publish()
+	sendAll := func() {
+		var clients sync.WaitGroup
+		for range calls {
+			clients.Go(func() {
+				r, body := f.send(door, http.MethodPost, "/stock/1", "x")
+				if r.StatusCode != http.StatusOK {
+					t.Errorf("status %d: %s", r.StatusCode, body)
+				}
+			})
+		}
+		clients.Wait()
+	}
+	for range rounds { // the nodes learn how long calls take
+		sendAll()
+	}
+	stopping.stop()
+	time.Sleep(settleTime)
+	sendAll()
+}
