Take a request's ID before its handler may change its header

What callers could have seen: a process that ends at the end of its planned stop, with all requests in flight.

Cause: at the end of a stop, ingress had the response of an interrupted request made from the request, whose header its handler changes (dropPerHopHeaders).

Change: the ID is read before the handler starts (ingress.Config.RequestID), and the response is made from the ID.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -52,7 +52,8 @@
 
 // exchange is one request that waits for its response.
 type exchange struct {
-	request  *message.Request // nil if it was not read whole
+	request  *message.Request // of its handler; nil if it was not read whole
+	id       string           // of the request, empty if it was not read whole
 	last     bool             // the connection is closed after the response
 	late     bool             // it arrived while the connection was being closed
 	response *message.Response
@@ -123,6 +124,9 @@
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	e := &exchange{request: r, last: last, cancel: cancel, memory: lease}
+	if r != nil {
+		e.id = c.server.config.RequestID(r)
+	}
 	if !c.enqueue(e) {
 		cancel()
 		lease.Release()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -40,9 +40,10 @@
 // testConfig returns a configuration whose own responses tell whether a request may have run.
 func testConfig(limits Limits, handler Handler) Config {
 	return Config{
-		Limits:  func() Limits { return limits },
-		Handler: handler,
-		Interrupted: func(*message.Request) *message.Response {
+		Limits:    func() Limits { return limits },
+		Handler:   handler,
+		RequestID: func(r *message.Request) string { return r.Header.Get("Request-Id") },
+		Interrupted: func(string) *message.Response {
 			return message.ErrorResponse(http.StatusBadGateway, "interrupted")
 		},
 		NotRead:        func() *message.Response { return message.ErrorResponse(http.StatusServiceUnavailable, "not read") },
--- a/internal/ingress/interrupt.go
+++ b/internal/ingress/interrupt.go
@@ -24,7 +24,7 @@
 
 func (c *conn) interrupt(chosen []*exchange) {
 	for _, e := range chosen {
-		c.setResponse(e, c.server.config.Interrupted(e.request))
+		c.setResponse(e, c.server.config.Interrupted(e.id))
 		e.cancel()
 	}
 	c.writeReady()
--- a/internal/ingress/interrupt_test.go
+++ b/internal/ingress/interrupt_test.go
@@ -165,3 +165,25 @@
 	require.EqualValues(t, bodyBytes, n)
 	require.NoError(t, whole.Body.Close())
 }
+
+// TestInterruptDoesNotReadTheHandlersRequest guards against a process that ends since it reads the header
+// of a request that the handler changes at the same time. The race detector judges.
+func TestInterruptDoesNotReadTheHandlersRequest(t *testing.T) {
+	s, dial := startServer(t, testLimits(), func(ctx context.Context, r *message.Request) *message.Response {
+		r.Header.Del("X-Hop")
+		<-ctx.Done()
+		return message.ErrorResponse(http.StatusGatewayTimeout, "cancelled")
+	})
+	interrupted := make(chan string, 1)
+	s.config.Interrupted = func(id string) *message.Response {
+		interrupted <- id
+		return message.ErrorResponse(http.StatusBadGateway, "interrupted")
+	}
+	c := dial()
+	c.send("GET /a HTTP/1.1\r\nHost: h\r\nX-Hop: 1\r\nRequest-Id: id-1\r\n\r\n")
+	require.Eventually(t, func() bool { return s.InFlight() == 1 }, 10*time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond) // without a signal from the handler, which would order the accesses
+	s.InterruptAll()
+	require.Equal(t, "id-1", <-interrupted)
+	require.Eventually(t, func() bool { return s.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -37,9 +37,12 @@
 	Limits func() Limits
 	// Handler answers requests.
 	Handler Handler
-	// Interrupted returns the response to a request whose handler is interrupted, and which may
-	// be running.
-	Interrupted func(r *message.Request) *message.Response
+	// RequestID returns the ID of a request. It is called before the handler, which may change the
+	// request.
+	RequestID func(r *message.Request) string
+	// Interrupted returns the response to the request with an ID whose handler is interrupted, and
+	// which may be running.
+	Interrupted func(id string) *message.Response
 	// NotRead returns the response to a request that the server closes on before it has read it.
 	NotRead func() *message.Response
 	// NoMemory returns the response to a request that was not read whole for lack of memory.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -119,9 +119,15 @@
 	return p.requestRouter.handle(ctx, r)
 }
 
-// Interrupted returns the response to a request that Serve has not answered when the node ends.
-func (p *Proxy) Interrupted(r *message.Request) *message.Response {
-	return p.requestRouter.interrupted(r)
+// RequestID returns the ID of a request of a client or of the local endpoint.
+func (p *Proxy) RequestID(r *message.Request) string {
+	return r.Header.Get(p.config.Headers.RequestID)
+}
+
+// Interrupted returns the response to the request with an ID that Serve has not answered when the node
+// ends.
+func (p *Proxy) Interrupted(id string) *message.Response {
+	return p.requestRouter.interrupted(id)
 }
 
 // NotRead returns the response to a request that was not read whole when the node ends.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -118,10 +118,10 @@
 	return admission.Accepted
 }
 
-// interrupted returns the response to a request that the stopping node ends while an endpoint
-// may be running it.
-func (router *requestRouter) interrupted(r *message.Request) *message.Response {
-	p := &routedRequest{router: router, request: r, requestID: r.Header.Get(router.config.Headers.RequestID)}
+// interrupted returns the response to the request with an ID that the stopping node ends while an
+// endpoint may be running it.
+func (router *requestRouter) interrupted(id string) *message.Response {
+	p := &routedRequest{router: router, requestID: id}
 	return p.errorResponse(problem.New(problem.KindLeaving, problem.ExecutionUnknown, "the node has stopped before the answer"))
 }
 
--- a/internal/proxynode/node.go
+++ b/internal/proxynode/node.go
@@ -120,7 +120,8 @@
 		Log: n.log, Metrics: instruments, Now: n.now, Memory: n.memory,
 	})
 	n.clientServer = ingress.New(ingress.Config{
-		Limits: n.clientLimits, Handler: n.requestProxy.Serve, Interrupted: n.requestProxy.Interrupted, NotRead: n.requestProxy.NotRead,
+		Limits: n.clientLimits, Handler: n.requestProxy.Serve, RequestID: n.requestProxy.RequestID,
+		Interrupted: n.requestProxy.Interrupted, NotRead: n.requestProxy.NotRead,
 		NoMemory: n.requestProxy.NoMemory, Memory: n.memory, ConnectionsMax: connectionsMax(s, n.memory),
 	})
 	n.memory.SetEvict(n.clientServer.EvictStalled)
