Say plainly until when a stopping node's calls may begin

The comment of stopping.Stop said that nothing is done before StartsBefore that hasn't begun, which is the reverse. Found by reading the change as a newcomer. No code changed; go test ./decision/stopping ./internal/arch and make lint pass.

--- a/decision/stopping/stopping.go
+++ b/decision/stopping/stopping.go
@@ -67,8 +67,8 @@
 // Stop is the state of a planned stop. The zero value is that of a node that doesn't stop.
 type Stop struct {
 	Phase Phase
-	// EndsAt is the time at which requests in flight are interrupted. Nothing is done before
-	// StartsBefore that hasn't begun.
+	// EndsAt is the time at which requests in flight are interrupted. Calls that no endpoint has
+	// begun by StartsBefore are taken back.
 	EndsAt, StartsBefore time.Duration
 }
 
