Review case 12: a stopping node breaks off requests that it accepted late

In the phase Refusing a node still accepts requests that may be calls of its endpoint, up to three typical durations before the end, and answers 502 for those that last longer while their instance is at work.

No code outside review/ changes.

--- a/review/third/client.go
+++ b/review/third/client.go
@@ -38,14 +38,24 @@
 
 	mu       sync.Mutex
 	sequence int
+	waiting  int
 	requests []*request
 	idle     []*kept
 	pending  sync.WaitGroup
 }
 
-// send sends one request on a new connection, in the background.
+// pendingMax limits the requests of a client that wait for their answers: on a machine that is too
+// slow for the case, it sends fewer.
+const pendingMax = 60
+
+// send sends one request in the background, on a connection that is kept or a new one.
 func (c *client) send(work time.Duration) {
 	c.mu.Lock()
+	if c.waiting >= pendingMax {
+		c.mu.Unlock()
+		return
+	}
+	c.waiting++
 	c.sequence++
 	r := &request{machine: c.machine, id: fmt.Sprintf("%s-%s-%06x", strings.TrimSuffix(c.host, ".example"), c.machine.name, c.sequence), work: work}
 	c.requests = append(c.requests, r)
@@ -55,6 +65,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		r.status, r.sealed, r.sent, r.ended = status, sealed, sent, time.Now()
+		c.waiting--
 		if err != nil {
 			r.problem = err.Error()
 		}
--- a/review/third/stop.go
+++ b/review/third/stop.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -22,8 +23,8 @@
 	rollGap       = time.Second
 	grace         = 6 * time.Second
 	// excusedUntil is the time after the SIGTERM up to which requests are sent that may be broken
-	// off in the last sixth of the grace.
-	excusedUntil = 3 * time.Second
+	// off in the last sixth of the grace: 3 s, and a margin for the time at which the signal is noted.
+	excusedUntil = 3050 * time.Millisecond
 	// requestsEvery is the mean distance of a machine's requests for one service: 61 % of the
 	// instances' slots are busy.
 	requestsEvery = 66 * time.Millisecond
@@ -105,7 +106,7 @@
 	return nil
 }
 
-// runStop rolls the nodes of three zones under usual traffic.
+// runStop rolls the nodes of three zones, twice each, under usual traffic.
 func runStop(r *run) (broken bool, err error) {
 	services := []string{"svc1", "svc2", "svc3", "svc4"}
 	zones := []string{"zone-1", "zone-2", "zone-3"}
@@ -131,12 +132,12 @@
 		}
 	}
 	time.Sleep(10 * time.Second)
-	for _, zone := range zones {
+	for _, zone := range slices.Concat(zones, zones) {
 		r.note("the nodes of %s are stopped and started in turn", zone)
 		if err := o.rollZone(zone); err != nil {
 			return false, err
 		}
-		time.Sleep(5 * time.Second)
+		time.Sleep(3 * time.Second)
 	}
 	close(stop)
 	for _, c := range o.clients {
