--- a/review/third/main.go
+++ b/review/third/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*run) (broken bool, err error){
 	"drain": runDrain,
 	"stop":  runStop,
+	"late":  runLate,
 }
 
 func main() {
--- a/review/third/store.go
+++ b/review/third/store.go
@@ -80,6 +80,31 @@
 	}
 }
 
+// resetAll ends a machine's connections and resets further ones, until the returned function is
+// called. It sends on attempts at each of these.
+func (s *store) resetAll(m *machine) (attempts <-chan struct{}, end func(), err error) {
+	s.refuse(m)
+	l, err := net.Listen("tcp", s.address(m))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "the store's address")
+	}
+	seen := make(chan struct{}, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return // it was closed
+			}
+			reset(c)
+			select {
+			case seen <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return seen, func() { _ = l.Close() }, nil
+}
+
 func (s *store) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
