Review case 13: cut machines off from 3.25 s on

The cut ended at an attempt to reach the store only if one fell between 4.75 and 5.5 s.

Change: the entry is removed 2 s after the start of the cut in place of 4 s, and the cut ends at the first attempt after 3.25 s, which is over the two heartbeats from which on a node takes an outage for one in which entries lapse. The bound, the excuse and the largest cut (5.5 s) are as before.

--- a/review/third/late.go
+++ b/review/third/late.go
@@ -10,10 +10,10 @@
 	// trials is how many machines are cut off, one after the other.
 	trials = 9
 	// removedAfter is the time from the start of the cut to the removal of the entry.
-	removedAfter = 4 * time.Second
-	// cutMin is the shortest cut. It ends at the machine's next attempt to reach the store, and after
-	// cutTime at the latest.
-	cutMin = 4750 * time.Millisecond
+	removedAfter = 2 * time.Second
+	// cutMin is the shortest cut, over two of the instances' heartbeats. It ends at the machine's next
+	// attempt to reach the store, and after cutTime at the latest.
+	cutMin = 3250 * time.Millisecond
 	// inTouchAfter is the time after the end of the cut from which the machine is in touch: `contact`,
 	// and a margin for the time at which the end is noted.
 	inTouchAfter = 3050 * time.Millisecond
