--- a/review/third/late.go
+++ b/review/third/late.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // The times of the case of machines that were cut off themselves.
@@ -11,9 +13,12 @@
 	trials = 9
 	// removedAfter is the time from the start of the cut to the removal of the entry.
 	removedAfter = 2 * time.Second
-	// cutMin is the shortest cut, over two of the instances' heartbeats. It ends at the machine's next
-	// attempt to reach the store, and after cutTime at the latest.
-	cutMin = 3250 * time.Millisecond
+	// cutMin is the shortest cut. It ends at the machine's next attempt to reach the store, and after
+	// cutTime at the latest.
+	cutMin = 4200 * time.Millisecond
+	// quietBefore is the time since the store's last answer to the machine when the cut begins, of at most
+	// 1.2 s. The later it begins, the earlier in the cut are the machine's attempts to reach readers.
+	quietBefore = time.Second
 	// inTouchAfter is the time after the end of the cut from which the machine is in touch: `contact`,
 	// and a margin for the time at which the end is noted.
 	inTouchAfter = 3050 * time.Millisecond
@@ -34,7 +39,13 @@
 	}
 	time.Sleep(10 * time.Second) // traffic starts 8 s after the machines do
 	late := 0
-	for _, m := range r.machines[:trials] {
+	done := make(map[*machine]bool)
+	for range trials {
+		m, err := r.awaitReader(done)
+		if err != nil {
+			return false, err
+		}
+		done[m] = true
 		count, err := r.cutOne(m)
 		if err != nil {
 			return false, err
@@ -45,6 +56,19 @@
 	return late > 0, nil
 }
 
+// awaitReader waits for a machine that reads the store and got its last answer some time ago, and
+// returns it.
+func (r *run) awaitReader(done map[*machine]bool) (*machine, error) {
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		for _, m := range r.machines {
+			if !done[m] && r.store.reads(m) && r.store.sinceAnswer(m) >= quietBefore {
+				return m, nil
+			}
+		}
+	}
+	return nil, errors.New("no machine reads the store")
+}
+
 // cutOne cuts one machine off while its instance leaves, and counts the requests that the machine sends
 // to the instance when it is in touch again.
 func (r *run) cutOne(m *machine) (late int, err error) {
--- a/review/third/store.go
+++ b/review/third/store.go
@@ -39,12 +39,13 @@
 	changed  chan struct{} // closed at the next change
 	servers  map[*machine]*http.Server
 	watches  map[*machine]time.Time // when a machine last began a watch
+	answers  map[*machine]time.Time // when a machine last got an answer
 }
 
 func newStore(f *fleet) *store {
 	return &store{
 		fleet: f, revision: 100, items: make(map[string]item), changed: make(chan struct{}),
-		servers: make(map[*machine]*http.Server), watches: make(map[*machine]time.Time),
+		servers: make(map[*machine]*http.Server), watches: make(map[*machine]time.Time), answers: make(map[*machine]time.Time),
 	}
 }
 
@@ -151,7 +152,19 @@
 	return time.Since(s.watches[m]) < 3*time.Second
 }
 
+// sinceAnswer returns the time since a machine last got an answer.
+func (s *store) sinceAnswer(m *machine) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.answers[m])
+}
+
 func (s *store) serve(m *machine, w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		s.mu.Lock()
+		s.answers[m] = time.Now()
+		s.mu.Unlock()
+	}()
 	query := r.URL.Query()
 	if r.URL.Path == "/kv-range" {
 		s.fleet.log("store: %s lists %s", m.name, query.Get("prefix"))
