--- a/review/third/late.go
+++ b/review/third/late.go
@@ -10,7 +10,7 @@
 // The times of the case of machines that were cut off themselves.
 const (
 	// trials is how many machines are cut off, one after the other.
-	trials = 9
+	trials = 8
 	// removedAfter is the time from the start of the cut to the removal of the entry.
 	removedAfter = 2 * time.Second
 	// cutMin is the shortest cut. It ends at the machine's next attempt to reach the store, and after
