Accept late requests in a planned stop only as far as a deadline bounds them

Cause: Stop.Admit took any request for a possible call of the local endpoint while that ran anything, which it nearly always does, and accepted it if three typical durations of its route fitted. Durations have a long tail; nothing else than a deadline bounds them. Second, a node interrupted a request at the very moment at which its endpoint gives up and says so, so that a request with a bound ended by interruption, too, and not by the endpoint's own answer.

Change: from 2.9 s on a request is accepted if its deadline (client's or route's) comes before the end. A call of the local endpoint is known by expiring together with a request that runs there (internal/proxy/parents.go, decision/stopping/calls.go); it is accepted with the end of the stop as its deadline, which its endpoint is told. A client's request that expires then by chance is answered by its endpoint, too. The node waits 30 ms after a deadline for the endpoint's own answer; replySlack (60 ms) covers it. startBefore and typicalDuration go: what waits is taken back at StartsBefore by the existing phase. Weighed: refusing all that no deadline bounds fails the endpoint's requests whose calls come late, a loss that no rule counts; the longest duration seen is an estimate again.

Tests: TestStoppingNodeRefusesLateRequestsThatMayOutlastIt fails on (502 for 503), TestOwnTimeoutOfAnEndpointIsDelivered too (no seal); both pass now, with -race. TestAdmit has the new rule, TestLateRequestsEndBeforeTheStop checks it for any request. TestStoppingNodeServesCallsOfItsEndpoint sent the call with a deadline of its own, which PROTOCOL.md excludes (calls expire at their parent's deadline); it passes on the parent's now, and learns no durations before.

--- a/decision/stopping/stopping.go
+++ b/decision/stopping/stopping.go
@@ -60,10 +60,6 @@
 // the client.
 const answerTime = 100 * time.Millisecond
 
-// longCallFactor is the multiple of the typical duration of a route's calls within which nearly
-// all of them end.
-const longCallFactor = 3
-
 // Stop is the state of a planned stop. The zero value is that of a node that doesn't stop.
 type Stop struct {
 	Phase Phase
@@ -88,34 +84,38 @@
 
 // Request is a request that arrives at a node.
 type Request struct {
-	// At is the time of its arrival, Deadline the time at which it is answered at the latest.
-	At, Deadline time.Duration
-	// Typical is how long calls of its route usually take, or 0 if that is unknown.
-	Typical time.Duration
-	// MayBeCall says that the local endpoint runs requests, so that this may be a call of one
-	// of these. Such a request fails if its call is refused.
-	MayBeCall bool
+	// At is the time of its arrival.
+	At time.Duration
+	// Deadline is the time at which it is answered at the latest.
+	Deadline time.Duration
+	// ExpiresAt is the time at which its sender gives up. The route's timeout plays no part in it.
+	ExpiresAt time.Duration
 }
 
 // Admission is the decision on a request that arrives during a stop.
 type Admission struct {
 	// Accepted says that the request may be sent to an endpoint.
 	Accepted bool
-	// StartBefore is the time before which an endpoint has to begin it, or 0 if any will do.
-	StartBefore time.Duration
+	// Deadline is the time by which the endpoint has to answer an accepted request.
+	Deadline time.Duration
 }
 
-// Admit decides on a request that arrives at a node. A request that is accepted in the Refusing
-// phase and later ends before the stop: by its deadline, or by the time that calls of its route
-// take if it may be a call of the local endpoint.
-func (s Stop) Admit(r Request) Admission {
+// Admit decides on a request that arrives at a node. parents are the deadlines of the requests that run at
+// the local endpoint. From the Refusing phase on, a request is accepted only if something other than an
+// estimate ends it before the stop does: its deadline, or a shorter one if it is a call of the local
+// endpoint. The request that made the call is interrupted at the end in any case, so the call needs no
+// longer.
+func (s Stop) Admit(r Request, parents []time.Duration) Admission {
 	end := s.EndsAt - answerTime
 	switch {
-	case s.Phase < Refusing, r.Deadline <= end:
-		return Admission{Accepted: true}
-	case r.MayBeCall && r.Typical > 0:
-		latest := min(end-longCallFactor*r.Typical, s.StartsBefore)
-		return Admission{Accepted: r.At < latest, StartBefore: latest}
+	case s.Phase < Refusing:
+		return Admission{Accepted: true, Deadline: r.Deadline}
+	case s.Phase >= Finished:
+		return Admission{}
+	case r.Deadline <= end:
+		return Admission{Accepted: true, Deadline: r.Deadline}
+	case r.At < s.StartsBefore && isCall(r, parents):
+		return Admission{Accepted: true, Deadline: end}
 	default:
 		return Admission{}
 	}
--- a/decision/stopping/stopping_test.go
+++ b/decision/stopping/stopping_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 func TestPhases(t *testing.T) {
@@ -64,40 +65,61 @@
 	}
 }
 
-// TestAdmit checks that what a stopping node takes on late is answered before its end.
+// TestAdmit guards against a stopping node that accepts a late request which it then interrupts: only a
+// deadline bounds how long a request takes.
 func TestAdmit(t *testing.T) {
 	const (
 		limit   = 6 * time.Second
 		begunAt = 100 * time.Second
 		late    = begunAt + 3500*time.Millisecond
-		typical = 20 * time.Millisecond
+		parent  = begunAt + 5900*time.Millisecond
 	)
+	end := At(Announcing, begunAt, limit).EndsAt - answerTime
 	tests := []struct {
 		desc    string
 		request Request
-		want    bool
+		want    Admission
 	}{
-		{"before the node refuses anything", Request{At: begunAt + 2800*time.Millisecond, Deadline: begunAt + time.Minute}, true},
-		{"its deadline comes before the end", Request{At: late, Deadline: late + 1500*time.Millisecond}, true},
-		{"its deadline comes after the end", Request{At: late, Deadline: late + 2500*time.Millisecond}, false},
-		{"nor is it a call, however short", Request{At: late, Deadline: late + 2500*time.Millisecond, Typical: typical}, false},
-		{"it may be a call, and is short", Request{At: late, Deadline: late + 2500*time.Millisecond, Typical: typical, MayBeCall: true}, true},
-		{"it may be a call, of unknown duration", Request{At: late, Deadline: late + 2500*time.Millisecond, MayBeCall: true}, false},
-		{"it may be a call, and is long", Request{At: late, Deadline: late + 2500*time.Millisecond, Typical: 700 * time.Millisecond, MayBeCall: true}, false},
-		{"it may be a call, when waiting ones are taken back", Request{At: begunAt + 5200*time.Millisecond, Deadline: begunAt + time.Minute, Typical: typical, MayBeCall: true}, false},
+		{"before the node refuses anything", Request{At: begunAt + 2800*time.Millisecond, Deadline: begunAt + time.Minute}, Admission{true, begunAt + time.Minute}},
+		{"its deadline comes before the end", Request{At: late, Deadline: late + 1500*time.Millisecond, ExpiresAt: late + time.Minute}, Admission{true, late + 1500*time.Millisecond}},
+		{"its deadline is the end", Request{At: late, Deadline: end, ExpiresAt: end}, Admission{true, end}},
+		{"its deadline comes just after the end", Request{At: late, Deadline: end + 1, ExpiresAt: end + 1}, Admission{}},
+		{"it is a call, and gets the time until the end", Request{At: late, Deadline: parent, ExpiresAt: parent}, Admission{true, end}},
+		{"it is a call, whose deadline was rounded", Request{At: late, Deadline: parent - deadlineRounding, ExpiresAt: parent - deadlineRounding}, Admission{true, end}},
+		{"it is a call that was some time on its way", Request{At: late, Deadline: parent + transferTime, ExpiresAt: parent + transferTime}, Admission{true, end}},
+		{"it is a call of a route with a shorter timeout", Request{At: late, Deadline: end + time.Millisecond, ExpiresAt: parent}, Admission{true, end}},
+		{"it expires earlier than what runs there", Request{At: late, Deadline: parent - deadlineRounding - 1, ExpiresAt: parent - deadlineRounding - 1}, Admission{}},
+		{"it expires later than what runs there", Request{At: late, Deadline: parent + transferTime + 1, ExpiresAt: parent + transferTime + 1}, Admission{}},
+		{"only its timeout coincides with what runs there", Request{At: late, Deadline: parent, ExpiresAt: parent + time.Second}, Admission{}},
+		{"it is a call, when waiting ones are taken back", Request{At: begunAt + 5200*time.Millisecond, Deadline: parent, ExpiresAt: parent}, Admission{}},
+		{"the stop has ended", Request{At: begunAt + 5900*time.Millisecond, Deadline: begunAt, ExpiresAt: begunAt}, Admission{}},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			s := At(PhaseAt(test.request.At-begunAt, limit, 1), begunAt, limit)
-			a := s.Admit(test.request)
-			require.Equal(t, test.want, a.Accepted)
-			if a.StartBefore > 0 {
-				require.Less(t, a.StartBefore+longCallFactor*typical, s.EndsAt)
-				require.LessOrEqual(t, a.StartBefore, s.StartsBefore)
-			}
+			require.Equal(t, test.want, s.Admit(test.request, []time.Duration{late + 300*time.Millisecond, parent}))
 		})
 	}
-	require.True(t, Stop{}.Admit(Request{At: late, Deadline: late + time.Hour}).Accepted, "the node doesn't stop")
+	require.True(t, Stop{}.Admit(Request{At: late, Deadline: late + time.Hour}, nil).Accepted, "the node doesn't stop")
+}
+
+// TestLateRequestsEndBeforeTheStop checks for any request that what a stopping node accepts late is answered
+// before the node interrupts it.
+func TestLateRequestsEndBeforeTheStop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.SampledFrom([]time.Duration{time.Second, 3 * time.Second, 6 * time.Second, time.Minute}).Draw(t, "limit")
+		at := time.Duration(rapid.Int64Range(0, int64(limit)).Draw(t, "at"))
+		expiresAt := at + time.Duration(rapid.Int64Range(0, int64(2*limit)).Draw(t, "expires in"))
+		timeout := time.Duration(rapid.Int64Range(0, int64(2*limit)).Draw(t, "timeout"))
+		parents := rapid.SliceOf(rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(2*limit)).Draw(t, "parent"))
+		})).Draw(t, "parents")
+		s := At(PhaseAt(at, limit, 1), 0, limit)
+		a := s.Admit(Request{At: at, Deadline: min(expiresAt, at+timeout), ExpiresAt: expiresAt}, parents)
+		if s.Phase >= Refusing && a.Accepted {
+			require.LessOrEqual(t, a.Deadline+answerTime, s.EndsAt)
+		}
+	})
 }
 
 // TestCallsOfOtherNodesEndBeforeTheStop checks the window of the local endpoint.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -31,12 +31,6 @@
 	router := p.router
 	ctx, cancel := context.WithTimeout(ctx, p.deadline+replySlack-router.config.Now())
 	defer cancel()
-	p.withdrawn = router.withdrawn
-	if p.startBefore > 0 {
-		var cancelWithdrawn context.CancelFunc
-		p.withdrawn, cancelWithdrawn = context.WithTimeout(router.withdrawn, p.startBefore-router.config.Now())
-		defer cancelWithdrawn()
-	}
 	router.targets.countCall(p.service, router.config.RetryBudget().Window)
 	for range refusalsMax {
 		if p.checkWithdrawn() || p.checkQuarantine() {
@@ -70,7 +64,7 @@
 
 // checkWithdrawn reports whether the stopping node starts no further attempt.
 func (p *routedRequest) checkWithdrawn() bool {
-	if p.withdrawn.Err() == nil {
+	if p.router.withdrawn.Err() == nil {
 		return false
 	}
 	p.recordProblem(problem.KindLeaving, "the node is stopping")
@@ -202,7 +196,7 @@
 		Rank:          p.rank,
 		Idempotent:    p.route.Idempotent,
 		RemainingMs:   uint32(max((p.deadline - router.config.Now()).Milliseconds(), 1)),
-		Withdrawn:     p.withdrawn.Done(),
+		Withdrawn:     router.withdrawn.Done(),
 	}
 	call.SetRequest(p.request)
 	if m.VM == router.config.Settings.VM || m.EndpointAddress == router.config.Settings.EndpointAddress {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -72,7 +72,7 @@
 	pool := endpointlink.New(c.Settings.EndpointAddress, c.Headers, responseLimits(c))
 	p.requestRouter = newRequestRouter(c, p.stopState)
 	p.server = newEndpointServer(c, pool, p.requestRouter, p.stopState)
-	p.requestRouter.localHandler, p.requestRouter.localInFlight = p.server.handle, p.server.inFlight
+	p.requestRouter.localHandler = p.server.handle
 	p.acceptor = calllink.NewAcceptor(p.server.handle, c.SharedState.ImportState, p.requestRouter.suspectTracker.merge, c.Now, c.Memory)
 	p.acceptor.SetCrashExport(p.requestRouter.suspectTracker.export)
 	p.registerGauges()
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -37,7 +37,7 @@
 	suspectTracker *suspectTracker
 	observer       callObserver
 	localHandler   calllink.Handler
-	localInFlight  func() int // number of calls that run or wait at the local endpoint
+	parents        *parentDeadlines // of the local endpoint
 	stop           func() stopping.Stop
 	withdrawn      context.Context // ends when requests that no endpoint has got are taken back
 	withdraw       context.CancelFunc
@@ -50,7 +50,7 @@
 }
 
 func newRequestRouter(c Config, stop func() stopping.Stop) *requestRouter {
-	router := &requestRouter{config: c, stop: stop, pressures: newChainPressures(c.Now), suspectTracker: newSuspectTracker(c)}
+	router := &requestRouter{config: c, stop: stop, pressures: newChainPressures(c.Now), parents: newParentDeadlines(), suspectTracker: newSuspectTracker(c)}
 	router.withdrawn, router.withdraw = context.WithCancel(context.Background())
 	router.targets = newTargets(c, router.suspectTracker.merge)
 	router.suspectTracker.link = router.targets.link
@@ -74,8 +74,6 @@
 	refusedByEndpoint  bool          // an endpoint of triedInstances refused it
 	answeredByEndpoint bool          // the client gets an endpoint's response
 	startedAt          time.Duration
-	startBefore        time.Duration   // time before which an endpoint has to begin it, or 0
-	withdrawn          context.Context // ends when no further attempt begins
 	lastFailure        *message.Response
 	failure            *problem.Error
 	quarantine         time.Duration // remaining quarantine of the request, or 0
@@ -108,13 +106,15 @@
 	return p.sendToEndpoints(ctx)
 }
 
-// acceptedBy reports whether a stopping node may send the request to an endpoint, and sets until when.
+// acceptedBy reports whether a stopping node may send the request to an endpoint, and sets by when that has
+// to answer.
 func (p *routedRequest) acceptedBy(stop stopping.Stop) bool {
 	router := p.router
-	admission := stop.Admit(stopping.Request{
-		At: router.config.Now(), Deadline: p.deadline, Typical: router.targets.typicalDuration(p.route.Name), MayBeCall: router.localInFlight() > 0,
-	})
-	p.startBefore = admission.StartBefore
+	request := stopping.Request{At: router.config.Now(), Deadline: p.deadline, ExpiresAt: p.clientDeadline}
+	admission := stop.Admit(request, router.parents.all())
+	if admission.Accepted {
+		p.deadline = admission.Deadline
+	}
 	return admission.Accepted
 }
 
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -27,6 +27,10 @@
 	// defaultSlots is the number of slots of the local endpoint until the platform
 	// publishes it.
 	defaultSlots = 16
+	// ownAnswerTime is the time after a call's deadline in which the answer of the endpoint is still awaited:
+	// one that gives up at the deadline says so itself, and was then not interrupted. It is shorter than
+	// replySlack, so that the answer reaches the sender of the call.
+	ownAnswerTime = 30 * time.Millisecond
 )
 
 var errDeadline = errors.New("no answer of the endpoint in time")
@@ -40,6 +44,7 @@
 	pressures      *chainPressures
 	callOrigins    *callOrigins
 	stop           func() stopping.Stop
+	parents        *parentDeadlines
 
 	mu                 sync.Mutex
 	gate               *slotqueue.Queue
@@ -67,6 +72,7 @@
 		pressures:          router.pressures,
 		callOrigins:        newCallOrigins(),
 		stop:               stop,
+		parents:            router.parents,
 		gate:               slotqueue.New(defaultSlots),
 		graph:              callgraph.New(),
 		durationEstimators: make(map[string]*slotqueue.DurationEstimator),
@@ -194,8 +200,9 @@
 	if !call.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, remaining, errDeadline)
+	ctx, cancel := context.WithTimeoutCause(ctx, remaining+ownAnswerTime, errDeadline)
 	defer cancel()
+	defer s.parents.add(deadline)()
 	response, outcome, err := s.pool.Do(ctx, &endpointlink.Call{
 		Request:       request,
 		Endpoint:      call.Endpoint,
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -45,7 +45,7 @@
 	}, nil)
 	defer e.close()
 	p := &routedRequest{
-		router: e, withdrawn: t.Context(), route: &catalogue.Route{Name: "r"}, service: "stock", deadline: now() + 10*time.Second,
+		router: e, route: &catalogue.Route{Name: "r"}, service: "stock", deadline: now() + 10*time.Second,
 		request: &message.Request{Method: "GET", Target: "/stock/1", Host: "a.example", Header: http.Header{}},
 	}
 	e.suspectTracker.recordCrash(startedRequest{fingerprint: fingerprint("door", p.request), route: "r"}, 1)
--- a/internal/proxy/targets.go
+++ b/internal/proxy/targets.go
@@ -111,20 +111,6 @@
 	return members[at]
 }
 
-// typicalDuration returns the longest typical duration of a route's calls at any endpoint, however
-// old, or 0 if none is known.
-func (t *targets) typicalDuration(route string) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	longest := time.Duration(0)
-	for _, s := range t.states {
-		if u := s.typicalTimes[route]; u != nil {
-			longest = max(longest, u.duration)
-		}
-	}
-	return longest
-}
-
 func (t *targets) state(endpoint string) *target {
 	s, ok := t.states[endpoint]
 	if !ok {
--- a/internal/proxynode/late_stop_test.go
+++ b/internal/proxynode/late_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -74,25 +75,63 @@
 	return true
 }
 
+// lateTime is the time after the start of a stop of longStop at which clients are refused.
+const lateTime = 2600 * time.Millisecond
+
+// TestStoppingNodeRefusesLateRequestsThatMayOutlastIt guards against a stopping node that accepts late requests of clients
+// by how long such requests usually take, and then interrupts those that take longer: it took them for calls of its endpoint,
+// which was at work.
+func TestStoppingNodeRefusesLateRequestsThatMayOutlastIt(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		f := newFleet(t, slowRoute("booking", true), slowRoute("stock", idempotent))
+		f.add("stock", func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/stock/long" {
+				time.Sleep(2 * lateTime)
+			}
+			time.Sleep(settleTime / 5)
+		})
+		running, proceed := make(chan struct{}), make(chan struct{})
+		f.stopTime = longStop
+		stopping := f.add("booking", func(http.ResponseWriter, *http.Request) {
+			close(running)
+			<-proceed
+		})
+		f.publish()
+		for range 20 { // these tell how long such requests usually take
+			r, _ := f.send(stopping, http.MethodPost, "/stock/short", "")
+			require.Equal(t, http.StatusOK, r.StatusCode)
+		}
+		parent := make(chan int, 1)
+		go func() {
+			r, _ := f.send(stopping, http.MethodPost, "/booking/1", "")
+			parent <- r.StatusCode
+		}()
+		<-running
+		stopping.stop()
+		time.Sleep(lateTime)
+		r, _ := f.send(stopping, http.MethodPost, "/stock/long", "")
+		require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
+		require.NotEmpty(t, r.Header.Get("Retry-After"))
+		close(proceed)
+		require.Equal(t, http.StatusOK, <-parent)
+	}
+}
+
 // TestStoppingNodeServesCallsOfItsEndpoint checks that a request that runs at the local endpoint ends well although it makes its
-// call late in the stop.
+// call late in the stop. The call expires together with the request.
 func TestStoppingNodeServesCallsOfItsEndpoint(t *testing.T) {
 	f := newFleet(t, slowRoute("booking", false), slowRoute("stock", true))
 	f.add("stock", func(http.ResponseWriter, *http.Request) { time.Sleep(settleTime / 5) })
 	running, proceed := make(chan struct{}), make(chan struct{})
 	f.stopTime = longStop
 	var stopping *vm
-	stopping = f.add("booking", func(w http.ResponseWriter, _ *http.Request) {
+	stopping = f.add("booking", func(w http.ResponseWriter, r *http.Request) {
+		received := time.Now()
 		close(running)
 		<-proceed
-		r, _ := f.send(stopping, http.MethodGet, "/stock/1", "")
-		w.WriteHeader(r.StatusCode)
+		w.WriteHeader(f.call(stopping, r, received))
 	})
 	f.publish()
-	for range 5 { // these tell how long such calls take
-		r, _ := f.send(stopping, http.MethodGet, "/stock/1", "")
-		require.Equal(t, http.StatusOK, r.StatusCode)
-	}
 	status := make(chan int, 1)
 	go func() {
 		r, _ := f.send(stopping, http.MethodPost, "/booking/1", "")
@@ -100,11 +139,43 @@
 	}()
 	<-running
 	stopping.stop()
-	time.Sleep(2600 * time.Millisecond) // later than the start of refusals
+	time.Sleep(lateTime)
 	close(proceed)
 	require.Equal(t, http.StatusOK, <-status)
 }
 
+// call makes a call that an endpoint needs for a request which it received at a time, and returns the status.
+func (f *fleet) call(v *vm, parent *http.Request, received time.Time) (status int) {
+	remaining, err := strconv.Atoi(parent.Header.Get("Remaining-Ms"))
+	require.NoError(f.t, err)
+	call := f.request(v, http.MethodGet, "/stock/1", "")
+	call.Header.Set("Remaining-Ms", strconv.FormatInt(int64(remaining)-time.Since(received).Milliseconds(), 10))
+	r, err := f.client.Do(call)
+	require.NoError(f.t, err)
+	require.NoError(f.t, r.Body.Close())
+	return r.StatusCode
+}
+
+// TestOwnTimeoutOfAnEndpointIsDelivered guards against a node that interrupts a request at the moment at which its endpoint
+// gives up and says so: the endpoint's answer is sealed, and its connection can be used again.
+func TestOwnTimeoutOfAnEndpointIsDelivered(t *testing.T) {
+	const timerDelay = 10 // ms by which an endpoint may notice its deadline late
+	f := newFleet(t, route("stock", true))
+	door := f.add("door", http.NotFound)
+	f.add("stock", func(w http.ResponseWriter, r *http.Request) {
+		remaining, err := strconv.Atoi(r.Header.Get("Remaining-Ms"))
+		if err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Duration(remaining+timerDelay) * time.Millisecond)
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	f.publish()
+	r, _ := f.send(door, http.MethodGet, "/stock/1", "")
+	require.Equal(t, http.StatusGatewayTimeout, r.StatusCode)
+	require.NotEmpty(t, r.Header.Get("Seal"))
+}
+
 // TestStoppingNodeReturnsCallsThatTakeTooLong guards against a stopping node that accepts calls of other nodes for its
 // endpoint which it then cuts: another endpoint of the service can run them.
 func TestStoppingNodeReturnsCallsThatTakeTooLong(t *testing.T) {
