Say which endpoints a node only keeps when it hands its state on

Cause: after a silence a reader keeps missing entries for two seconds (they may have lapsed).

Change: Update.Kept names what the sender keeps (StoredEntry.Kept); Table.Keep gives it at most two seconds at the receiver, and nothing if the receiver knows the removal. Changes between kept and stored are sent too. Nodes of earlier versions ignore the new fields. The grace file holds what was in registry.go, unchanged but for Keep. TestStoredEntriesAreOfAllServices compares with the new type, and now also that nothing is kept.

--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -10,10 +10,6 @@
 
 import "time"
 
-// republishGrace is the time after an outage of the store in which endpoints republish
-// entries that expired during the outage.
-const republishGrace = 2 * time.Second
-
 // removedRetention is the time for which a removed entry is kept, so that older entries
 // of the endpoint that arrive late are recognised as such.
 const removedRetention = 10 * time.Minute
@@ -92,12 +88,6 @@
 	return &Table{records: make(map[string]*record)}
 }
 
-// SetLapseTime sets the least time without contact with the store in which entries can lapse
-// there. Shorter outages give no grace. It is 0 in a new table: any outage gives a grace.
-func (t *Table) SetLapseTime(lapseTime time.Duration) {
-	t.lapseTime = lapseTime
-}
-
 // Put adds or updates an entry. It reports whether anything changed. A removed endpoint is
 // added again also by its last entry, as an entry may be deleted and written again unchanged,
 // unless it was removed before a restore of the store.
@@ -121,7 +111,7 @@
 	if e.StartedMs == r.entry.StartedMs {
 		e.Leaving = e.Leaving || r.entry.Leaving
 	}
-	changed := !r.present || r.hidden || !r.entry.EqualExceptSequence(e)
+	changed := !r.present || r.pending || r.hidden || !r.entry.EqualExceptSequence(e)
 	r.recordPublished(&e, t.updates)
 	r.entry, r.present, r.pending, r.final = e, true, false, false
 	return changed
@@ -167,14 +157,28 @@
 	r.deadline = now + removedRetention
 }
 
-// Replace applies the complete list of entries. It reports whether anything changed.
+// Replace applies the complete list of entries of the store. It reports whether anything changed.
 func (t *Table) Replace(now time.Duration, all []Entry) bool {
+	stored := make([]StoredEntry, 0, len(all))
+	for _, e := range all {
+		stored = append(stored, StoredEntry{Entry: e})
+	}
+	return t.ReplaceStored(now, stored)
+}
+
+// ReplaceStored applies the complete list of entries of another node, which may keep some that are missing
+// from the store. It reports whether anything changed.
+func (t *Table) ReplaceStored(now time.Duration, all []StoredEntry) bool {
 	changed := false
 	t.updates++
 	listed := make(map[string]bool, len(all))
 	for _, e := range all {
 		listed[e.ID] = true
-		changed = t.put(e) || changed
+		if e.Kept {
+			changed = t.Keep(now, e.Entry) || changed
+		} else {
+			changed = t.put(e.Entry) || changed
+		}
 	}
 	for id := range t.records {
 		if !listed[id] {
@@ -184,41 +188,6 @@
 	return changed
 }
 
-// MarkUnavailable records that the store does not answer, and when it was last known to.
-func (t *Table) MarkUnavailable(lastContact time.Duration) {
-	if !t.unavailable {
-		t.unavailable, t.lastContact = true, lastContact
-	}
-}
-
-// MarkAvailable records that the store answers.
-func (t *Table) MarkAvailable(now time.Duration) {
-	if !t.unavailable {
-		return
-	}
-	t.unavailable = false
-	if now-t.lastContact >= t.lapseTime {
-		t.startGrace(now)
-	}
-}
-
-// MayHaveLapsed reports whether entries are known to lapse in a time without contact with the
-// store.
-func (t *Table) MayHaveLapsed(silence time.Duration) bool {
-	return t.lapseTime > 0 && silence >= t.lapseTime
-}
-
-func (t *Table) startGrace(now time.Duration) {
-	t.availableSince, t.hadOutage = now, true
-}
-
-// MarkRestored records that the store was restored from an older copy: entries missing
-// from the copy get the same grace as those that expired during an outage.
-func (t *Table) MarkRestored(now time.Duration) {
-	t.FinalizeRemoved()
-	t.startGrace(now)
-}
-
 // FinalizeRemoved records that the store may hold entries from before removals known so far.
 // Only newer entries add these endpoints again.
 func (t *Table) FinalizeRemoved() {
@@ -227,6 +196,13 @@
 	}
 }
 
+// KnowsRemoval reports whether the endpoint of an entry was removed when it had published that entry or a
+// later one.
+func (t *Table) KnowsRemoval(e Entry) bool {
+	r, known := t.records[e.ID]
+	return known && r.removed() && !r.entry.olderThan(&e)
+}
+
 // Removal is the removal of an endpoint as one node reports it to another.
 type Removal struct {
 	// Entry is the last known entry of the endpoint.
@@ -262,13 +238,20 @@
 	return removed
 }
 
+// StoredEntry is an entry as a node passes it on to others.
+type StoredEntry struct {
+	Entry
+	// Kept says that the entry is missing from the store, and is kept as it may be republished.
+	Kept bool
+}
+
 // Stored returns the entries that are in the store or may be republished, of all services,
 // apart from those that the last call of Live refuted.
-func (t *Table) Stored() []Entry {
-	stored := make([]Entry, 0, len(t.records))
+func (t *Table) Stored() []StoredEntry {
+	stored := make([]StoredEntry, 0, len(t.records))
 	for _, r := range t.records {
 		if r.present && !r.refuted {
-			stored = append(stored, r.entry)
+			stored = append(stored, StoredEntry{Entry: r.entry, Kept: r.pending})
 		}
 	}
 	return stored
--- a/decision/registry/registry_test.go
+++ b/decision/registry/registry_test.go
@@ -130,6 +130,15 @@
 	require.True(t, b.Live(anyService)[0].Leaving)
 }
 
+// storedEntries returns entries that are in the store.
+func storedEntries(entries ...Entry) []StoredEntry {
+	stored := make([]StoredEntry, 0, len(entries))
+	for _, e := range entries {
+		stored = append(stored, StoredEntry{Entry: e})
+	}
+	return stored
+}
+
 // TestStoredEntriesAreOfAllServices checks that what is passed on doesn't depend on the services that
 // a configuration names, or on another entry at the same address, unless that one was refuted.
 func TestStoredEntriesAreOfAllServices(t *testing.T) {
@@ -142,11 +151,11 @@
 	b.Put(other)
 	stock := func(service string) bool { return service == "stock" }
 	require.Equal(t, []Entry{foreign}, b.Live(stock))
-	require.ElementsMatch(t, []Entry{entry("own", 9), foreign, other}, b.Stored())
+	require.ElementsMatch(t, storedEntries(entry("own", 9), foreign, other), b.Stored())
 	b.Put(entry("own", 10))
 	b.Put(entry("own", 11))
 	require.Equal(t, []Entry{entry("own", 11)}, b.Live(stock))
-	require.ElementsMatch(t, []Entry{entry("own", 11), other}, b.Stored(), "the entry of no endpoint is left out")
+	require.ElementsMatch(t, storedEntries(entry("own", 11), other), b.Stored(), "the entry of no endpoint is left out")
 }
 
 func TestMergeRemovalKeepsANewerEntry(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -68,9 +68,9 @@
 	index         *catalogue.Index
 	services      map[string]bool // of the configuration
 	sourceFailed  bool
-	position      storeera.Position         // up to which all changes are applied
-	confirmedAt   time.Duration             // when the source last confirmed that they are
-	published     map[string]registry.Entry // the stored endpoints last sent to subscribers
+	position      storeera.Position               // up to which all changes are applied
+	confirmedAt   time.Duration                   // when the source last confirmed that they are
+	published     map[string]registry.StoredEntry // last sent to subscribers
 	subscribers   map[*Subscriber]struct{}
 }
 
@@ -79,7 +79,7 @@
 func NewDirectory(holder *fleetview.Holder, log *event.Log, now func() time.Duration, peerPort uint16) *Directory {
 	return &Directory{
 		holder: holder, log: log, now: now, peerPort: peerPort, endpoints: registry.New(),
-		published: make(map[string]registry.Entry), subscribers: make(map[*Subscriber]struct{}),
+		published: make(map[string]registry.StoredEntry), subscribers: make(map[*Subscriber]struct{}),
 	}
 }
 
@@ -134,7 +134,9 @@
 	defer d.mu.Unlock()
 	if d.endpoints.Remove(d.now(), id) {
 		d.endpointChanged(id, true)
+		return
 	}
+	d.broadcastEndpoints() // it may be kept
 }
 
 func (d *Directory) endpointChanged(id string, leaving bool) {
@@ -148,7 +150,9 @@
 	defer d.mu.Unlock()
 	if d.endpoints.Replace(d.now(), all) {
 		d.publish()
+		return
 	}
+	d.broadcastEndpoints() // some may be kept
 }
 
 // ReportInvalid logs that an entry of the source can't be decoded.
@@ -195,6 +199,19 @@
 	d.sourceRecovered()
 }
 
+// EndpointCount returns the number of endpoints that are in use.
+func (d *Directory) EndpointCount() int {
+	return len(d.holder.Load().ByVM)
+}
+
+// SourceReached records that the source answers again, although nothing of its state was read yet.
+// Endpoints that have to republish their entries can do so from now on.
+func (d *Directory) SourceReached() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.endpoints.MarkAvailable(d.now())
+}
+
 func (d *Directory) sourceRecovered() {
 	d.endpoints.MarkAvailable(d.now())
 	if d.sourceFailed {
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -45,12 +45,7 @@
 		return
 	}
 	d.log.Emit(event.StateAdopted, "", event.F("revision", u.Configuration.Version), event.F("endpoints", len(u.Endpoints)))
-	for _, e := range d.dropInvalid(u.Endpoints) {
-		d.putEndpoint(e)
-	}
-	for _, removal := range u.removals() {
-		d.endpoints.MergeRemoval(d.now(), removal)
-	}
+	d.applyEndpoints(&Update{Endpoints: u.Endpoints, Kept: u.Kept, Gone: u.Gone, Final: u.Final})
 	d.applyConfiguration(u.Configuration)
 }
 
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -29,6 +29,12 @@
 	// Endpoints contains new or changed endpoints of all services that the source publishes.
 	// The receiver applies its own configuration to them.
 	Endpoints []registry.Entry `cbor:",omitempty"`
+	// Kept contains the IDs of endpoints whose entries are missing from the store, and which the sender
+	// keeps as these may be republished. In a snapshot they are also in Endpoints.
+	Kept []string `cbor:",omitempty"`
+	// NamesKept says that Kept is complete in a snapshot. Nodes of an earlier version don't name what they
+	// keep.
+	NamesKept bool `cbor:",omitempty"`
 	// Removed contains the IDs of removed endpoints. Nodes of an earlier version also name those
 	// of services that their configuration doesn't name.
 	Removed []string `cbor:",omitempty"`
@@ -71,7 +77,13 @@
 
 // snapshot returns the whole state as an update. The caller holds d.mu.
 func (d *Directory) snapshot(at storeera.Position) *Update {
-	u := &Update{At: at, Configuration: d.configuration, Whole: true, Endpoints: d.endpoints.Stored()}
+	u := &Update{At: at, Configuration: d.configuration, Whole: true, NamesKept: true}
+	for _, e := range d.endpoints.Stored() {
+		u.Endpoints = append(u.Endpoints, e.Entry)
+		if e.Kept {
+			u.Kept = append(u.Kept, e.ID)
+		}
+	}
 	for _, removal := range d.endpoints.Removed() {
 		u.Gone = append(u.Gone, removal.Entry)
 		if removal.Final {
@@ -127,11 +139,18 @@
 func (d *Directory) broadcastEndpoints() {
 	u := &Update{}
 	stored := d.endpoints.Stored()
-	current := make(map[string]registry.Entry, len(stored))
+	current := make(map[string]registry.StoredEntry, len(stored))
 	for _, e := range stored {
 		current[e.ID] = e
-		if before, known := d.published[e.ID]; !known || !before.EqualExceptSequence(e) {
-			u.Endpoints = append(u.Endpoints, e)
+		before, known := d.published[e.ID]
+		switch {
+		case known && before.Kept == e.Kept && before.EqualExceptSequence(e.Entry):
+		case known && e.Kept && before.EqualExceptSequence(e.Entry):
+			u.Kept = append(u.Kept, e.ID)
+		case e.Kept:
+			u.Endpoints, u.Kept = append(u.Endpoints, e.Entry), append(u.Kept, e.ID)
+		default:
+			u.Endpoints = append(u.Endpoints, e.Entry)
 		}
 	}
 	for id := range d.published {
@@ -140,7 +159,7 @@
 		}
 	}
 	d.published = current
-	if len(u.Endpoints)+len(u.Removed) > 0 {
+	if len(u.Endpoints)+len(u.Kept)+len(u.Removed) > 0 {
 		d.broadcast(u)
 	}
 }
@@ -242,18 +261,43 @@
 }
 
 func (d *Directory) applyEndpoints(u *Update) (changed bool) {
+	now := d.now()
 	u.Endpoints = d.dropInvalid(u.Endpoints)
 	for _, removal := range u.removals() {
-		changed = d.endpoints.MergeRemoval(d.now(), removal) || changed
+		changed = d.endpoints.MergeRemoval(now, removal) || changed
 	}
+	stored := u.stored()
 	if u.Whole {
-		return d.endpoints.Replace(d.now(), u.Endpoints) || changed
+		if !u.NamesKept {
+			stored = slices.DeleteFunc(stored, func(e registry.StoredEntry) bool { return d.endpoints.KnowsRemoval(e.Entry) })
+		}
+		return d.endpoints.ReplaceStored(now, stored) || changed
 	}
-	for _, e := range u.Endpoints {
-		changed = d.endpoints.Put(e) || changed
+	for _, e := range stored {
+		if e.Kept {
+			changed = d.endpoints.Keep(now, e.Entry) || changed
+		} else {
+			changed = d.endpoints.Put(e.Entry) || changed
+		}
+	}
+	for _, id := range u.Kept {
+		changed = d.endpoints.KeepKnown(now, id) || changed
 	}
 	for _, id := range u.Removed {
-		changed = d.endpoints.RemoveWithoutGrace(d.now(), id) || changed
+		changed = d.endpoints.RemoveWithoutGrace(now, id) || changed
 	}
 	return changed
 }
+
+// stored returns the entries that an update contains.
+func (u *Update) stored() []registry.StoredEntry {
+	kept := make(map[string]bool, len(u.Kept))
+	for _, id := range u.Kept {
+		kept[id] = true
+	}
+	stored := make([]registry.StoredEntry, 0, len(u.Endpoints))
+	for _, e := range u.Endpoints {
+		stored = append(stored, registry.StoredEntry{Entry: e, Kept: kept[e.ID]})
+	}
+	return stored
+}
