Have clients that a stopping node refuses come back after its end

What callers saw: in a planned stop, refused clients came back 0.3 to 1.2 s later, to the same node, which refused them again. While most of a zone's nodes are out the platform sends clients to stopping nodes, and a client retries a few times only.

Cause: the delay took no account of the stop, of which the node knows the end.

Change: from the phase in which requests are refused on, the time to the end of the stop is added. As before the delay is at most a third of the time that the client has left. What it names may still be too early if the node isn't started again.

Evidence: TestRetryAfterOfAStoppingNode fails on (1.15 s, 2.52 s before the end), and passes now.

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -237,12 +237,15 @@
 }
 
 // retryAfter returns the delay after which the client may retry, limited by its remaining
-// time.
+// time. A stopping node refuses it until the end of the stop.
 func (p *routedRequest) retryAfter() time.Duration {
 	if p.quarantine > 0 {
 		return p.quarantine // an earlier retry would be refused again
 	}
 	wait := retryAfterMin + rand.N(retryAfterMax-retryAfterMin)
+	if stop := p.router.stop(); stop.Phase >= stopping.Refusing {
+		wait += max(stop.EndsAt-p.router.config.Now(), 0)
+	}
 	if left := p.clientDeadline - p.router.config.Now(); p.clientDeadline > 0 {
 		wait = min(wait, max(left, 0)/retryAfterDivisor)
 	}
