--- a/internal/proxynode/fleet_test.go
+++ b/internal/proxynode/fleet_test.go
@@ -62,6 +62,7 @@
 	leaving  bool  // the endpoint, as published
 	gone     bool  // the endpoint is no longer published
 	output   *bytes.Buffer
+	settings string       // path of the node's settings file
 	handler  http.Handler // of the endpoint
 	address  string       // of the endpoint
 	mu       sync.Mutex
@@ -182,6 +183,7 @@
 	live, err := settings.NewReloadable(file)
 	require.NoError(f.t, err)
 	f.sources[i] = &source{directory: make(chan *discovery.Directory, 1)}
+	v.settings = file
 	v.node, err = Start(Config{Settings: live, Headers: testHeaders(), Source: f.sources[i], ReadinessPath: "/ready", EventOutput: f.output})
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
