Keep a refusal that came before the first catalogue was in force

What operators saw: after a restart, the status of a node named no refused state although the platform held other content under the revision in force.

Cause: two ways to lose it. The candidate of the platform that a peer's offer replaces was dropped without a refusal; and adopt cleared a refusal of the revision that it puts into force, also one of other content. The node then learns nothing of the platform's content again, as answers without news have none. Which offer arrives first decides, hence the flakiness: it is the product's.

Change: a replaced candidate is refused as a conflict, and adopt forgets a refusal only if the state put into force is newer or is the refused one (refusal.isObsolete).

--- a/internal/control/adoption_controller.go
+++ b/internal/control/adoption_controller.go
@@ -84,6 +84,7 @@
 	case verdict == adoption.Adopt:
 		a.adopt(o)
 	case a.prefersPeer(verdict, o):
+		a.refuse(a.candidate, verdict.String()+" with the state that a peer has in force")
 		a.setCandidate(o)
 	case verdict == adoption.Conflict && o.fault != nil:
 		// A repeated read of a state that was refused before.
@@ -132,7 +133,7 @@
 	state := a.board.documents.Get()
 	old := state.byKey[o.key]
 	next := document{version: o.version, document: o.document, index: o.index, list: o.list, lastRefusal: old.lastRefusal}
-	if next.lastRefusal != nil && next.lastRefusal.version.Revision <= o.version.Revision {
+	if next.lastRefusal != nil && next.lastRefusal.isObsolete(o.version) {
 		next.lastRefusal = nil
 	}
 	if old.document != nil {
--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -108,6 +108,12 @@
 	reason  string
 }
 
+// isObsolete reports whether a state that is put into force makes the refusal meaningless: it is newer, or the
+// refused one. Other content under the same revision remains a conflict.
+func (r *refusal) isObsolete(inForce adoption.Version) bool {
+	return r.version.Revision < inForce.Revision || r.version == inForce
+}
+
 // documents is written by the adoption controller.
 type documents struct {
 	byKey [keyCount]document
