Histories: restart an endpoint once that several requests crash

So it is the test's: two requests that crash an endpoint at one moment each restarted it, and the listener of the first server was never closed.

Change: the stand-in is restarted by the request that ended its process. What the histories check stays as it is.

--- a/internal/traffic/fuzz_endpoint_test.go
+++ b/internal/traffic/fuzz_endpoint_test.go
@@ -46,13 +46,14 @@
 	go func(s *http.Server) { _ = s.Serve(l) }(e.server)
 }
 
-// stop ends the endpoint's process.
-func (e *fuzzEndpoint) stop() {
+// stop ends the endpoint's process. It returns false if that has ended before.
+func (e *fuzzEndpoint) stop() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.process.dead.Store(true)
+	ended := !e.process.dead.Swap(true)
 	e.history.network.closeConnsOf(e.process)
 	_ = e.server.Close()
+	return ended
 }
 
 // closeConns closes all connections to the endpoint, which keeps running.
@@ -98,18 +99,20 @@
 	writeAnswer(w, run, plan.Behaviour)
 }
 
-// crash ends the endpoint during a run and restarts it after restartDelay.
+// crash ends the endpoint during a run and restarts it after restartDelay. Several requests may do so at one
+// moment; it is restarted once.
 func (e *fuzzEndpoint) crash(run *runEntry) {
 	e.history.observations.mu.Lock()
 	run.crashed = true
 	e.history.observations.mu.Unlock()
 	e.history.tally.add("endpoint-crash")
-	e.stop()
-	time.AfterFunc(restartDelay, func() {
-		if !e.history.over.Load() {
-			e.start()
-		}
-	})
+	if e.stop() {
+		time.AfterFunc(restartDelay, func() {
+			if !e.history.over.Load() {
+				e.start()
+			}
+		})
+	}
 	panic(http.ErrAbortHandler)
 }
 
