Admit calls of a leaving endpoint by what they take, not by a decayed estimate

That is made for the queue, which a pause must not close for good; for the windows of leaving endpoints and stopping nodes it is wrong: they end soon in any case.

Change: DurationEstimator.Typical, the mean of the last 16 calls without decay and without the start at 0, is what the windows use (at admission, before the hand-over, and for what waits: slotqueue.Leave). The queue's own decisions keep the estimate. TestLeaveReturnsWhatCannotCompleteInTime gives the duration in the new field.

--- a/decision/draining/draining.go
+++ b/decision/draining/draining.go
@@ -51,8 +51,16 @@
 	return w.closing
 }
 
-// Admits reports whether a call may start at a time. estimated is its expected duration, or 0
-// if that is unknown.
+// Duration returns how long a call is expected to run that has some time left until its deadline. typical is
+// how long calls of its route have taken, or 0 if that is unknown: then only its deadline bounds it.
+func Duration(typical, left time.Duration) time.Duration {
+	if typical == 0 {
+		return max(left, 0)
+	}
+	return max(min(typical, left), 0)
+}
+
+// Admits reports whether a call may start at a time. estimated is its expected duration.
 func (w Window) Admits(start, estimated time.Duration) bool {
 	return !w.closing || start < w.startBefore && start+estimated <= w.endBefore
 }
--- a/decision/slotqueue/estimator.go
+++ b/decision/slotqueue/estimator.go
@@ -8,6 +8,8 @@
 const (
 	// sampleWeight is the weight of one call in the mean duration.
 	sampleWeight = 1.0 / 16
+	// typicalSamples is the number of calls over which the typical duration is averaged.
+	typicalSamples = 16
 	// decayDelay is the time without a completed call after which the estimate starts
 	// to decay. Calls refused because of a high estimate yield no newer sample.
 	decayDelay = time.Second
@@ -22,6 +24,8 @@
 type DurationEstimator struct {
 	mean      time.Duration
 	updatedAt time.Duration // end of the last recorded call
+	typical   time.Duration
+	samples   int // of typical, at most typicalSamples
 }
 
 // RecordEnd records a call that ran to completion. Its duration is capped at the timeout
@@ -31,6 +35,15 @@
 	duration = min(duration, max(timeout, 0))
 	e.mean = previous + time.Duration(float64(duration-previous)*sampleWeight)
 	e.updatedAt = now
+	e.samples = min(e.samples+1, typicalSamples)
+	e.typical += (duration - e.typical) / time.Duration(e.samples)
+}
+
+// Typical returns how long calls have taken lately, however long ago that is, or 0 if there are no samples.
+// Unlike Estimate it is not drawn towards 0 by a pause or by the first samples: it is for the end of an
+// endpoint or its node, where a low estimate costs calls that are interrupted, and a high one cannot last.
+func (e *DurationEstimator) Typical() time.Duration {
+	return e.typical
 }
 
 // Estimate returns the estimated duration, or 0 if there are no samples.
--- a/decision/slotqueue/estimator_test.go
+++ b/decision/slotqueue/estimator_test.go
@@ -17,6 +17,22 @@
 	require.Less(t, e.Estimate(time.Minute), time.Millisecond, "the estimate decays without completed calls")
 }
 
+// TestTypicalDuration guards against an endpoint that is leaving and accepts calls which it then interrupts, since few calls
+// were completed before, or none for some time.
+func TestTypicalDuration(t *testing.T) {
+	const long, short = 900 * time.Millisecond, 20 * time.Millisecond
+	e := &DurationEstimator{}
+	require.Zero(t, e.Typical(), "it is unknown")
+	e.RecordEnd(time.Second, long, time.Minute)
+	require.Equal(t, long, e.Typical(), "after a single call")
+	for i := range 100 {
+		e.RecordEnd(time.Duration(i+2)*time.Second, short, time.Minute)
+	}
+	require.InDelta(t, short, e.Typical(), float64(5*time.Millisecond), "after others")
+	e.RecordEnd(time.Hour, long, short)
+	require.LessOrEqual(t, e.Typical(), 25*time.Millisecond, "a late cancellation doesn't count as a long call")
+}
+
 // TestQueueRecoversAfterNodePause guards against a queue that stays closed after a pause of
 // its node. The node is paused for 4 s, so the calls in flight end late and raise the
 // estimated duration. One second after the pause the queue must accept all calls again. The
--- a/decision/slotqueue/slotqueue.go
+++ b/decision/slotqueue/slotqueue.go
@@ -48,6 +48,9 @@
 	Deadline time.Duration
 	// EstimatedDuration is the expected duration of the call.
 	EstimatedDuration time.Duration
+	// TypicalDuration is how long calls of its route have taken, or 0 if that is unknown. It decides
+	// whether the call ends before its endpoint leaves.
+	TypicalDuration time.Duration
 }
 
 // Dequeued is the decision on a call that was waiting.
@@ -184,7 +187,7 @@
 func (q *Queue) Leave(now time.Duration, w draining.Window, out []Dequeued) []Dequeued {
 	kept := q.waiting[:0]
 	for _, c := range q.waiting {
-		if w.Admits(now+q.estimatedWait(now, len(kept)), c.EstimatedDuration) {
+		if start := now + q.estimatedWait(now, len(kept)); w.Admits(start, draining.Duration(c.TypicalDuration, c.Deadline-start)) {
 			kept = append(kept, c)
 			continue
 		}
--- a/decision/slotqueue/slotqueue_test.go
+++ b/decision/slotqueue/slotqueue_test.go
@@ -132,7 +132,7 @@
 		require.Equal(t, Run, q.Offer(0, Call{ID: id, Deadline: distantDeadline}))
 	}
 	for id, rank := range map[uint64]uint8{10: 0, 11: 0, 12: 1, 13: 1, 14: 2, 15: 2} {
-		require.Equal(t, Wait, q.Offer(0, Call{ID: id, Rank: rank, Deadline: distantDeadline, EstimatedDuration: hold}))
+		require.Equal(t, Wait, q.Offer(0, Call{ID: id, Rank: rank, Deadline: distantDeadline, EstimatedDuration: hold, TypicalDuration: hold}))
 	}
 	returned := q.Leave(0, draining.Closing(0, 3*hold), nil)
 	require.ElementsMatch(t, []Dequeued{{14, Leave}, {15, Leave}}, returned)
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -133,11 +133,12 @@
 }
 
 // admits reports whether a call may start now, as far as its endpoint may be leaving.
-func (s *endpointServer) admits(call *calllink.Call) bool {
+func (s *endpointServer) admits(call *calllink.Call, deadline time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyView()
-	return s.callWindow(call.Endpoint).Admits(s.config.Now(), s.estimatedDuration(call.Route))
+	now := s.config.Now()
+	return s.callWindow(call.Endpoint).Admits(now, draining.Duration(s.typicalDuration(call.Route), deadline-now))
 }
 
 // isStopping reports whether the node's planned stop has reached the phase in which it
@@ -156,22 +157,22 @@
 	if s.isStopping() {
 		return refusalReply(calllink.RefusedLeaving, "the node is stopping")
 	}
-	if !s.admits(call) {
+	deadline := s.config.Now() + time.Duration(call.RemainingMs)*time.Millisecond
+	if !s.admits(call, deadline) {
 		return refusalReply(calllink.RefusedLeaving, "the endpoint or its node leaves before the call would end")
 	}
 	if internal {
-		return s.runInSlot(ctx, call)
+		return s.runInSlot(ctx, call, deadline)
 	}
 	w := s.enterWindow(call.Route, call.Rank)
 	if w == nil {
 		return refusalReply(calllink.RefusedOverloaded, "the chain of route "+call.Route+" is overloaded")
 	}
 	defer s.leaveWindow(w)
-	return s.runInSlot(ctx, call)
+	return s.runInSlot(ctx, call, deadline)
 }
 
-func (s *endpointServer) runInSlot(ctx context.Context, call *calllink.Call) *calllink.Reply {
-	deadline := s.config.Now() + time.Duration(call.RemainingMs)*time.Millisecond
+func (s *endpointServer) runInSlot(ctx context.Context, call *calllink.Call, deadline time.Duration) *calllink.Reply {
 	if refusal := s.acquireSlot(ctx, call, deadline); refusal != nil {
 		return refusal
 	}
@@ -192,7 +193,7 @@
 func (s *endpointServer) exchange(ctx context.Context, call *calllink.Call, deadline time.Duration) (reply *calllink.Reply, completed bool) {
 	request := call.Request()
 	s.suspectTracker.awaitLearned(ctx)
-	if refusal := s.refuseStart(call, request); refusal != nil {
+	if refusal := s.refuseStart(call, request, deadline); refusal != nil {
 		return refusal, false
 	}
 	lossKnown := s.suspectTracker.isSuspect(call.CallerService, request)
@@ -258,11 +259,11 @@
 
 // refuseStart returns the refusal of a call that must not be handed to the endpoint now, or nil.
 // What held when the call was admitted may have changed while it waited.
-func (s *endpointServer) refuseStart(call *calllink.Call, request *message.Request) *calllink.Reply {
+func (s *endpointServer) refuseStart(call *calllink.Call, request *message.Request, deadline time.Duration) *calllink.Reply {
 	switch {
 	case call.IsWithdrawn():
 		return refusalReply(calllink.RefusedWithdrawn, "the call was taken back")
-	case !s.admits(call):
+	case !s.admits(call, deadline):
 		return refusalReply(calllink.RefusedLeaving, "the endpoint is leaving")
 	case s.suspectTracker.checkQuarantine(call.CallerService, request) > 0:
 		s.config.Log.Emit(event.SuspectRefused, request.Header.Get(s.config.Headers.RequestID), event.F("fingerprint", fingerprint(call.CallerService, request)))
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -49,7 +49,10 @@
 	now := s.config.Now()
 	s.nextID++
 	id := s.nextID
-	verdict := s.gate.Offer(now, slotqueue.Call{ID: id, Rank: call.Rank, Deadline: deadline, EstimatedDuration: s.estimatedDuration(call.Route)})
+	verdict := s.gate.Offer(now, slotqueue.Call{
+		ID: id, Rank: call.Rank, Deadline: deadline,
+		EstimatedDuration: s.estimatedDuration(call.Route), TypicalDuration: s.typicalDuration(call.Route),
+	})
 	s.observePressure(now)
 	if verdict != slotqueue.Wait {
 		return id, verdict, nil
@@ -119,6 +122,15 @@
 	return u.Estimate(s.config.Now())
 }
 
+// typicalDuration returns how long calls of a route have taken, or 0 if that is unknown.
+func (s *endpointServer) typicalDuration(route string) time.Duration {
+	u := s.durationEstimators[route]
+	if u == nil {
+		return 0
+	}
+	return u.Typical()
+}
+
 // releaseSlot frees a slot that was held for a time and resumes waiting calls.
 func (s *endpointServer) releaseSlot(took time.Duration) {
 	now := s.config.Now()
--- a/internal/proxynode/late_stop_test.go
+++ b/internal/proxynode/late_stop_test.go
@@ -177,31 +177,47 @@
 }
 
 // TestStoppingNodeReturnsCallsThatTakeTooLong guards against a stopping node that accepts calls of other nodes for its
-// endpoint which it then cuts: another endpoint of the service can run them.
+// endpoint which it then cuts: another endpoint of the service can run them. What it knows of their duration may come from few
+// calls, or from some time ago.
 func TestStoppingNodeReturnsCallsThatTakeTooLong(t *testing.T) {
-	const calls, rounds, work = 16, 5, 900 * time.Millisecond
-	f := newFleet(t, slowRoute("stock", false))
-	f.stopTime = "1s" // calls end within it only if they begin at once
-	door := f.add("door", http.NotFound)
-	stopping := f.add("stock", func(http.ResponseWriter, *http.Request) { time.Sleep(work) })
-	f.add("stock", func(http.ResponseWriter, *http.Request) { time.Sleep(work) })
-	f.publish()
-	sendAll := func() {
-		var clients sync.WaitGroup
-		for range calls {
-			clients.Go(func() {
-				r, body := f.send(door, http.MethodPost, "/stock/1", "x")
-				if r.StatusCode != http.StatusOK {
-					t.Errorf("status %d: %s", r.StatusCode, body)
-				}
-			})
-		}
-		clients.Wait()
+	const calls, work = 16, 900 * time.Millisecond
+	tests := []struct {
+		desc   string
+		rounds int           // of calls, by which the nodes learn how long they take
+		pause  time.Duration // before the stop
+	}{
+		{"many calls before", 5, 0},
+		{"few calls before", 1, 0},
+		{"calls some time ago", 2, 3 * time.Second},
+		{"no calls before", 0, 0},
 	}
-	for range rounds { // the nodes learn how long calls take
-		sendAll()
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newFleet(t, slowRoute("stock", false))
+			f.stopTime = "1s" // calls end within it only if they begin at once
+			door := f.add("door", http.NotFound)
+			stopping := f.add("stock", func(http.ResponseWriter, *http.Request) { time.Sleep(work) })
+			f.add("stock", func(http.ResponseWriter, *http.Request) { time.Sleep(work) })
+			f.publish()
+			sendAll := func() {
+				var clients sync.WaitGroup
+				for range calls {
+					clients.Go(func() {
+						r, body := f.send(door, http.MethodPost, "/stock/1", "x")
+						if r.StatusCode != http.StatusOK {
+							t.Errorf("status %d: %s", r.StatusCode, body)
+						}
+					})
+				}
+				clients.Wait()
+			}
+			for range test.rounds {
+				sendAll()
+			}
+			time.Sleep(test.pause)
+			stopping.stop()
+			time.Sleep(settleTime)
+			sendAll()
+		})
 	}
-	stopping.stop()
-	time.Sleep(settleTime)
-	sendAll()
 }
