Apply entries of other nodes in one place

No behaviour changes.

Evidence: -race of decision/registry and internal/discovery, the outage and silence tests of platform, updatefeed and arch pass.

--- a/decision/registry/grace.go
+++ b/decision/registry/grace.go
@@ -75,3 +75,9 @@
 	r, known := t.records[id]
 	return known && r.present && t.Keep(now, r.entry)
 }
+
+// IsKept reports whether an endpoint is kept although its entry is missing from the store.
+func (t *Table) IsKept(id string) bool {
+	r, known := t.records[id]
+	return known && r.pending
+}
--- a/decision/registry/registry.go
+++ b/decision/registry/registry.go
@@ -96,6 +96,19 @@
 	return t.put(e)
 }
 
+// PutStored is like Put for an entry that another node passes on.
+func (t *Table) PutStored(now time.Duration, e StoredEntry) bool {
+	t.updates++
+	return t.putStored(now, e)
+}
+
+func (t *Table) putStored(now time.Duration, e StoredEntry) bool {
+	if e.Kept {
+		return t.Keep(now, e.Entry)
+	}
+	return t.put(e.Entry)
+}
+
 func (t *Table) put(e Entry) bool {
 	r, known := t.records[e.ID]
 	if !known {
@@ -174,11 +187,7 @@
 	listed := make(map[string]bool, len(all))
 	for _, e := range all {
 		listed[e.ID] = true
-		if e.Kept {
-			changed = t.Keep(now, e.Entry) || changed
-		} else {
-			changed = t.put(e.Entry) || changed
-		}
+		changed = t.putStored(now, e) || changed
 	}
 	for id := range t.records {
 		if !listed[id] {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -134,9 +134,9 @@
 	defer d.mu.Unlock()
 	if d.endpoints.Remove(d.now(), id) {
 		d.endpointChanged(id, true)
-		return
+	} else if d.endpoints.IsKept(id) {
+		d.broadcastEndpoints()
 	}
-	d.broadcastEndpoints() // it may be kept
 }
 
 func (d *Directory) endpointChanged(id string, leaving bool) {
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -143,15 +143,16 @@
 	for _, e := range stored {
 		current[e.ID] = e
 		before, known := d.published[e.ID]
-		switch {
-		case known && before.Kept == e.Kept && before.EqualExceptSequence(e.Entry):
-		case known && e.Kept && before.EqualExceptSequence(e.Entry):
-			u.Kept = append(u.Kept, e.ID)
-		case e.Kept:
-			u.Endpoints, u.Kept = append(u.Endpoints, e.Entry), append(u.Kept, e.ID)
-		default:
+		same := known && before.EqualExceptSequence(e.Entry)
+		if same && before.Kept == e.Kept {
+			continue
+		}
+		if !same || !e.Kept {
 			u.Endpoints = append(u.Endpoints, e.Entry)
 		}
+		if e.Kept {
+			u.Kept = append(u.Kept, e.ID)
+		}
 	}
 	for id := range d.published {
 		if _, exists := current[id]; !exists {
@@ -274,11 +275,7 @@
 		return d.endpoints.ReplaceStored(now, stored) || changed
 	}
 	for _, e := range stored {
-		if e.Kept {
-			changed = d.endpoints.Keep(now, e.Entry) || changed
-		} else {
-			changed = d.endpoints.Put(e.Entry) || changed
-		}
+		changed = d.endpoints.PutStored(now, e) || changed
 	}
 	for _, id := range u.Kept {
 		changed = d.endpoints.KeepKnown(now, id) || changed
