Take calls of unknown duration in an endpoint's drain, as before

What callers saw: nothing yet.

In a planned stop that is right, since the node interrupts it at the end; a leaving endpoint serves somewhat longer than its drain, and nothing interrupts the call.

Change: the window knows whether it interrupts (draining.Window.Duration).

--- a/decision/draining/draining.go
+++ b/decision/draining/draining.go
@@ -15,6 +15,7 @@
 	startBefore time.Duration // calls start before this time
 	endBefore   time.Duration // calls are expected to end before this time
 	closing     bool
+	interrupts  bool // calls that still run at endBefore are interrupted
 }
 
 // Closing returns the window of an endpoint that began to leave at the time since or later, and
@@ -23,10 +24,9 @@
 	return Window{startBefore: since + drain*startPercent/100, endBefore: since + drain, closing: true}
 }
 
-// Between returns a window in which calls start before one time and are expected to end before
-// another.
+// Between returns a window in which calls start before one time, and are interrupted at another.
 func Between(startBefore, endBefore time.Duration) Window {
-	return Window{startBefore: startBefore, endBefore: endBefore, closing: true}
+	return Window{startBefore: startBefore, endBefore: endBefore, closing: true, interrupts: true}
 }
 
 // And returns the window of calls that both windows admit.
@@ -37,7 +37,10 @@
 	case !other.closing:
 		return w
 	default:
-		return Between(min(w.startBefore, other.startBefore), min(w.endBefore, other.endBefore))
+		return Window{
+			startBefore: min(w.startBefore, other.startBefore), endBefore: min(w.endBefore, other.endBefore),
+			closing: true, interrupts: w.interrupts || other.interrupts,
+		}
 	}
 }
 
@@ -52,10 +55,11 @@
 }
 
 // Duration returns how long a call is expected to run that has some time left until its deadline. typical is
-// how long calls of its route have taken, or 0 if that is unknown: then only its deadline bounds it.
-func Duration(typical, left time.Duration) time.Duration {
-	if typical == 0 {
-		return max(left, 0)
+// how long calls of its route have taken, or 0 if that is unknown. Then only its deadline bounds it, which
+// counts if it would be interrupted; an endpoint that leaves serves somewhat longer than its drain.
+func (w Window) Duration(typical, left time.Duration) time.Duration {
+	if typical == 0 && w.interrupts {
+		typical = left
 	}
 	return max(min(typical, left), 0)
 }
--- a/decision/slotqueue/slotqueue.go
+++ b/decision/slotqueue/slotqueue.go
@@ -187,7 +187,7 @@
 func (q *Queue) Leave(now time.Duration, w draining.Window, out []Dequeued) []Dequeued {
 	kept := q.waiting[:0]
 	for _, c := range q.waiting {
-		if start := now + q.estimatedWait(now, len(kept)); w.Admits(start, draining.Duration(c.TypicalDuration, c.Deadline-start)) {
+		if start := now + q.estimatedWait(now, len(kept)); w.Admits(start, w.Duration(c.TypicalDuration, c.Deadline-start)) {
 			kept = append(kept, c)
 			continue
 		}
--- a/internal/proxy/serving.go
+++ b/internal/proxy/serving.go
@@ -137,8 +137,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyView()
-	now := s.config.Now()
-	return s.callWindow(call.Endpoint).Admits(now, draining.Duration(s.typicalDuration(call.Route), deadline-now))
+	now, w := s.config.Now(), s.callWindow(call.Endpoint)
+	return w.Admits(now, w.Duration(s.typicalDuration(call.Route), deadline-now))
 }
 
 // isStopping reports whether the node's planned stop has reached the phase in which it
